Lay the workspace, the wire messages, settings, timers and the store interface

Cause: every package needs the same messages, identifiers, answers and settings before it can be written. Change: npm workspace, committed generated protobuf code, settings schema, logs, metrics, timer service, store interface, build of one executable, check script.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,9 @@
+import neostandard, { resolveIgnoresFromGitignore } from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: [...resolveIgnoresFromGitignore(), '**/generated/**'] }),
+  {
+    files: ['test/**/*.ts'],
+    rules: { 'no-unused-expressions': 'off', '@typescript-eslint/no-unused-expressions': 'off' }
+  }
+]
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,1 @@
+console.log('egretvalve')
--- /dev/null
+++ b/packages/protocol/src/services.ts
@@ -0,0 +1,52 @@
+/** gRPC service definitions over the committed message code. */
+import type * as grpc from '@grpc/grpc-js'
+import { wire } from './generated/wire.js'
+
+interface Codec<T, P> {
+  encode: (message: P) => { finish: () => Uint8Array }
+  decode: (bytes: Uint8Array) => T
+}
+
+function createSerializer<T, P> (codec: Codec<T, P>): (message: P) => Buffer {
+  return message => {
+    const bytes = codec.encode(message).finish()
+    return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
+  }
+}
+
+/** A bidirectional stream whose written and read message types differ, as protobufjs distinguishes them. */
+export interface StreamMethod<QP, RP, Q, R> {
+  path: string
+  requestStream: true
+  responseStream: true
+  requestSerialize: grpc.serialize<QP>
+  requestDeserialize: grpc.deserialize<Q>
+  responseSerialize: grpc.serialize<RP>
+  responseDeserialize: grpc.deserialize<R>
+}
+
+function createStreamMethod<Q, QP, R, RP> (path: string, request: Codec<Q, QP>, response: Codec<R, RP>): StreamMethod<QP, RP, Q, R> {
+  return {
+    path,
+    requestStream: true,
+    responseStream: true,
+    requestSerialize: createSerializer(request),
+    requestDeserialize: bytes => request.decode(bytes),
+    responseSerialize: createSerializer(response),
+    responseDeserialize: bytes => response.decode(bytes)
+  }
+}
+
+/** The stream that an agent opens to an entry. */
+export const agentLink = {
+  exchange: createStreamMethod('/egretvalve.AgentLink/Exchange',
+    wire.AgentToEntry as Codec<wire.AgentToEntry, wire.IAgentToEntry>,
+    wire.EntryToAgent as Codec<wire.EntryToAgent, wire.IEntryToAgent>)
+}
+
+/** The stream that an entry opens to another entry. */
+export const peerLink = {
+  exchange: createStreamMethod('/egretvalve.PeerLink/Exchange',
+    wire.PeerFrame as Codec<wire.PeerFrame, wire.IPeerFrame>,
+    wire.PeerFrame as Codec<wire.PeerFrame, wire.IPeerFrame>)
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,6 @@
+/** Flags and environment variables, logs, metrics and the timer service. */
+export * from './kinds.ts'
+export * from './log.ts'
+export * from './metrics.ts'
+export * from './schema.ts'
+export * from './timers.ts'
--- /dev/null
+++ b/packages/settings/src/timers.ts
@@ -0,0 +1,123 @@
+/** The timer service: the only source of time for the parts of a process. */
+
+/** A running timer. */
+export interface TimerHandle {
+  cancel: () => void
+}
+
+/** Clocks and timers. Parts take this interface so that tests can drive time. */
+export interface Timers {
+  /** Monotonic time in milliseconds. */
+  nowMs: () => number
+  /** Wall-clock time in Unix milliseconds. */
+  wallClockMs: () => number
+  /** Calls back once after a delay. */
+  after: (delayMs: number, callback: () => void) => TimerHandle
+  /** Calls back repeatedly, one period after the last call returned. */
+  every: (periodMs: number, callback: () => void) => TimerHandle
+  /** Resolves after a delay, or at once when the signal aborts. */
+  sleep: (delayMs: number, signal?: AbortSignal) => Promise<void>
+}
+
+/** The timer service over the process's clocks. */
+export class TimerService implements Timers {
+  nowMs (): number {
+    return performance.now()
+  }
+
+  wallClockMs (): number {
+    return Date.now()
+  }
+
+  after (delayMs: number, callback: () => void): TimerHandle {
+    const timer = setTimeout(callback, delayMs)
+    return { cancel: () => clearTimeout(timer) }
+  }
+
+  every (periodMs: number, callback: () => void): TimerHandle {
+    const timer = setInterval(callback, periodMs)
+    return { cancel: () => clearInterval(timer) }
+  }
+
+  async sleep (delayMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted === true) return
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        signal?.removeEventListener('abort', finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, delayMs)
+      signal?.addEventListener('abort', finish, { once: true })
+    })
+  }
+}
+
+interface FakeTimer {
+  id: number
+  dueMs: number
+  periodMs: number | undefined
+  callback: () => void
+}
+
+/** A timer service whose time moves only by `advance`, for tests and model checks. */
+export class FakeTimers implements Timers {
+  private currentMs = 0
+  private nextId = 1
+  private readonly pending = new Map<number, FakeTimer>()
+
+  constructor (private readonly wallClockOffsetMs = 1_700_000_000_000) {}
+
+  nowMs (): number {
+    return this.currentMs
+  }
+
+  wallClockMs (): number {
+    return this.wallClockOffsetMs + this.currentMs
+  }
+
+  after (delayMs: number, callback: () => void): TimerHandle {
+    return this.add(delayMs, undefined, callback)
+  }
+
+  every (periodMs: number, callback: () => void): TimerHandle {
+    return this.add(periodMs, periodMs, callback)
+  }
+
+  async sleep (delayMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted === true) return
+    await new Promise<void>(resolve => {
+      const handle = this.after(delayMs, resolve)
+      signal?.addEventListener('abort', () => { handle.cancel(); resolve() }, { once: true })
+    })
+  }
+
+  /** Moves time forward and runs the timers that fall due, in order. */
+  advance (durationMs: number): void {
+    const endMs = this.currentMs + durationMs
+    for (let timer = this.nextDue(endMs); timer !== undefined; timer = this.nextDue(endMs)) this.fire(timer)
+    this.currentMs = endMs
+  }
+
+  private add (delayMs: number, periodMs: number | undefined, callback: () => void): TimerHandle {
+    const id = this.nextId++
+    this.pending.set(id, { id, dueMs: this.currentMs + delayMs, periodMs, callback })
+    return { cancel: () => { this.pending.delete(id) } }
+  }
+
+  private nextDue (endMs: number): FakeTimer | undefined {
+    let first: FakeTimer | undefined
+    for (const timer of this.pending.values()) {
+      if (timer.dueMs > endMs) continue
+      if (first === undefined || timer.dueMs < first.dueMs) first = timer
+    }
+    return first
+  }
+
+  private fire (timer: FakeTimer): void {
+    this.currentMs = Math.max(this.currentMs, timer.dueMs)
+    if (timer.periodMs === undefined) this.pending.delete(timer.id)
+    else timer.dueMs += timer.periodMs
+    timer.callback()
+  }
+}
--- /dev/null
+++ b/scripts/buildExecutable.mjs
@@ -0,0 +1,34 @@
+// Builds dist/egretvalve: one file that holds Node.js and the bundled program.
+import { execFileSync } from 'node:child_process'
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs'
+import { build } from 'esbuild'
+import postject from 'postject'
+
+const OUTPUT = 'dist/egretvalve'
+const BUNDLE = 'dist/egretvalve.cjs'
+const SEA_CONFIG = 'dist/sea-config.json'
+const SEA_BLOB = 'dist/egretvalve.blob'
+const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+
+// Optional modules of the libraries that this program never loads.
+const UNUSED_MODULES = ['avsc', 'thrift', 'kafka-node', 'unix-dgram']
+
+mkdirSync('dist', { recursive: true })
+await build({
+  entryPoints: ['packages/cli/src/main.ts'],
+  outfile: BUNDLE,
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  external: UNUSED_MODULES,
+  alias: { 'ts-results': './node_modules/ts-results/esm/index.js' },
+  logLevel: 'error'
+})
+writeFileSync(SEA_CONFIG, JSON.stringify({ main: BUNDLE, output: SEA_BLOB, disableExperimentalSEAWarning: true }))
+execFileSync(process.execPath, ['--experimental-sea-config', SEA_CONFIG], { stdio: 'ignore' })
+const staged = `${OUTPUT}.new`
+copyFileSync(process.execPath, staged)
+chmodSync(staged, 0o755)
+await postject.inject(staged, 'NODE_SEA_BLOB', readFileSync(SEA_BLOB), { sentinelFuse: SEA_FUSE })
+renameSync(staged, OUTPUT)
