--- /dev/null
+++ b/packages/agent/src/agent.ts
@@ -0,0 +1,177 @@
+/** The agent: one small process beside each backend server. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+import { Announcer } from './announcement/announcer.ts'
+import { createAnnouncementRoutes } from './announcement/routes.ts'
+import { events } from './events.ts'
+import { EntryLink } from './links/entryLink.ts'
+import type { QueuedTask } from './queue/taskQueue.ts'
+import { StartRecord } from './record/startRecord.ts'
+import type { AgentSettings } from './settings.ts'
+import { Executor } from './tasks/executor.ts'
+
+/** Largest body of an announcement in bytes. */
+const MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+const ANNOUNCEMENT_TIMEOUT_MS = 5_000
+const RECORD_EXPIRY_PERIOD_MS = 10_000
+
+/** Services that the agent takes from its process. */
+export interface AgentServices {
+  timers: settings.Timers
+  log: settings.Log
+  metrics: settings.Metrics
+  tls?: runtime.LinkTls
+}
+
+/** Takes the announcement of the backend server beside it, starts tasks and reports their outcomes. */
+export class Agent {
+  readonly agentId: string
+  readonly incarnation = protocol.createIncarnation()
+  announceAddress = ''
+  private readonly announcer: Announcer
+  private readonly record: StartRecord
+  private readonly executor: Executor
+  private readonly links = new Map<string, EntryLink>()
+  private readonly web: runtime.WebServer
+  private readonly broker
+  private expiry: settings.TimerHandle | undefined
+
+  constructor (private readonly settings: AgentSettings, private readonly services: AgentServices) {
+    this.agentId = settings.nodeId
+    this.announcer = new Announcer(services.timers, services.log, () => { this.announceLoad() })
+    this.record = new StartRecord(services.timers, settings.retentionMs)
+    this.executor = new Executor({
+      timers: services.timers,
+      announcer: this.announcer,
+      record: this.record,
+      queueDepth: settings.queueDepth,
+      resolveLink: queued => this.resolveLink(queued)
+    })
+    this.broker = runtime.createBroker(settings.nodeId)
+    this.web = new runtime.WebServer({
+      broker: this.broker,
+      name: 'announcement',
+      listen: settings.announceListen,
+      routes: createAnnouncementRoutes(this.announcer),
+      maxBodyBytes: MAX_ANNOUNCEMENT_BYTES,
+      requestTimeoutMs: ANNOUNCEMENT_TIMEOUT_MS
+    })
+  }
+
+  /** Listens for the backend server and opens streams to the entries. */
+  async start (): Promise<void> {
+    this.announceAddress = await this.web.start()
+    for (const address of this.settings.entries) this.openLink(address)
+    this.expiry = this.services.timers.every(RECORD_EXPIRY_PERIOD_MS, () => { this.record.expire() })
+    this.services.log.event(events.Started, { announceAddress: this.announceAddress, incarnation: this.incarnation })
+  }
+
+  /** Refuses new tasks, answers all accepted ones, then closes. */
+  async stop (): Promise<void> {
+    this.services.log.event(events.Draining, { running: this.executor.runningCount, queued: this.executor.queuedCount })
+    const drained = this.executor.drain()
+    this.announceLoad()
+    await drained
+    for (const link of this.links.values()) link.stop('planned stop')
+    this.expiry?.cancel()
+    this.announcer.stop()
+    await this.web.stop()
+    await this.broker.stop()
+    this.services.log.event(events.Stopped)
+  }
+
+  /** States what is still in progress. */
+  describeRemaining (): string {
+    return `${this.executor.runningCount} running and ${this.executor.queuedCount} queued tasks`
+  }
+
+  private openLink (address: string): void {
+    if (this.links.has(address)) return
+    const handler = {
+      createHello: () => this.createHello(),
+      createLoad: () => this.createLoad(),
+      onMessage: (link: EntryLink, message: protocol.wire.EntryToAgent) => { this.receive(link, message) },
+      onClosed: () => {}
+    }
+    const link = new EntryLink(address, handler, { timers: this.services.timers, log: this.services.log, tls: this.services.tls })
+    this.links.set(address, link)
+    link.run()
+  }
+
+  private receive (link: EntryLink, message: protocol.wire.EntryToAgent): void {
+    if (message.start != null) {
+      for (const job of message.start.jobs ?? []) this.executor.accept(job, link)
+    } else if (message.cancel != null) {
+      this.executor.cancel(message.cancel.key!)
+    } else if (message.inquiry != null) {
+      this.answerInquiry(link, message.inquiry)
+    } else if (message.hello != null) {
+      this.learnEntries(message.hello.entries ?? [])
+    } else if (message.entries != null) {
+      this.learnEntries(message.entries.entries ?? [])
+    }
+  }
+
+  private learnEntries (entries: readonly protocol.wire.IEntryAddress[]): void {
+    for (const entry of entries) {
+      if (entry.peerAddress != null && entry.peerAddress !== '') this.openLink(entry.peerAddress)
+    }
+  }
+
+  private answerInquiry (link: EntryLink, inquiry: protocol.wire.IInquiry): void {
+    for (const job of inquiry.jobs ?? []) {
+      for (const task of job.tasks ?? []) {
+        const known = this.record.inquire(job.key!, task.index ?? 0, task.attempt ?? 0)
+        link.report(job, known)
+      }
+    }
+  }
+
+  /** A report goes to the link on which the task came, or after a reconnect to the same entry's new stream. */
+  private resolveLink (queued: QueuedTask): EntryLink {
+    return queued.origin
+  }
+
+  private announceLoad (): void {
+    for (const link of this.links.values()) {
+      if (link.isOpen) link.scheduleFlush()
+    }
+  }
+
+  private createHello (): protocol.wire.IAgentHello {
+    return {
+      agentId: this.agentId,
+      incarnation: this.incarnation,
+      region: this.settings.region,
+      failureDomain: this.settings.failureDomain,
+      wallClockMs: this.services.timers.wallClockMs(),
+      load: this.createLoad(),
+      versions: []
+    }
+  }
+
+  private createLoad (): protocol.wire.ILoadReport {
+    const announcement = this.announcer.current
+    const { runningCount, queuedCount, slots } = this.executor
+    return {
+      service: announcement?.service ?? '',
+      freeSlots: Math.max(0, slots - runningCount - queuedCount),
+      queued: queuedCount,
+      running: runningCount,
+      draining: this.executor.draining || !this.announcer.acceptsTasks,
+      total: announcement === undefined ? undefined : createCapacity(announcement),
+      rack: announcement?.rack ?? this.settings.rack
+    }
+  }
+}
+
+function createCapacity (announcement: { slots: number, connections: number, cores: number, memoryMb: number, accelerators: number }): protocol.wire.ICapacity {
+  const { slots, connections, cores, memoryMb, accelerators } = announcement
+  return { slots, connections, cores, memoryMb, accelerators }
+}
+
+/** Creates an agent. */
+export function createAgent (settings: AgentSettings, services: AgentServices): Agent {
+  return new Agent(settings, services)
+}
--- /dev/null
+++ b/packages/agent/src/announcement/schema.ts
@@ -0,0 +1,21 @@
+/** The announcement of a backend server. */
+import * as zod from 'zod'
+
+const MAX_SLOTS = 10_000
+const MIN_LEASE_MS = 100
+const MAX_LEASE_MS = 600_000
+
+export const announcementSchema = zod.strictObject({
+  service: zod.string().min(1).max(100),
+  address: zod.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, 'an IPv4 address and port'),
+  slots: zod.int().min(1).max(MAX_SLOTS),
+  connections: zod.int().min(1).max(MAX_SLOTS),
+  cores: zod.number().min(0).default(0),
+  memoryMb: zod.number().min(0).default(0),
+  accelerators: zod.int().min(0).default(0),
+  rack: zod.string().default(''),
+  leaseMs: zod.int().min(MIN_LEASE_MS).max(MAX_LEASE_MS)
+})
+
+/** A backend server as it announced itself. */
+export type Announcement = zod.infer<typeof announcementSchema>
--- /dev/null
+++ b/packages/agent/src/events.ts
@@ -0,0 +1,16 @@
+/** Numbered events of the agent. */
+import * as settings from '@egretvalve/settings'
+
+const { Info, Warn } = settings.LogLevel
+
+export const events = settings.defineEvents({
+  Started: { code: 2001, level: Info, message: 'agent started' },
+  Stopped: { code: 2002, level: Info, message: 'agent stopped' },
+  Draining: { code: 2003, level: Info, message: 'agent is draining' },
+  BackendAnnounced: { code: 2010, level: Info, message: 'backend server announced itself' },
+  BackendLeaving: { code: 2011, level: Info, message: 'backend server is leaving' },
+  BackendLeaseExpired: { code: 2012, level: Warn, message: 'lease of the backend server expired' },
+  LinkOpened: { code: 2020, level: Info, message: 'stream to an entry opened' },
+  LinkClosed: { code: 2021, level: Warn, message: 'stream to an entry closed' },
+  ClockOff: { code: 2022, level: Warn, message: 'wall clock differs from an entry by more than the bound' }
+})
--- /dev/null
+++ b/packages/agent/src/links/entryLink.ts
@@ -0,0 +1,147 @@
+/** One task for each entry: dials it, greets it and handles its messages until the agent stops. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+import { events } from '../events.ts'
+
+const MIN_BACKOFF_MS = 100
+const MAX_BACKOFF_MS = 2_000
+/** An idle stream carries one heartbeat in this time. */
+const HEARTBEAT_PERIOD_MS = 15_000
+
+/** What a link needs of its agent. */
+export interface EntryLinkHandler {
+  createHello: () => protocol.wire.IAgentHello
+  createLoad: (link: EntryLink) => protocol.wire.ILoadReport
+  onMessage: (link: EntryLink, message: protocol.wire.EntryToAgent) => void
+  onClosed: (link: EntryLink) => void
+}
+
+/** Services that links share. */
+export interface EntryLinkServices {
+  timers: settings.Timers
+  log: settings.Log
+  tls: runtime.LinkTls | undefined
+}
+
+/** The agent's stream to one entry, reopened whenever it ends. */
+export class EntryLink {
+  /** Set once the entry has greeted. */
+  entryId = ''
+  incarnation = ''
+  private outbox: runtime.Outbox<protocol.wire.IAgentToEntry> | undefined
+  private dialed: { close: () => void } | undefined
+  private readonly abort = new AbortController()
+  private reports = new Map<string, protocol.wire.IJobReport>()
+  private isFlushScheduled = false
+  private backoffMs = MIN_BACKOFF_MS
+
+  constructor (
+    readonly address: string,
+    private readonly handler: EntryLinkHandler,
+    private readonly services: EntryLinkServices
+  ) {}
+
+  /** True while the stream is open and the entry has greeted. */
+  get isOpen (): boolean {
+    return this.outbox !== undefined && this.entryId !== ''
+  }
+
+  /** Keeps the stream open until `stop`. */
+  async run (): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      await this.exchange()
+      if (this.abort.signal.aborted) return
+      await this.services.timers.sleep(this.nextBackoffMs(), this.abort.signal)
+    }
+  }
+
+  /** Sends a message, or returns false when the stream is closed. */
+  send (message: protocol.wire.IAgentToEntry): boolean {
+    return this.outbox?.send(message) ?? false
+  }
+
+  /** Adds a task's report to the next batch. */
+  report (job: protocol.wire.IJobStart, task: protocol.wire.ITaskReport): void {
+    const keyText = protocol.submissionKeyText(job.key!)
+    const pending = this.reports.get(keyText)
+    if (pending === undefined) {
+      this.reports.set(keyText, { key: job.key, taskCount: job.taskCount, partition: job.partition, epoch: job.epoch, tasks: [task] })
+    } else {
+      pending.tasks!.push(task)
+    }
+    this.scheduleFlush()
+  }
+
+  /** Sends the load in the next batch, with the reports that wait. */
+  scheduleFlush (): void {
+    if (this.isFlushScheduled) return
+    this.isFlushScheduled = true
+    setImmediate(() => { this.flush() })
+  }
+
+  /** Sends what waits at once. */
+  flush (): void {
+    this.isFlushScheduled = false
+    const jobs = [...this.reports.values()]
+    this.reports = new Map()
+    this.send({ report: { jobs, load: this.handler.createLoad(this) } })
+  }
+
+  /** Closes the stream for good. */
+  stop (reason: string): void {
+    this.flush()
+    this.send({ goodbye: { reason } })
+    this.abort.abort()
+    this.services.timers.after(MIN_BACKOFF_MS, () => this.dialed?.close())
+  }
+
+  private async exchange (): Promise<void> {
+    const dialed = runtime.dialLink(this.address, protocol.agentLink.exchange, this.services.tls)
+    this.dialed = dialed
+    this.outbox = new runtime.Outbox(dialed.stream)
+    this.outbox.send({ hello: this.handler.createHello() })
+    const heartbeat = this.services.timers.every(HEARTBEAT_PERIOD_MS, () => {
+      this.send({ heartbeat: { wallClockMs: this.services.timers.wallClockMs() } })
+    })
+    let reason = 'ended by the entry'
+    try {
+      for await (const message of dialed.stream) this.receive(message)
+    } catch (thrown) {
+      reason = protocol.toStepError(thrown, 'link.read', this.address).describe()
+    }
+    heartbeat.cancel()
+    dialed.close()
+    this.close(reason)
+  }
+
+  private receive (message: protocol.wire.EntryToAgent): void {
+    if (message.hello !== null && message.hello !== undefined) this.greet(message.hello)
+    this.handler.onMessage(this, message)
+  }
+
+  private greet (hello: protocol.wire.IEntryHello): void {
+    this.entryId = hello.entryId ?? ''
+    this.incarnation = hello.incarnation ?? ''
+    this.backoffMs = MIN_BACKOFF_MS
+    this.services.log.event(events.LinkOpened, { peer: this.address, entryId: this.entryId })
+    const offsetMs = Math.abs((hello.wallClockMs ?? 0) - this.services.timers.wallClockMs())
+    if (offsetMs > protocol.CLOCK_BOUND_MS) this.services.log.event(events.ClockOff, { peer: this.address, offsetMs })
+  }
+
+  private close (reason: string): void {
+    const wasOpen = this.isOpen
+    this.outbox?.close()
+    this.outbox = undefined
+    this.entryId = ''
+    if (!wasOpen) return
+    this.services.log.event(events.LinkClosed, { peer: this.address, step: 'link.read', reason })
+    this.handler.onClosed(this)
+  }
+
+  private nextBackoffMs (): number {
+    const delayMs = this.backoffMs * (0.5 + Math.random())
+    this.backoffMs = Math.min(this.backoffMs * 2, MAX_BACKOFF_MS)
+    return delayMs
+  }
+}
--- /dev/null
+++ b/packages/agent/src/queue/taskQueue.ts
@@ -0,0 +1,44 @@
+/** The agent's short queue of accepted tasks. */
+import type * as protocol from '@egretvalve/protocol'
+import type { EntryLink } from '../links/entryLink.ts'
+
+/** A task that was accepted and has not started. */
+export interface QueuedTask {
+  job: protocol.wire.IJobStart
+  task: protocol.wire.ITaskStart
+  /** The link on which the task came. */
+  origin: EntryLink
+}
+
+/** Orders by class, then by deadline. */
+function compareUrgency (left: QueuedTask, right: QueuedTask): number {
+  const byClass = (right.job.requestClass ?? 0) - (left.job.requestClass ?? 0)
+  if (byClass !== 0) return byClass
+  return (left.job.deadlineAtMs ?? 0) - (right.job.deadlineAtMs ?? 0)
+}
+
+/** Holds a few tasks in order of urgency. */
+export class TaskQueue {
+  private readonly tasks: QueuedTask[] = []
+
+  get size (): number {
+    return this.tasks.length
+  }
+
+  push (queued: QueuedTask): void {
+    this.tasks.push(queued)
+    this.tasks.sort(compareUrgency)
+  }
+
+  shift (): QueuedTask | undefined {
+    return this.tasks.shift()
+  }
+
+  /** Removes and returns the tasks that match. */
+  remove (matches: (queued: QueuedTask) => boolean): QueuedTask[] {
+    const removed = this.tasks.filter(matches)
+    const kept = this.tasks.filter(queued => !matches(queued))
+    this.tasks.splice(0, this.tasks.length, ...kept)
+    return removed
+  }
+}
--- /dev/null
+++ b/packages/agent/src/settings.ts
@@ -0,0 +1,56 @@
+/** Settings of the agent. */
+import * as protocol from '@egretvalve/protocol'
+import * as settings from '@egretvalve/settings'
+
+/** Resolved settings of an agent. */
+export interface AgentSettings {
+  nodeId: string
+  region: string
+  failureDomain: string
+  rack: string
+  /** Loopback address on which the backend server announces itself. */
+  announceListen: string
+  /** Link addresses of some entries; the rest is learned from them. */
+  entries: string[]
+  /** Tasks that wait at the agent, to hide the round trip. */
+  queueDepth: number
+  retentionMs: number
+  recordMaxBytes: number
+  stopLimitMs: number
+  plainText: boolean
+  tlsKeyFile: string
+  tlsCertFile: string
+  tlsCaFile: string
+  logLevel: settings.LogLevel
+  statsdHost: string
+  statsdPort: number
+}
+
+const MAX_STOP_LIMIT_MS = 3_600_000
+const MAX_RECORD_BYTES = 1024 * 1024 * 1024
+
+export const agentDefinition: settings.SettingsDefinition<AgentSettings> = {
+  nodeId: settings.text('Id of this agent; stable across restarts.', 'a name such as agent-7', 'agent'),
+  region: settings.text('Region of this worker.', 'a name such as gr-attica', 'local'),
+  failureDomain: settings.text('Failure domain of this worker.', 'a name such as attica-a', 'local-a'),
+  rack: settings.text('Rack of this worker.', 'a name such as rack-1', 'rack-1'),
+  announceListen: settings.address('Loopback address for the backend server\'s announcement.', '127.0.0.1:7200'),
+  entries: settings.addressList('Link addresses of some entries.', '127.0.0.1:7100'),
+  queueDepth: settings.wholeNumber('Tasks that may wait at the agent.', 'tasks', 0, 1_000, '4'),
+  retentionMs: settings.wholeNumber('Time for which starts and results are kept.', 'milliseconds', 1_000, MAX_STOP_LIMIT_MS, String(protocol.RETENTION_MS)),
+  recordMaxBytes: settings.wholeNumber('Memory for the record of starts and results.', 'bytes', 1_000_000, MAX_RECORD_BYTES, '100000000'),
+  stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_STOP_LIMIT_MS, '60000'),
+  plainText: settings.flag('Allows links without TLS.'),
+  tlsKeyFile: settings.text('PEM file with the private key.', 'a path', ''),
+  tlsCertFile: settings.text('PEM file with the certificate.', 'a path', ''),
+  tlsCaFile: settings.text('PEM file with the certificate authority.', 'a path', ''),
+  logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Info),
+  statsdHost: settings.text('IP number of the StatsD collector.', 'an IPv4 address', '127.0.0.1'),
+  statsdPort: settings.wholeNumber('UDP port of the StatsD collector; 0 sends nothing.', 'port', 0, 65_535, '0')
+}
+
+/** Resolves settings for embedded use: the defaults with some values replaced. */
+export function resolveAgentDefaults (overrides: Partial<AgentSettings>): AgentSettings {
+  const defaults = settings.resolveSettings(agentDefinition, [], {}).unwrap().values
+  return { ...defaults, ...overrides }
+}
--- /dev/null
+++ b/packages/agent/src/tasks/executor.ts
@@ -0,0 +1,156 @@
+/** Accepts tasks, runs as many at once as the backend server has slots, and reports their outcomes. */
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import type { Announcer } from '../announcement/announcer.ts'
+import type { EntryLink } from '../links/entryLink.ts'
+import { type QueuedTask, TaskQueue } from '../queue/taskQueue.ts'
+import type { StartRecord } from '../record/startRecord.ts'
+import { BackendClient } from './backendClient.ts'
+
+const { wire } = protocol
+
+interface RunningTask {
+  queued: QueuedTask
+  abort: AbortController
+}
+
+/** What the executor needs of its agent. */
+export interface ExecutorOptions {
+  timers: settings.Timers
+  announcer: Announcer
+  record: StartRecord
+  queueDepth: number
+  /** Returns the open link that a task's report goes to. */
+  resolveLink: (queued: QueuedTask) => EntryLink
+}
+
+/** Runs the tasks of one agent. */
+export class Executor {
+  private readonly queue = new TaskQueue()
+  private readonly running = new Set<RunningTask>()
+  private client: BackendClient | undefined
+  private isDraining = false
+  private onIdle: (() => void) | undefined
+
+  constructor (private readonly options: ExecutorOptions) {}
+
+  get runningCount (): number {
+    return this.running.size
+  }
+
+  get queuedCount (): number {
+    return this.queue.size
+  }
+
+  get draining (): boolean {
+    return this.isDraining
+  }
+
+  /** Slots of the announced backend server. */
+  get slots (): number {
+    return this.options.announcer.current?.slots ?? 0
+  }
+
+  /** Accepts or refuses each task of a start message. */
+  accept (job: protocol.wire.IJobStart, origin: EntryLink): void {
+    for (const task of job.tasks ?? []) this.acceptTask({ job, task, origin })
+    this.startNext()
+  }
+
+  /** Cancels the tasks of a submission: queued ones do not run, running ones are aborted. */
+  cancel (key: protocol.wire.ISubmissionKey): void {
+    const keyText = protocol.submissionKeyText(key)
+    const matches = (queued: QueuedTask): boolean => protocol.submissionKeyText(queued.job.key!) === keyText
+    for (const queued of this.queue.remove(matches)) this.refuse(queued, wire.RefusalReason.REFUSAL_REASON_CANCELLED)
+    for (const running of this.running) {
+      if (matches(running.queued)) running.abort.abort()
+    }
+  }
+
+  /** Refuses new tasks and resolves when all accepted ones have ended. */
+  async drain (): Promise<void> {
+    this.isDraining = true
+    if (this.running.size + this.queue.size > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
+    await this.client?.close()
+  }
+
+  private acceptTask (queued: QueuedTask): void {
+    const refusal = this.findRefusal(queued)
+    if (refusal !== wire.RefusalReason.REFUSAL_REASON_NONE) {
+      this.report(queued, createRefusal(queued.task, refusal))
+      return
+    }
+    const recorded = this.options.record.admit(queued.job, queued.task)
+    if (recorded !== wire.RefusalReason.REFUSAL_REASON_NONE) {
+      this.report(queued, this.createRecordedReport(queued, recorded))
+      return
+    }
+    this.queue.push(queued)
+  }
+
+  private findRefusal (queued: QueuedTask): protocol.wire.RefusalReason {
+    if (this.isDraining) return wire.RefusalReason.REFUSAL_REASON_DRAINING
+    if (!this.options.announcer.acceptsTasks) return wire.RefusalReason.REFUSAL_REASON_NO_BACKEND
+    if (this.hasPassedDeadline(queued)) return wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED
+    if (this.running.size + this.queue.size >= this.slots + this.options.queueDepth) return wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL
+    return wire.RefusalReason.REFUSAL_REASON_NONE
+  }
+
+  private hasPassedDeadline (queued: QueuedTask): boolean {
+    const deadlineAtMs = queued.job.deadlineAtMs ?? 0
+    return deadlineAtMs > 0 && this.options.timers.wallClockMs() > deadlineAtMs
+  }
+
+  /** A task that is already known is answered with what became of it. */
+  private createRecordedReport (queued: QueuedTask, refusal: protocol.wire.RefusalReason): protocol.wire.ITaskReport {
+    if (refusal !== wire.RefusalReason.REFUSAL_REASON_ALREADY_STARTED) return createRefusal(queued.task, refusal)
+    return this.options.record.inquire(queued.job.key!, queued.task.index ?? 0, queued.task.attempt ?? 0)
+  }
+
+  private startNext (): void {
+    while (this.running.size < this.slots) {
+      const queued = this.queue.shift()
+      if (queued === undefined) return
+      if (this.hasPassedDeadline(queued)) this.refuse(queued, wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED)
+      else this.run(queued)
+    }
+  }
+
+  private async run (queued: QueuedTask): Promise<void> {
+    const running = { queued, abort: new AbortController() }
+    this.running.add(running)
+    const startedAtMs = this.options.timers.nowMs()
+    this.options.record.update(queued.job.key!, { index: queued.task.index, attempt: queued.task.attempt, state: wire.TaskState.TASK_STATE_RUNNING })
+    const outcome = await this.resolveClient().run(queued.job, queued.task, running.abort.signal)
+    this.running.delete(running)
+    const runMs = this.options.timers.nowMs() - startedAtMs
+    this.finish(queued, { ...outcome, index: queued.task.index, attempt: queued.task.attempt, runMs })
+    this.startNext()
+  }
+
+  private finish (queued: QueuedTask, report: protocol.wire.ITaskReport): void {
+    this.options.record.update(queued.job.key!, report)
+    this.report(queued, report)
+    if (this.running.size + this.queue.size === 0) this.onIdle?.()
+  }
+
+  private refuse (queued: QueuedTask, refusal: protocol.wire.RefusalReason): void {
+    this.finish(queued, createRefusal(queued.task, refusal))
+  }
+
+  private report (queued: QueuedTask, report: protocol.wire.ITaskReport): void {
+    this.options.resolveLink(queued).report(queued.job, report)
+  }
+
+  private resolveClient (): BackendClient {
+    const { address, connections } = this.options.announcer.current!
+    if (this.client?.address !== address) {
+      this.client = new BackendClient(address, connections)
+    }
+    return this.client
+  }
+}
+
+function createRefusal (task: protocol.wire.ITaskStart, refusal: protocol.wire.RefusalReason): protocol.wire.ITaskReport {
+  return { index: task.index, attempt: task.attempt, state: wire.TaskState.TASK_STATE_NOT_RUN, refusal }
+}
--- /dev/null
+++ b/packages/entry/src/api/routes.ts
@@ -0,0 +1,105 @@
+/** HTTP routes of the caller API. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+import type * as results from 'ts-results'
+import type { IntakeResult } from '../jobs/intake.ts'
+import { type FieldProblem, parseJob, parseRequest, type ParseContext } from './parse.ts'
+import { createAnswerResponse } from './render.ts'
+
+/** What callers can ask of an entry, whichever entry owns the submission. */
+export interface CallerGateway {
+  submit: (submission: protocol.wire.ISubmission, waitMs: number, signal: AbortSignal) => Promise<GatewayResult>
+  lookUp: (key: protocol.wire.ISubmissionKey, waitMs: number, signal: AbortSignal) => Promise<protocol.wire.IAnswer | undefined>
+  cancel: (key: protocol.wire.ISubmissionKey) => Promise<protocol.wire.IAnswer | undefined>
+  isReady: () => boolean
+}
+
+/** An answer, or work that clashes with an earlier submission. */
+export type GatewayResult = Exclude<IntakeResult, { kind: 'accepted' }>
+
+/** Limits of the routes. */
+export interface RouteOptions {
+  timers: settings.Timers
+  defaultDeadlineMs: number
+  maxWaitMs: number
+}
+
+type Parse = (body: Buffer, context: ParseContext) => results.Result<protocol.wire.ISubmission, FieldProblem>
+
+/** Creates the routes. */
+export function createCallerRoutes (gateway: CallerGateway, options: RouteOptions): runtime.WebRoute[] {
+  return [
+    { method: 'POST', path: '/v1/jobs', handle: async request => await submit(request, parseJob, gateway, options) },
+    { method: 'POST', path: '/v1/requests', handle: async request => await submit(request, parseRequest, gateway, options) },
+    { method: 'GET', path: '/v1/jobs/:team/:submissionId', handle: async request => await lookUp(request, 0, gateway) },
+    { method: 'GET', path: '/v1/jobs/:team/:submissionId/answer', handle: async request => await waitForAnswer(request, gateway, options) },
+    { method: 'DELETE', path: '/v1/jobs/:team/:submissionId', handle: async request => await cancel(request, gateway) },
+    { method: 'GET', path: '/healthz', handle: async () => runtime.jsonResponse(200, { healthy: true }) },
+    { method: 'GET', path: '/readyz', handle: async () => runtime.jsonResponse(gateway.isReady() ? 200 : 503, { ready: gateway.isReady() }) }
+  ]
+}
+
+function refuseField (problem: FieldProblem): runtime.WebResponse {
+  return runtime.errorResponse(400, protocol.ErrorCode.InvalidInput, `${problem.field}: ${problem.message}`, problem.field)
+}
+
+/** Reads `waitMs` of the query; undefined when it is wrong. */
+function readWaitMs (request: runtime.WebRequest, defaultMs: number, maxMs: number): number | undefined {
+  const given = request.query.get('waitMs')
+  if (given === null) return defaultMs
+  if (!/^\d{1,9}$/.test(given)) return undefined
+  return Math.min(Number(given), maxMs)
+}
+
+function refuseWait (request: runtime.WebRequest, maxMs: number): runtime.WebResponse {
+  return refuseField({ field: 'waitMs', message: `got ${request.query.get('waitMs')}; expected a whole number of milliseconds from 0 to ${maxMs}` })
+}
+
+async function submit (request: runtime.WebRequest, parse: Parse, gateway: CallerGateway, options: RouteOptions): Promise<runtime.WebResponse> {
+  const waitMs = readWaitMs(request, 0, options.maxWaitMs)
+  if (waitMs === undefined) return refuseWait(request, options.maxWaitMs)
+  const idempotencyKey = request.headers['idempotency-key']
+  const submission = parse(request.body, {
+    idempotencyKey: typeof idempotencyKey === 'string' ? idempotencyKey : undefined,
+    nowWallMs: options.timers.wallClockMs(),
+    defaultDeadlineMs: options.defaultDeadlineMs
+  })
+  if (submission.err) return refuseField(submission.val)
+  const result = await gateway.submit(submission.val, waitMs, request.signal)
+  switch (result.kind) {
+    case 'answered':
+      return createAnswerResponse(result.answer)
+    case 'conflict':
+      return runtime.errorResponse(409, protocol.ErrorCode.Conflict, result.message, 'submissionId')
+    default:
+      return protocol.assertNever(result)
+  }
+}
+
+function readKey (request: runtime.WebRequest): protocol.wire.ISubmissionKey {
+  return { team: request.params.team, submissionId: request.params.submissionId }
+}
+
+function refuseUnknown (key: protocol.wire.ISubmissionKey): runtime.WebResponse {
+  const message = `submissionId: got ${key.submissionId}; team ${key.team} has no such submission within the retention time`
+  return runtime.errorResponse(404, protocol.ErrorCode.NotFound, message, 'submissionId')
+}
+
+async function lookUp (request: runtime.WebRequest, waitMs: number, gateway: CallerGateway): Promise<runtime.WebResponse> {
+  const key = readKey(request)
+  const answer = await gateway.lookUp(key, waitMs, request.signal)
+  return answer === undefined ? refuseUnknown(key) : createAnswerResponse(answer)
+}
+
+async function waitForAnswer (request: runtime.WebRequest, gateway: CallerGateway, options: RouteOptions): Promise<runtime.WebResponse> {
+  const waitMs = readWaitMs(request, options.maxWaitMs, options.maxWaitMs)
+  if (waitMs === undefined) return refuseWait(request, options.maxWaitMs)
+  return await lookUp(request, waitMs, gateway)
+}
+
+async function cancel (request: runtime.WebRequest, gateway: CallerGateway): Promise<runtime.WebResponse> {
+  const key = readKey(request)
+  const answer = await gateway.cancel(key)
+  return answer === undefined ? refuseUnknown(key) : createAnswerResponse(answer)
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,118 @@
+/** The entry: HTTP for callers and administrators, dispatch of tasks to agents. */
+import * as platform from '@egretvalve/platform'
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+import { createCallerRoutes } from './api/routes.ts'
+import { Dispatcher } from './dispatch/dispatcher.ts'
+import { events } from './events.ts'
+import { createLocalGateway } from './jobs/gateway.ts'
+import { Intake } from './jobs/intake.ts'
+import { JobRegistry } from './jobs/registry.ts'
+import { AgentLinks } from './links/agentLinks.ts'
+import { createSoleOwner, type OwnerRouter } from './owners/router.ts'
+import type { EntrySettings } from './settings.ts'
+
+const EXPIRY_PERIOD_MS = 1_000
+
+/** Services that the entry takes from its process. */
+export interface EntryServices {
+  timers: settings.Timers
+  log: settings.Log
+  metrics: settings.Metrics
+  /** The platform's store; without one the entry runs alone. */
+  store?: platform.Store
+  tls?: runtime.LinkTls
+}
+
+/** One entry process. */
+export class Entry {
+  readonly entryId: string
+  readonly incarnation = protocol.createIncarnation()
+  httpAddress = ''
+  linkAddress = ''
+  private readonly broker
+  private readonly web: runtime.WebServer
+  private readonly linkServer: runtime.LinkServer
+  private readonly registry: JobRegistry
+  private readonly dispatcher: Dispatcher
+  private readonly intake: Intake
+  private readonly agentLinks: AgentLinks
+  private readonly owner: OwnerRouter
+  private expiry: settings.TimerHandle | undefined
+  private isReady = false
+
+  constructor (private readonly settings: EntrySettings, private readonly services: EntryServices) {
+    const { timers, log, metrics } = services
+    this.entryId = settings.nodeId
+    this.owner = createSoleOwner()
+    this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
+    this.dispatcher = new Dispatcher({ timers, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
+    this.intake = new Intake({ timers, log, metrics, registry: this.registry, dispatcher: this.dispatcher })
+    this.agentLinks = new AgentLinks({ timers, log, dispatcher: this.dispatcher, agentGraceMs: settings.agentGraceMs, createHello: () => this.createHello() })
+    this.broker = runtime.createBroker(settings.nodeId)
+    this.web = this.createWebServer()
+    this.linkServer = new runtime.LinkServer(settings.linkListen, services.tls)
+    this.linkServer.accept('exchange', protocol.agentLink.exchange, async (stream, peer) => { await this.agentLinks.serve(stream, peer) })
+  }
+
+  /** Listens for agents, entries and callers. */
+  async start (): Promise<void> {
+    await protocol.loadHash()
+    this.linkAddress = await this.linkServer.start()
+    this.httpAddress = await this.web.start()
+    this.expiry = this.services.timers.every(EXPIRY_PERIOD_MS, () => { this.registry.expire() })
+    this.isReady = true
+    this.services.log.event(events.Started, { httpAddress: this.httpAddress, linkAddress: this.linkAddress, incarnation: this.incarnation })
+  }
+
+  /** Refuses new submissions, answers all accepted ones, then closes. */
+  async stop (): Promise<void> {
+    this.isReady = false
+    this.services.log.event(events.Draining, { running: this.registry.running })
+    this.intake.drain()
+    await this.registry.waitUntilIdle()
+    await this.web.stop()
+    this.linkServer.stop()
+    this.dispatcher.stop()
+    this.expiry?.cancel()
+    await this.broker.stop()
+    this.services.log.event(events.Stopped)
+  }
+
+  /** States what is still in progress. */
+  describeRemaining (): string {
+    return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
+  }
+
+  private createWebServer (): runtime.WebServer {
+    const { settings, services } = this
+    const gateway = createLocalGateway({ intake: this.intake, registry: this.registry, dispatcher: this.dispatcher, isReady: () => this.isReady })
+    const routes = createCallerRoutes(gateway, { timers: services.timers, defaultDeadlineMs: settings.defaultDeadlineMs, maxWaitMs: settings.maxWaitMs })
+    return new runtime.WebServer({
+      broker: this.broker,
+      name: 'http',
+      listen: settings.httpListen,
+      routes,
+      maxBodyBytes: settings.maxBodyBytes,
+      requestTimeoutMs: settings.requestTimeoutMs
+    })
+  }
+
+  private createHello (): protocol.wire.IEntryHello {
+    return {
+      entryId: this.entryId,
+      incarnation: this.incarnation,
+      region: this.settings.region,
+      failureDomain: this.settings.failureDomain,
+      wallClockMs: this.services.timers.wallClockMs(),
+      entries: [],
+      versions: []
+    }
+  }
+}
+
+/** Creates an entry. */
+export function createEntry (settings: EntrySettings, services: EntryServices): Entry {
+  return new Entry(settings, services)
+}
--- /dev/null
+++ b/packages/entry/src/jobs/gateway.ts
@@ -0,0 +1,39 @@
+/** Answers callers for the submissions that this entry owns. */
+import type { CallerGateway, GatewayResult } from '../api/routes.ts'
+import type * as protocol from '@egretvalve/protocol'
+import type { Dispatcher } from '../dispatch/dispatcher.ts'
+import type { Intake } from './intake.ts'
+import type { JobRegistry } from './registry.ts'
+
+/** What the local gateway needs of its entry. */
+export interface LocalGatewayOptions {
+  intake: Intake
+  registry: JobRegistry
+  dispatcher: Dispatcher
+  isReady: () => boolean
+}
+
+/** Creates the gateway to this entry's own jobs. */
+export function createLocalGateway (options: LocalGatewayOptions): CallerGateway {
+  const { intake, registry, dispatcher, isReady } = options
+
+  async function submit (submission: protocol.wire.ISubmission, waitMs: number, signal: AbortSignal): Promise<GatewayResult> {
+    const result = intake.submit(submission)
+    if (result.kind !== 'accepted') return result
+    return { kind: 'answered', answer: await intake.wait(result.job, waitMs, signal) }
+  }
+
+  async function lookUp (key: protocol.wire.ISubmissionKey, waitMs: number, signal: AbortSignal): Promise<protocol.wire.IAnswer | undefined> {
+    const job = registry.find(key)
+    return job === undefined ? undefined : await intake.wait(job, waitMs, signal)
+  }
+
+  async function cancel (key: protocol.wire.ISubmissionKey): Promise<protocol.wire.IAnswer | undefined> {
+    const job = registry.find(key)
+    if (job === undefined) return undefined
+    if (job.answer === undefined) dispatcher.cancel(job)
+    return job.answer ?? job.createProgress()
+  }
+
+  return { submit, lookUp, cancel, isReady }
+}
--- /dev/null
+++ b/packages/entry/src/jobs/intake.ts
@@ -0,0 +1,109 @@
+/** Takes submissions in: joins, refuses or dispatches them, and lets callers wait for answers. */
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import type { Dispatcher } from '../dispatch/dispatcher.ts'
+import { events } from '../events.ts'
+import { JoinKind, type JobRegistry } from './registry.ts'
+import type { Job } from './job.ts'
+
+/** What the intake needs of its entry. */
+export interface IntakeOptions {
+  timers: settings.Timers
+  log: settings.Log
+  metrics: settings.Metrics
+  registry: JobRegistry
+  dispatcher: Dispatcher
+}
+
+/** The job of a submission, or the answer that refuses it. */
+export type IntakeResult =
+  | { kind: 'accepted', job: Job }
+  | { kind: 'answered', answer: protocol.wire.IAnswer }
+  | { kind: 'conflict', message: string }
+
+/** The owner's side of the caller API. */
+export class Intake {
+  private isDraining = false
+
+  constructor (private readonly options: IntakeOptions) {}
+
+  /** Refuses new submissions from now on; resubmissions still join. */
+  drain (): void {
+    this.isDraining = true
+  }
+
+  /** Takes a submission. */
+  submit (submission: protocol.wire.ISubmission): IntakeResult {
+    const known = this.options.registry.find(submission.key!)
+    const refusal = known === undefined ? this.findRefusal(submission) : undefined
+    if (refusal !== undefined) {
+      this.options.metrics.increment('submissions.refused')
+      this.options.log.event(events.SubmissionRefused, { submissionId: submission.key!.submissionId ?? '', team: submission.key!.team ?? '', code: refusal.code ?? '' })
+      return { kind: 'answered', answer: refusal }
+    }
+    const { kind, job } = this.options.registry.join(submission)
+    switch (kind) {
+      case JoinKind.Conflict:
+        return { kind: 'conflict', message: 'submissionId: this id was used for other work; expected a new id or the same work' }
+      case JoinKind.Joined:
+        return { kind: 'accepted', job }
+      case JoinKind.Created:
+        this.start(job)
+        return { kind: 'accepted', job }
+      default:
+        return protocol.assertNever(kind)
+    }
+  }
+
+  /** Ends a job whose last task has ended. */
+  finish (job: Job): void {
+    const answer = job.finish()
+    this.options.registry.retain(job)
+    this.options.metrics.increment('submissions.answered')
+    this.options.metrics.timing('submission', this.options.timers.nowMs() - job.acceptedAtMs)
+    this.options.log.event(events.SubmissionAnswered, { submissionId: job.key.submissionId ?? '', code: answer.code ?? '' })
+  }
+
+  /** Waits for a job's answer; after the wait, or when the caller leaves, returns its progress. */
+  async wait (job: Job, waitMs: number, signal: AbortSignal): Promise<protocol.wire.IAnswer> {
+    if (job.answer !== undefined) return job.answer
+    if (waitMs <= 0) return job.createProgress()
+    return await new Promise(resolve => {
+      const withdraw = job.onAnswer(answer => {
+        timer.cancel()
+        resolve(answer)
+      })
+      const giveUp = (): void => {
+        timer.cancel()
+        withdraw()
+        resolve(job.createProgress())
+      }
+      const timer = this.options.timers.after(waitMs, giveUp)
+      signal.addEventListener('abort', giveUp, { once: true })
+    })
+  }
+
+  private start (job: Job): void {
+    this.options.metrics.increment('submissions.accepted')
+    this.options.log.event(events.SubmissionAccepted, { submissionId: job.key.submissionId ?? '', tasks: job.taskCount })
+    this.options.dispatcher.enqueue(job)
+  }
+
+  private findRefusal (submission: protocol.wire.ISubmission): protocol.wire.IAnswer | undefined {
+    const key = submission.key!
+    if (this.isDraining) return protocol.createRefusal(key, protocol.AnswerCode.Draining, 'this entry is stopping; submit again', 1)
+    if (this.isForgotten(submission)) return protocol.createUnknownOutcome(key, 'the answer of this id may have been dropped; it may have run and will not run now')
+    if (!this.options.dispatcher.knowsService(submission.service ?? '')) {
+      return protocol.createRefusal(key, protocol.AnswerCode.UnknownService, `service: got ${submission.service ?? ''}; no backend server has announced it`)
+    }
+    return undefined
+  }
+
+  /** A dated id older than the oldest answer that was dropped early may have run before. */
+  private isForgotten (submission: protocol.wire.ISubmission): boolean {
+    const horizonMs = this.options.registry.forgottenBeforeMs
+    if (horizonMs === 0) return false
+    const submittedAtMs = submission.submittedAtMs ?? 0
+    return submittedAtMs <= horizonMs + protocol.CLOCK_BOUND_MS
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/agentLinks.ts
@@ -0,0 +1,127 @@
+/** Accepts agents' streams; one task for each stream. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+import type { Dispatcher } from '../dispatch/dispatcher.ts'
+import { events } from '../events.ts'
+import { AgentSession, OutstandingTasks } from './agentSession.ts'
+
+const { wire } = protocol
+
+/** An idle stream carries one heartbeat in this time. */
+const HEARTBEAT_PERIOD_MS = 15_000
+
+type AgentStream = runtime.LinkStream<protocol.wire.AgentToEntry, protocol.wire.IEntryToAgent>
+
+interface KnownAgent {
+  incarnation: string
+  outstanding: OutstandingTasks
+  session: AgentSession | undefined
+  lossTimer: settings.TimerHandle | undefined
+}
+
+/** What agent links need of their entry. */
+export interface AgentLinksOptions {
+  timers: settings.Timers
+  log: settings.Log
+  dispatcher: Dispatcher
+  agentGraceMs: number
+  createHello: () => protocol.wire.IEntryHello
+}
+
+/** Keeps the sessions of all agents. */
+export class AgentLinks {
+  private readonly agents = new Map<string, KnownAgent>()
+
+  constructor (private readonly options: AgentLinksOptions) {}
+
+  /** Sessions of agents that are connected now. */
+  get sessions (): AgentSession[] {
+    return [...this.agents.values()].flatMap(agent => agent.session ?? [])
+  }
+
+  /** Handles one stream until it ends. */
+  async serve (stream: AgentStream, peer: string): Promise<void> {
+    const outbox = new runtime.Outbox<protocol.wire.IEntryToAgent>(stream)
+    outbox.send({ hello: this.options.createHello() })
+    const heartbeat = this.options.timers.every(HEARTBEAT_PERIOD_MS, () => {
+      outbox.send({ heartbeat: { wallClockMs: this.options.timers.wallClockMs() } })
+    })
+    let session: AgentSession | undefined
+    let hasLeft = false
+    try {
+      for await (const message of stream) {
+        if (message.hello != null) session = this.connect(message.hello, outbox, peer)
+        if (message.report != null && session !== undefined) this.receive(session, message.report)
+        if (message.goodbye != null) hasLeft = true
+      }
+    } catch {
+      // A broken stream ends the session like a closed one.
+    }
+    heartbeat.cancel()
+    outbox.close()
+    if (session !== undefined) this.disconnect(session, hasLeft)
+  }
+
+  private connect (hello: protocol.wire.IAgentHello, outbox: runtime.Outbox<protocol.wire.IEntryToAgent>, peer: string): AgentSession {
+    const agent = this.resolveAgent(hello)
+    const session = new AgentSession(hello, agent.outstanding, outbox, (task, report) => { this.options.dispatcher.settle(task, report) })
+    if (agent.session !== undefined) this.options.dispatcher.removeAgent(agent.session)
+    agent.session = session
+    agent.lossTimer?.cancel()
+    this.options.log.event(events.AgentConnected, { agentId: session.agentId, peer, failureDomain: session.failureDomain })
+    this.checkClock(hello, peer)
+    session.inquire()
+    this.options.dispatcher.addAgent(session)
+    return session
+  }
+
+  /** An agent that returns with the same incarnation keeps its outstanding tasks; a new life has lost them. */
+  private resolveAgent (hello: protocol.wire.IAgentHello): KnownAgent {
+    const agentId = hello.agentId ?? ''
+    const known = this.agents.get(agentId)
+    if (known !== undefined && known.incarnation === hello.incarnation) return known
+    if (known !== undefined) this.giveUp(agentId, known)
+    const agent = { incarnation: hello.incarnation ?? '', outstanding: new OutstandingTasks(), session: undefined, lossTimer: undefined }
+    this.agents.set(agentId, agent)
+    return agent
+  }
+
+  private receive (session: AgentSession, batch: protocol.wire.IReportBatch): void {
+    session.receive(batch)
+    this.options.dispatcher.schedulePump()
+  }
+
+  private disconnect (session: AgentSession, hasLeft: boolean): void {
+    const agent = this.agents.get(session.agentId)
+    this.options.dispatcher.removeAgent(session)
+    if (agent === undefined || agent.session !== session) return
+    agent.session = undefined
+    this.options.log.event(hasLeft ? events.AgentLeft : events.AgentDisconnected, { agentId: session.agentId, outstanding: agent.outstanding.size })
+    if (agent.outstanding.size === 0) {
+      this.agents.delete(session.agentId)
+      return
+    }
+    agent.lossTimer = this.options.timers.after(this.options.agentGraceMs, () => {
+      this.agents.delete(session.agentId)
+      this.giveUp(session.agentId, agent)
+    })
+  }
+
+  /** Tasks that an agent may have started and can't answer any more have an unknown outcome. */
+  private giveUp (agentId: string, agent: KnownAgent): void {
+    agent.lossTimer?.cancel()
+    const tasks = agent.outstanding.takeAll()
+    if (tasks.length === 0) return
+    this.options.log.event(events.AgentLost, { agentId, tasks: tasks.length })
+    for (const task of tasks) {
+      const error = `link.read (${agentId}): agent lost after the task was sent`
+      this.options.dispatcher.settle(task, { index: task.index, attempt: task.attempt, state: wire.TaskState.TASK_STATE_UNKNOWN, error })
+    }
+  }
+
+  private checkClock (hello: protocol.wire.IAgentHello, peer: string): void {
+    const offsetMs = Math.abs((hello.wallClockMs ?? 0) - this.options.timers.wallClockMs())
+    if (offsetMs > protocol.CLOCK_BOUND_MS) this.options.log.event(events.ClockOff, { peer, agentId: hello.agentId ?? '', offsetMs })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/agentSession.ts
@@ -0,0 +1,170 @@
+/** The entry's side of one agent's stream: what was sent, what is outstanding, what the agent last reported. */
+import * as protocol from '@egretvalve/protocol'
+import type * as runtime from '@egretvalve/runtime'
+import type { WaitingTask } from '../dispatch/waitingTasks.ts'
+import type { Job } from '../jobs/job.ts'
+import type { StartGrant } from '../owners/router.ts'
+
+const { wire } = protocol
+
+type TaskListener = (task: WaitingTask, report: protocol.wire.ITaskReport) => void
+
+/** Tasks sent to one agent and not yet answered, by submission. They outlive a broken stream. */
+export class OutstandingTasks {
+  private readonly tasks = new Map<string, Map<number, WaitingTask>>()
+  private count = 0
+
+  get size (): number {
+    return this.count
+  }
+
+  add (task: WaitingTask): void {
+    let ofJob = this.tasks.get(task.job.keyText)
+    if (ofJob === undefined) {
+      ofJob = new Map()
+      this.tasks.set(task.job.keyText, ofJob)
+    }
+    ofJob.set(task.index, task)
+    this.count++
+  }
+
+  /** Removes and returns the task that a final report is about. */
+  take (keyText: string, report: protocol.wire.ITaskReport): WaitingTask | undefined {
+    const ofJob = this.tasks.get(keyText)
+    const task = ofJob?.get(report.index ?? 0)
+    if (ofJob === undefined || task === undefined || task.attempt !== (report.attempt ?? 0)) return undefined
+    ofJob.delete(task.index)
+    if (ofJob.size === 0) this.tasks.delete(keyText)
+    this.count--
+    return task
+  }
+
+  hasJob (keyText: string): boolean {
+    return this.tasks.has(keyText)
+  }
+
+  /** Removes and returns all tasks. */
+  takeAll (): WaitingTask[] {
+    const all = [...this.tasks.values()].flatMap(ofJob => [...ofJob.values()])
+    this.tasks.clear()
+    this.count = 0
+    return all
+  }
+
+  /** Creates the question what became of the tasks. */
+  createInquiry (): protocol.wire.IInquiry {
+    const jobs = [...this.tasks.values()].map(ofJob => {
+      const tasks = [...ofJob.values()]
+      return { key: tasks[0]!.job.key, partition: tasks[0]!.job.partition, tasks: tasks.map(task => ({ index: task.index, attempt: task.attempt })) }
+    })
+    return { jobs }
+  }
+}
+
+/** One open stream of an agent. */
+export class AgentSession {
+  readonly agentId: string
+  readonly incarnation: string
+  readonly failureDomain: string
+  private load: protocol.wire.ILoadReport
+  private sentSinceReport = 0
+  private pendingStarts = new Map<string, protocol.wire.IJobStart>()
+
+  constructor (
+    hello: protocol.wire.IAgentHello,
+    readonly outstanding: OutstandingTasks,
+    private readonly outbox: runtime.Outbox<protocol.wire.IEntryToAgent>,
+    private readonly onTask: TaskListener
+  ) {
+    this.agentId = hello.agentId ?? ''
+    this.incarnation = hello.incarnation ?? ''
+    this.failureDomain = hello.failureDomain ?? ''
+    this.load = hello.load ?? {}
+  }
+
+  get service (): string {
+    return this.load.service ?? ''
+  }
+
+  get currentLoad (): protocol.wire.ILoadReport {
+    return this.load
+  }
+
+  /** Slots believed free: the last report, less what was sent since. */
+  get freeSlots (): number {
+    if (this.load.draining === true) return 0
+    const slots = this.load.total?.slots ?? 0
+    return Math.min((this.load.freeSlots ?? 0) - this.sentSinceReport, slots - this.outstanding.size)
+  }
+
+  /** Adds a task to the next batch. */
+  addStart (task: WaitingTask, grant: StartGrant): void {
+    this.outstanding.add(task)
+    this.sentSinceReport++
+    const spec = task.job.submission.tasks![task.index]!
+    const start = { index: task.index, attempt: task.attempt, body: spec.body, declaredRunMs: spec.declaredRunMs }
+    const pending = this.pendingStarts.get(task.job.keyText)
+    if (pending === undefined) this.pendingStarts.set(task.job.keyText, createJobStart(task.job, grant, start))
+    else pending.tasks!.push(start)
+  }
+
+  /** Sends the batch. */
+  flushStarts (): void {
+    if (this.pendingStarts.size === 0) return
+    const jobs = [...this.pendingStarts.values()]
+    this.pendingStarts = new Map()
+    this.outbox.send({ start: { jobs } })
+  }
+
+  /** Cancels a job if the agent has tasks of it. */
+  cancel (job: Job): void {
+    if (this.outstanding.hasJob(job.keyText)) this.outbox.send({ cancel: { key: job.key } })
+  }
+
+  /** Asks what became of tasks sent on an earlier stream. */
+  inquire (): void {
+    if (this.outstanding.size > 0) this.outbox.send({ inquiry: this.outstanding.createInquiry() })
+  }
+
+  /** Takes a batch of reports and the load that rides on it. */
+  receive (batch: protocol.wire.IReportBatch): void {
+    if (batch.load != null) {
+      this.load = batch.load
+      this.sentSinceReport = 0
+    }
+    for (const job of batch.jobs ?? []) this.receiveJob(job)
+  }
+
+  private receiveJob (job: protocol.wire.IJobReport): void {
+    const keyText = protocol.submissionKeyText(job.key!)
+    for (const report of job.tasks ?? []) {
+      if (isInProgress(report)) continue
+      const task = this.outstanding.take(keyText, report)
+      if (task !== undefined) this.onTask(task, report)
+    }
+  }
+}
+
+function isInProgress (report: protocol.wire.ITaskReport): boolean {
+  return report.state === wire.TaskState.TASK_STATE_QUEUED || report.state === wire.TaskState.TASK_STATE_RUNNING
+}
+
+function createJobStart (job: Job, grant: StartGrant, task: protocol.wire.ITaskStart): protocol.wire.IJobStart {
+  const { submission } = job
+  return {
+    key: submission.key,
+    taskCount: job.taskCount,
+    owned: true,
+    partition: job.partition,
+    epoch: grant.epoch,
+    leaseExpiresAtMs: grant.leaseExpiresAtMs,
+    service: submission.service,
+    requestClass: submission.requestClass,
+    repeatable: submission.repeatable,
+    deadlineAtMs: submission.deadlineAtMs,
+    wanted: submission.wanted,
+    path: submission.path,
+    contentType: submission.contentType,
+    tasks: [task]
+  }
+}
--- /dev/null
+++ b/packages/entry/src/settings.ts
@@ -0,0 +1,66 @@
+/** Settings of the entry. */
+import * as protocol from '@egretvalve/protocol'
+import * as settings from '@egretvalve/settings'
+
+/** Resolved settings of an entry. */
+export interface EntrySettings {
+  nodeId: string
+  region: string
+  failureDomain: string
+  /** Address of the HTTP APIs. */
+  httpListen: string
+  /** Address for agents and other entries. */
+  linkListen: string
+  /** Address of the platform's store; empty runs alone, without a store. */
+  storeAddress: string
+  /** Longest time a caller's request may wait for its answer, in milliseconds. */
+  maxWaitMs: number
+  requestTimeoutMs: number
+  defaultDeadlineMs: number
+  maxBodyBytes: number
+  retentionMs: number
+  recordMaxBytes: number
+  /** Time for a disconnected agent to return before its tasks count as unknown. */
+  agentGraceMs: number
+  stopLimitMs: number
+  plainText: boolean
+  tlsKeyFile: string
+  tlsCertFile: string
+  tlsCaFile: string
+  logLevel: settings.LogLevel
+  statsdHost: string
+  statsdPort: number
+}
+
+const MAX_DURATION_MS = 3_600_000
+const MAX_RECORD_BYTES = 4 * 1024 * 1024 * 1024
+
+export const entryDefinition: settings.SettingsDefinition<EntrySettings> = {
+  nodeId: settings.text('Id of this entry; stable across restarts.', 'a name such as entry-1', 'entry'),
+  region: settings.text('Region of this VM.', 'a name such as gr-attica', 'local'),
+  failureDomain: settings.text('Failure domain of this VM.', 'a name such as attica-a', 'local-a'),
+  httpListen: settings.address('Address for callers and administrators.', '127.0.0.1:7000'),
+  linkListen: settings.address('Address for agents and other entries.', '127.0.0.1:7100'),
+  storeAddress: settings.text('Address of the platform\'s store; empty runs alone.', 'an IPv4 address and port', ''),
+  maxWaitMs: settings.wholeNumber('Longest wait for an answer in one call.', 'milliseconds', 0, MAX_DURATION_MS, '120000'),
+  requestTimeoutMs: settings.wholeNumber('Longest time for a request to arrive.', 'milliseconds', 100, MAX_DURATION_MS, '10000'),
+  defaultDeadlineMs: settings.wholeNumber('Deadline of submissions that state none.', 'milliseconds', 1, MAX_DURATION_MS, '60000'),
+  maxBodyBytes: settings.wholeNumber('Largest request body.', 'bytes', 1_024, protocol.MAX_BODY_BYTES, String(protocol.MAX_BODY_BYTES)),
+  retentionMs: settings.wholeNumber('Time for which answers are kept.', 'milliseconds', 1_000, MAX_DURATION_MS, String(protocol.RETENTION_MS)),
+  recordMaxBytes: settings.wholeNumber('Memory for answers that are kept.', 'bytes', 1_000_000, MAX_RECORD_BYTES, '64000000'),
+  agentGraceMs: settings.wholeNumber('Time for a disconnected agent to return.', 'milliseconds', 100, MAX_DURATION_MS, '10000'),
+  stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_DURATION_MS, '60000'),
+  plainText: settings.flag('Allows links and HTTP without TLS.'),
+  tlsKeyFile: settings.text('PEM file with the private key.', 'a path', ''),
+  tlsCertFile: settings.text('PEM file with the certificate.', 'a path', ''),
+  tlsCaFile: settings.text('PEM file with the certificate authority.', 'a path', ''),
+  logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Info),
+  statsdHost: settings.text('IP number of the StatsD collector.', 'an IPv4 address', '127.0.0.1'),
+  statsdPort: settings.wholeNumber('UDP port of the StatsD collector; 0 sends nothing.', 'port', 0, 65_535, '0')
+}
+
+/** Resolves settings for embedded use: the defaults with some values replaced. */
+export function resolveEntryDefaults (overrides: Partial<EntrySettings>): EntrySettings {
+  const defaults = settings.resolveSettings(entryDefinition, [], {}).unwrap().values
+  return { ...defaults, ...overrides }
+}
--- /dev/null
+++ b/packages/runtime/src/web.ts
@@ -0,0 +1,187 @@
+/** An HTTP server built on moleculer-web whose handlers take a request and return a response. */
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+import type * as moleculer from 'moleculer'
+import ApiService from 'moleculer-web'
+import * as protocol from '@egretvalve/protocol'
+import { formatAddress, parseAddress } from './addresses.ts'
+import { readBody } from './body.ts'
+
+/** A request whose body has been read whole. */
+export interface WebRequest {
+  method: string
+  path: string
+  /** Path parameters, such as `team` in `/v1/jobs/:team`. */
+  params: Readonly<Record<string, string>>
+  query: URLSearchParams
+  headers: http.IncomingHttpHeaders
+  body: Buffer
+  /** Aborts when the caller closes its connection before the response. */
+  signal: AbortSignal
+}
+
+/** A response. Objects are the handler's to serialize. */
+export interface WebResponse {
+  status: number
+  body: string | Buffer
+  contentType?: string
+  headers?: Readonly<Record<string, string>>
+}
+
+/** One route: method, path pattern and handler. */
+export interface WebRoute {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE'
+  path: string
+  handle: (request: WebRequest) => Promise<WebResponse>
+}
+
+/** Where and how a server listens. */
+export interface WebServerOptions {
+  broker: moleculer.ServiceBroker
+  /** Service name within the broker. */
+  name: string
+  listen: string
+  routes: readonly WebRoute[]
+  maxBodyBytes: number
+  /** Longest time for a request's head and body to arrive, in milliseconds. */
+  requestTimeoutMs: number
+  tls?: { key: Buffer, cert: Buffer, ca?: Buffer }
+}
+
+type MoleculerRequest = http.IncomingMessage & { $params: Record<string, string> }
+
+/** Creates a JSON response. */
+export function jsonResponse (status: number, value: unknown, headers?: Readonly<Record<string, string>>): WebResponse {
+  return { status, body: JSON.stringify(value), contentType: 'application/json', headers }
+}
+
+/** Creates an error response with a stable code. */
+export function errorResponse (status: number, code: protocol.ErrorCode, message: string, field?: string): WebResponse {
+  return jsonResponse(status, { error: { code, message, field } })
+}
+
+/** An HTTP server with graceful stop. */
+export class WebServer {
+  private service: moleculer.Service | undefined
+  private inProgress = 0
+  private isStopping = false
+  private onIdle: (() => void) | undefined
+
+  constructor (private readonly options: WebServerOptions) {}
+
+  /** Starts listening and returns the address. */
+  async start (): Promise<string> {
+    const { host, port } = parseAddress(this.options.listen)
+    this.service = this.options.broker.createService(this.createSchema(host, port))
+    const server = this.server()
+    const listening = waitForListening(server, this.options.listen)
+    await Promise.race([listening, this.options.broker.start().then(async () => await listening)])
+    const bound = server.address() as net.AddressInfo
+    return formatAddress(host, bound.port)
+  }
+
+  /** Stops accepting connections, waits for the requests in progress, then closes. */
+  async stop (): Promise<void> {
+    if (this.service === undefined || this.isStopping) return
+    this.isStopping = true
+    const server = this.server()
+    server.closeIdleConnections()
+    if (this.inProgress > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
+    server.closeIdleConnections()
+    setImmediate(() => server.closeAllConnections())
+    await this.options.broker.destroyService(this.service)
+  }
+
+  private server (): http.Server {
+    return (this.service as unknown as { server: http.Server }).server
+  }
+
+  private createSchema (host: string, port: number): moleculer.ServiceSchema {
+    const aliases: Record<string, (request: MoleculerRequest, response: http.ServerResponse) => void> = {}
+    for (const route of this.options.routes) {
+      aliases[`${route.method} ${route.path}`] = (request, response) => { this.serve(route, request, response) }
+    }
+    const { requestTimeoutMs } = this.options
+    return {
+      name: this.options.name,
+      mixins: [ApiService as unknown as moleculer.ServiceSchema],
+      settings: {
+        ip: host,
+        port,
+        https: this.options.tls,
+        httpServerTimeout: null,
+        path: '/',
+        routes: [{ path: '/', bodyParsers: false, aliases, mappingPolicy: 'restrict', mergeParams: false, onError: refuseUnknownRoute }]
+      },
+      created (this: { server: http.Server }) {
+        this.server.requestTimeout = requestTimeoutMs
+        this.server.headersTimeout = requestTimeoutMs
+      }
+    } as unknown as moleculer.ServiceSchema
+  }
+
+  private async serve (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<void> {
+    this.inProgress++
+    try {
+      const answer = await this.answer(route, request, response)
+      writeResponse(response, answer, this.isStopping)
+    } finally {
+      this.inProgress--
+      if (this.inProgress === 0) this.onIdle?.()
+    }
+  }
+
+  private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
+    const abort = new AbortController()
+    response.once('close', () => { if (!response.writableEnded) abort.abort() })
+    const body = await readBody(request, this.options.maxBodyBytes)
+    if (body.err) return errorResponse(413, protocol.ErrorCode.InvalidInput, body.val.message, 'body')
+    const target = new URL(request.url ?? '/', 'http://local')
+    try {
+      return await route.handle({
+        method: route.method,
+        path: target.pathname,
+        params: resolvePathParams(request),
+        query: target.searchParams,
+        headers: request.headers,
+        body: body.val,
+        signal: abort.signal
+      })
+    } catch (thrown) {
+      const error = protocol.toStepError(thrown, `${route.method} ${route.path}`, 'local')
+      return errorResponse(500, error.code, error.describe())
+    }
+  }
+}
+
+/** Waits until the server listens; a refused address is an error that names it. */
+async function waitForListening (server: http.Server, listen: string): Promise<void> {
+  if (server.listening) return
+  await new Promise<void>((resolve, reject) => {
+    server.once('listening', resolve)
+    server.once('error', thrown => {
+      reject(new protocol.StepError(protocol.ErrorCode.Unavailable, 'http.listen', listen, `${thrown.message}; choose another address or stop the program that uses it`))
+    })
+  })
+}
+
+function resolvePathParams (request: MoleculerRequest): Record<string, string> {
+  const params = (request.$params as unknown as { params?: Record<string, string> }).params
+  return params ?? {}
+}
+
+function refuseUnknownRoute (request: http.IncomingMessage, response: http.ServerResponse): void {
+  writeResponse(response, errorResponse(404, protocol.ErrorCode.NotFound, `no route for ${request.method} ${request.url}`), true)
+}
+
+function writeResponse (response: http.ServerResponse, answer: WebResponse, closeAfter: boolean): void {
+  if (response.destroyed || response.headersSent) return
+  const headers: Record<string, string | number> = {
+    'content-type': answer.contentType ?? 'application/json',
+    'content-length': Buffer.byteLength(answer.body),
+    ...answer.headers
+  }
+  if (closeAfter) headers.connection = 'close'
+  response.writeHead(answer.status, headers)
+  response.end(answer.body)
+}
