--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+/** Stand-ins for backend servers, for a faulty network and for the platform's store. */
+export * from './backend/index.ts'
