standin: add a TCP proxy with network faults

Cause: tests of links need cuts, one-way cuts, delays and resets without a second machine. Change: createNetworkProxy carries each direction apart and holds, delays or resets it. Conclusion: links between processes can be tested under faults in one process.

--- /dev/null
+++ b/packages/standin/src/network/index.ts
@@ -0,0 +1,3 @@
+/** The stand-in for a faulty network. */
+export { LinkFaultKind, type LinkFault } from './faults.ts'
+export { createNetworkProxy, type NetworkProxy, type NetworkProxyOptions, type ProxiedConnection } from './proxy.ts'
