shared: read JSON bodies strictly

Cause: JSON.parse keeps the last of two equal keys and replaces broken UTF-8 without a word. Change: protocol.parseJson refuses both, checks the schema and names field, value given and what is right.

--- /dev/null
+++ b/packages/protocol/src/json.ts
@@ -0,0 +1,92 @@
+/** Reads JSON bodies strictly: valid UTF-8, no duplicate keys, checked by a schema. */
+import { isUtf8 } from 'node:buffer'
+import * as results from 'ts-results'
+import type * as zod from 'zod'
+import { findDuplicateKey } from './jsonKeys.ts'
+
+/** An input that was refused. */
+export interface InputProblem {
+  /** Path of the field, such as `tasks.3.body`; `body` for the whole input. */
+  field: string
+  /** What came, shortened. */
+  given: string
+  /** What is right. */
+  expects: string
+}
+
+/** Formats a refused input for its sender. */
+export function describeInputProblem (problem: InputProblem): string {
+  return `${problem.field}: got ${problem.given}; expected ${problem.expects}`
+}
+
+const WHOLE_INPUT = 'body'
+/** Longest value that is quoted in a problem, in characters. */
+const MAX_GIVEN_CHARS = 80
+
+/** Parses a JSON body and checks it against a schema. */
+export function parseJson<T> (body: Buffer, schema: zod.ZodType<T>): results.Result<T, InputProblem> {
+  const value = parseStrictJson(body)
+  if (value.err) return value
+  const checked = schema.safeParse(value.val)
+  if (checked.success) return results.Ok(checked.data)
+  return results.Err(describeIssue(checked.error.issues[0]!, value.val))
+}
+
+/** Parses a JSON body that is valid UTF-8 and repeats no key within an object. */
+export function parseStrictJson (body: Buffer): results.Result<unknown, InputProblem> {
+  if (!isUtf8(body)) return refuse('bytes that are not UTF-8', 'JSON in UTF-8')
+  const text = body.toString('utf8')
+  let value: unknown
+  try {
+    value = JSON.parse(text)
+  } catch (thrown) {
+    return refuse(text === '' ? 'nothing' : `text that is not JSON (${(thrown as SyntaxError).message})`, 'a JSON object')
+  }
+  const duplicate = findDuplicateKey(text)
+  if (duplicate === undefined) return results.Ok(value)
+  return results.Err({ field: duplicate, given: 'the key more than once in one object', expects: 'each key once' })
+}
+
+function refuse (given: string, expects: string): results.Err<InputProblem> {
+  return results.Err({ field: WHOLE_INPUT, given, expects })
+}
+
+type Issue = zod.core.$ZodIssue
+
+function describeIssue (issue: Issue, input: unknown): InputProblem {
+  const path = issue.code === 'unrecognized_keys' ? [...issue.path, issue.keys[0]!] : issue.path
+  const field = path.length === 0 ? WHOLE_INPUT : path.map(String).join('.')
+  return { field, given: describeGiven(readPath(input, path)), expects: describeExpected(issue) }
+}
+
+function readPath (input: unknown, path: readonly PropertyKey[]): unknown {
+  let value = input
+  for (const part of path) value = (value as Record<PropertyKey, unknown> | undefined)?.[part]
+  return value
+}
+
+function describeGiven (value: unknown): string {
+  if (value === undefined) return 'nothing'
+  if (Array.isArray(value)) return `a list of ${value.length}`
+  const text = JSON.stringify(value)
+  return text.length <= MAX_GIVEN_CHARS ? text : `${text.slice(0, MAX_GIVEN_CHARS)}… (${text.length} characters)`
+}
+
+function describeExpected (issue: Issue): string {
+  switch (issue.code) {
+    case 'invalid_type': return `a value of type ${issue.expected}`
+    case 'too_big': return `at most ${issue.maximum}${describeUnit(issue.origin)}`
+    case 'too_small': return `at least ${issue.minimum}${describeUnit(issue.origin)}`
+    case 'invalid_value': return `one of ${issue.values.map(String).join(', ')}`
+    case 'unrecognized_keys': return 'no such field'
+    default: return issue.message
+  }
+}
+
+function describeUnit (origin: string): string {
+  switch (origin) {
+    case 'array': return ' items'
+    case 'string': return ' characters'
+    default: return ''
+  }
+}
