--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,6 @@
-/** The platform's store: interface, client and lease holding. */
+/** The platform's store: interface, client and call counts. */
+export * from './client/calls.ts'
+export * from './client/countingStore.ts'
+export * from './client/httpStore.ts'
+export * from './failures.ts'
 export * from './store.ts'
