--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,3 +1,4 @@
-/** Stand-ins for backend servers, for a faulty network and for the platform's store. */
+/** Stand-ins for the platform's store, for backend servers and for a faulty network. */
 export * from './backend/index.ts'
 export * from './network/index.ts'
+export * from './store/index.ts'
