placement: views of agents, choice by load, ejection, subsets

Least loaded first with own failure domain among equals; ties by a seeded generator. Old reports move towards the fleet's mean. Tasks in transit are counted until the agent reports that it received them.

--- /dev/null
+++ b/packages/placement/src/agentView.ts
@@ -0,0 +1,111 @@
+/** What an entry knows about one agent and the backend server beside it. */
+import type * as protocol from '@egretvalve/protocol'
+import * as capacity from './capacity.ts'
+
+/** Tasks of one size that were sent together. */
+interface SentGroup {
+  wanted: capacity.Capacity
+  count: number
+}
+
+/** The last load report of an agent, corrected by what this entry sent and the agent had not yet received. */
+export class AgentView {
+  service = ''
+  rack = ''
+  draining = false
+  queued = 0
+  runningLong = 0
+  total = capacity.resolveCapacity(undefined)
+  /** Free and unreserved slots at the last report. */
+  freeSlots = 0
+  /** Slots that the agent reserved for this entry. */
+  credits = 0
+  reportedAtMs: number
+  private free = capacity.resolveCapacity(undefined)
+  private received = 0
+  private sent = 0
+  private inTransit: SentGroup[] = []
+
+  constructor (readonly agentId: string, readonly failureDomain: string, nowMs: number) {
+    this.reportedAtMs = nowMs
+  }
+
+  /** Takes over a load report. */
+  applyLoad (load: protocol.wire.ILoadReport, nowMs: number): void {
+    this.service = load.service ?? this.service
+    this.rack = load.rack ?? this.rack
+    this.draining = load.draining ?? false
+    this.queued = load.queued ?? 0
+    this.runningLong = load.runningLong ?? 0
+    this.freeSlots = load.freeSlots ?? 0
+    this.credits = load.credits ?? 0
+    this.free = capacity.resolveCapacity(load.free)
+    this.total = capacity.resolveCapacity(load.total)
+    this.reportedAtMs = nowMs
+    this.dropReceived(load.receivedTasks ?? 0)
+  }
+
+  /** Counts tasks that this entry has just sent. */
+  noteSent (count: number, wanted: capacity.Capacity): void {
+    this.sent += count
+    const last = this.inTransit.at(-1)
+    if (last !== undefined && last.wanted === wanted) last.count += count
+    else this.inTransit.push({ wanted, count })
+  }
+
+  /** Forgets what was in transit, after the agent connected again. */
+  resetTransit (): void {
+    this.sent = 0
+    this.received = 0
+    this.inTransit = []
+  }
+
+  /** Slots that this entry may fill now, by the last report; can be negative. */
+  knownFreeSlots (): number {
+    return this.freeSlots + this.credits - this.transitSlots()
+  }
+
+  /**
+   * Slots expected to be free. An old report moves towards the fleet's mean, because other entries have
+   * used the server since; credits and a report without free slots to share do not age upwards by themselves.
+   */
+  expectedFreeSlots (nowMs: number, meanFreeSlots: number, reportHalfLifeMs: number): number {
+    const ageMs = nowMs - this.reportedAtMs
+    const ageShare = ageMs / (ageMs + reportHalfLifeMs)
+    const reported = this.freeSlots + (meanFreeSlots - this.freeSlots) * ageShare
+    return reported + this.credits - this.transitSlots()
+  }
+
+  /** How many tasks of a size beyond one slot the server's other resources hold. */
+  countFittingResources (wanted: capacity.Capacity): number {
+    const free = { ...this.free, slots: Number.POSITIVE_INFINITY }
+    for (const group of this.inTransit) subtract(free, group)
+    return capacity.countFitting(free, wanted)
+  }
+
+  private transitSlots (): number {
+    let slots = 0
+    for (const group of this.inTransit) slots += group.wanted.slots * group.count
+    return slots
+  }
+
+  private dropReceived (received: number): void {
+    let arrived = received - this.received
+    if (arrived <= 0) return
+    this.received = received
+    while (arrived > 0 && this.inTransit.length > 0) {
+      const group = this.inTransit[0]!
+      const count = Math.min(arrived, group.count)
+      group.count -= count
+      arrived -= count
+      if (group.count === 0) this.inTransit.shift()
+    }
+  }
+}
+
+function subtract (free: capacity.Capacity, group: SentGroup): void {
+  free.connections -= group.wanted.connections * group.count
+  free.cores -= group.wanted.cores * group.count
+  free.memoryMb -= group.wanted.memoryMb * group.count
+  free.accelerators -= group.wanted.accelerators * group.count
+}
--- /dev/null
+++ b/packages/placement/src/capacity.ts
@@ -0,0 +1,61 @@
+/** Capacity vectors of backend servers and workers, and of the tasks that want a part of them. */
+import type * as protocol from '@egretvalve/protocol'
+
+/** Slots, connections, cores, memory in megabytes and accelerators. */
+export interface Capacity {
+  slots: number
+  connections: number
+  cores: number
+  memoryMb: number
+  accelerators: number
+}
+
+/** The dimensions of a capacity vector. */
+export enum CapacityDimension {
+  Slots = 'slots',
+  Connections = 'connections',
+  Cores = 'cores',
+  MemoryMb = 'memoryMb',
+  Accelerators = 'accelerators'
+}
+
+const DIMENSIONS = Object.values(CapacityDimension)
+
+/** The capacity that a task wants when it states nothing. */
+export const ONE_SLOT: Readonly<Capacity> = { slots: 1, connections: 0, cores: 0, memoryMb: 0, accelerators: 0 }
+
+/** Converts a capacity from the wire; absent numbers are 0. */
+export function resolveCapacity (message: protocol.wire.ICapacity | null | undefined): Capacity {
+  return {
+    slots: message?.slots ?? 0,
+    connections: message?.connections ?? 0,
+    cores: message?.cores ?? 0,
+    memoryMb: message?.memoryMb ?? 0,
+    accelerators: message?.accelerators ?? 0
+  }
+}
+
+/** Converts the capacity that a task wants; a task takes at least one slot. */
+export function resolveWanted (message: protocol.wire.ICapacity | null | undefined): Capacity {
+  const wanted = resolveCapacity(message)
+  return { ...wanted, slots: Math.max(1, wanted.slots) }
+}
+
+/** Whether a task takes one slot and states nothing else. */
+export function isOneSlot (wanted: Capacity): boolean {
+  return wanted.slots === 1 && wanted.connections === 0 && wanted.cores === 0 && wanted.memoryMb === 0 && wanted.accelerators === 0
+}
+
+/** Returns how many tasks of a size a capacity holds. Dimensions of which the task wants nothing do not count. */
+export function countFitting (free: Capacity, wanted: Capacity): number {
+  let count = Number.POSITIVE_INFINITY
+  for (const dimension of DIMENSIONS) {
+    if (wanted[dimension] > 0) count = Math.min(count, Math.floor(free[dimension] / wanted[dimension]))
+  }
+  return Math.max(0, count)
+}
+
+/** Returns the dimensions in which a task wants more than the capacity has. */
+export function findShortDimensions (total: Capacity, wanted: Capacity): CapacityDimension[] {
+  return DIMENSIONS.filter(dimension => wanted[dimension] > total[dimension])
+}
--- /dev/null
+++ b/packages/placement/src/defaults.ts
@@ -0,0 +1,45 @@
+/** Default options of placement. */
+
+/** Options of the views and the choice. */
+export interface PlacementOptions {
+  /** Age at which a load report counts half against the mean of the fleet, in milliseconds. */
+  reportHalfLifeMs: number
+  /** Seed of the generator that breaks ties. */
+  seed: number
+}
+
+export const DEFAULT_PLACEMENT: PlacementOptions = {
+  reportHalfLifeMs: 300,
+  seed: 1
+}
+
+/** Options of the ejection of servers on their failure rate. */
+export interface EjectionOptions {
+  /** Fewest outcomes on which a server is judged. */
+  minOutcomes: number
+  /** Lowest failure rate at which a server is ejected, from 0 to 1. */
+  failureRate: number
+  /** A server is ejected only when its failure rate is this many times the median of its peers. */
+  peerFactor: number
+  /** Largest share of the servers that is ejected at a time. */
+  maxEjectedShare: number
+  /** Length of the first ejection, in milliseconds; it doubles with each failed trial. */
+  firstEjectionMs: number
+  /** Longest ejection, in milliseconds. */
+  maxEjectionMs: number
+  /** Successful trial tasks in a row that end an ejection. */
+  trialSuccesses: number
+  /** Outcomes after which older ones count half. */
+  windowOutcomes: number
+}
+
+export const DEFAULT_EJECTION: EjectionOptions = {
+  minOutcomes: 4,
+  failureRate: 0.5,
+  peerFactor: 3,
+  maxEjectedShare: 1 / 3,
+  firstEjectionMs: 2_000,
+  maxEjectionMs: 30_000,
+  trialSuccesses: 3,
+  windowOutcomes: 50
+}
--- /dev/null
+++ b/packages/placement/src/fleet.ts
@@ -0,0 +1,203 @@
+/** The fleet as one entry sees it, and the choice of agents for tasks. */
+import type * as protocol from '@egretvalve/protocol'
+import * as prand from 'pure-rand'
+import { AgentView } from './agentView.ts'
+import * as capacity from './capacity.ts'
+import type { EjectionOptions, PlacementOptions } from './defaults.ts'
+import { Ejection, type StandingChange } from './ejection.ts'
+
+/** A group of equal tasks that looks for places. */
+export interface PlacementRequest {
+  service: string
+  wanted: capacity.Capacity
+  /** Number of tasks. */
+  count: number
+  /** Agents that the tasks have already failed on. */
+  excludedAgentIds?: ReadonlySet<string>
+}
+
+/** Tasks of a group that go to one agent. */
+export interface Placement {
+  agentId: string
+  count: number
+}
+
+/** Capacity of all servers of a service that this entry knows. */
+export interface ServiceCapacity {
+  servers: number
+  slots: number
+  freeSlots: number
+}
+
+interface Candidate {
+  view: AgentView
+  /** Tasks of the request that still fit. */
+  room: number
+  expectedFreeSlots: number
+  chosen: number
+}
+
+/** Steps into which the free share of a server is divided; servers on the same step count as equally loaded. */
+const LOAD_LEVELS = 16
+
+/** Views of all agents that are linked to this entry. */
+export class FleetView {
+  readonly ejection: Ejection
+  private readonly agents = new Map<string, AgentView>()
+  private readonly random: prand.RandomGenerator
+
+  constructor (
+    private readonly ownFailureDomain: string,
+    private readonly options: PlacementOptions,
+    ejectionOptions: EjectionOptions,
+    onStandingChange: (change: StandingChange) => void
+  ) {
+    this.ejection = new Ejection(ejectionOptions, onStandingChange)
+    this.random = prand.xoroshiro128plus(options.seed)
+  }
+
+  /** Adds an agent that has connected, or renews the view of one that connected again. */
+  connect (agentId: string, failureDomain: string, load: protocol.wire.ILoadReport | null | undefined, nowMs: number): AgentView {
+    const view = new AgentView(agentId, failureDomain, nowMs)
+    this.agents.set(agentId, view)
+    this.ejection.add(agentId)
+    if (load !== null && load !== undefined) view.applyLoad(load, nowMs)
+    return view
+  }
+
+  /** Removes an agent whose link ended. */
+  disconnect (agentId: string): void {
+    this.agents.delete(agentId)
+    this.ejection.remove(agentId)
+  }
+
+  /** Returns the view of an agent that is connected. */
+  get (agentId: string): AgentView | undefined {
+    return this.agents.get(agentId)
+  }
+
+  /** Returns the views of the agents of a service. */
+  viewsOf (service: string): AgentView[] {
+    return [...this.agents.values()].filter(view => view.service === service)
+  }
+
+  /** Returns the capacity of a service over all servers that take work. */
+  capacityOf (service: string): ServiceCapacity {
+    const sum: ServiceCapacity = { servers: 0, slots: 0, freeSlots: 0 }
+    for (const view of this.agents.values()) {
+      if (view.service !== service || view.draining) continue
+      sum.servers++
+      sum.slots += view.total.slots
+      sum.freeSlots += Math.max(0, view.knownFreeSlots())
+    }
+    return sum
+  }
+
+  /**
+   * Chooses agents for as many tasks of the request as find room, and counts them as sent.
+   * The caller sends them, or calls back `AgentView.resetTransit` when the link fails.
+   */
+  choose (request: PlacementRequest, nowMs: number): Placement[] {
+    const candidates = this.findCandidates(request, nowMs)
+    for (let placed = 0; placed < request.count; placed++) {
+      const best = this.pickBest(candidates, request.wanted.slots)
+      if (best === undefined) break
+      best.chosen++
+      best.room--
+      best.expectedFreeSlots -= request.wanted.slots
+    }
+    return this.commit(candidates, request.wanted)
+  }
+
+  /** Says why a wanted capacity fits no server of the service, or returns undefined when it fits one. */
+  explainUnplaceable (service: string, wanted: capacity.Capacity): string | undefined {
+    const views = this.viewsOf(service).filter(view => view.total.slots > 0)
+    if (views.length === 0) return undefined
+    const shortages = views.map(view => capacity.findShortDimensions(view.total, wanted))
+    if (shortages.some(short => short.length === 0)) return undefined
+    const dimensions = [...new Set(shortages.flat())]
+    const parts = dimensions.map(dimension => `${dimension} ${wanted[dimension]} (most ${Math.max(...views.map(view => view.total[dimension]))})`)
+    return `no backend server of ${service} is large enough: wanted ${parts.join(', ')}`
+  }
+
+  private findCandidates (request: PlacementRequest, nowMs: number): Candidate[] {
+    const meanFreeSlots = this.meanFreeSlots(request.service)
+    const isOneSlot = capacity.isOneSlot(request.wanted)
+    const candidates: Candidate[] = []
+    for (const view of this.agents.values()) {
+      if (!this.isEligible(view, request, nowMs)) continue
+      const expectedFreeSlots = view.expectedFreeSlots(nowMs, meanFreeSlots, this.options.reportHalfLifeMs)
+      const slotRoom = Math.floor(expectedFreeSlots / request.wanted.slots)
+      const room = isOneSlot ? slotRoom : Math.min(slotRoom, view.countFittingResources(request.wanted))
+      if (room >= 1) candidates.push({ view, room: this.limitTrial(view, room, nowMs), expectedFreeSlots, chosen: 0 })
+    }
+    return candidates
+  }
+
+  private isEligible (view: AgentView, request: PlacementRequest, nowMs: number): boolean {
+    if (view.service !== request.service || view.draining) return false
+    if (request.excludedAgentIds?.has(view.agentId) === true) return false
+    return this.ejection.accepts(view.agentId, nowMs)
+  }
+
+  private limitTrial (view: AgentView, room: number, nowMs: number): number {
+    return this.ejection.isOnTrial(view.agentId, nowMs) ? Math.min(1, room) : room
+  }
+
+  private pickBest (candidates: readonly Candidate[], slots: number): Candidate | undefined {
+    let best: Candidate | undefined
+    let ties = 0
+    for (const candidate of candidates) {
+      if (candidate.room < 1 || candidate.expectedFreeSlots < slots) continue
+      const order = best === undefined ? -1 : this.compare(candidate, best)
+      if (order < 0) {
+        best = candidate
+        ties = 1
+      } else if (order === 0 && this.winsTie(++ties)) best = candidate
+    }
+    return best
+  }
+
+  /** Negative when the left candidate is the better one. */
+  private compare (left: Candidate, right: Candidate): number {
+    const levels = loadLevel(right) - loadLevel(left)
+    if (levels !== 0) return levels
+    const domains = this.domainRank(left.view) - this.domainRank(right.view)
+    if (domains !== 0) return domains
+    return left.view.runningLong - right.view.runningLong
+  }
+
+  private domainRank (view: AgentView): number {
+    return view.failureDomain === this.ownFailureDomain ? 0 : 1
+  }
+
+  private winsTie (ties: number): boolean {
+    return prand.unsafeUniformIntDistribution(1, ties, this.random) === 1
+  }
+
+  private commit (candidates: readonly Candidate[], wanted: capacity.Capacity): Placement[] {
+    const placements: Placement[] = []
+    for (const { view, chosen } of candidates) {
+      if (chosen === 0) continue
+      view.noteSent(chosen, wanted)
+      this.ejection.noteSent(view.agentId)
+      placements.push({ agentId: view.agentId, count: chosen })
+    }
+    return placements
+  }
+
+  private meanFreeSlots (service: string): number {
+    let servers = 0
+    let freeSlots = 0
+    for (const view of this.agents.values()) {
+      if (view.service !== service || view.draining) continue
+      servers++
+      freeSlots += view.freeSlots
+    }
+    return servers === 0 ? 0 : freeSlots / servers
+  }
+}
+
+function loadLevel (candidate: Candidate): number {
+  return Math.floor(candidate.expectedFreeSlots / Math.max(1, candidate.view.total.slots) * LOAD_LEVELS)
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+/** Views of backend servers, the choice among them, ejection and subsets. */
+export * from './agentView.ts'
+export * from './capacity.ts'
+export * from './defaults.ts'
+export * from './ejection.ts'
+export * from './events.ts'
+export * from './fleet.ts'
+export * from './subset.ts'
