--- /dev/null
+++ b/packages/config/src/examples.ts
@@ -0,0 +1,26 @@
+/** The example answers of both deployments. */
+import { parseAnswersYaml, type Answers } from './answers.ts'
+import { generateDocument } from './generate.ts'
+import { exampleAnswerTexts } from './generated/examples.ts'
+import type { TeamDocument } from './document.ts'
+
+/** Names of the examples. */
+export enum ExampleName {
+  Xylotechne = 'xylotechne',
+  Rozet = 'rozet'
+}
+
+/** Returns the YAML text of an example. */
+export function readExampleText (name: ExampleName): string {
+  return exampleAnswerTexts[name]
+}
+
+/** Returns the answers of an example. */
+export function readExampleAnswers (name: ExampleName): Answers {
+  return parseAnswersYaml(readExampleText(name)).unwrap()
+}
+
+/** Returns the document generated from an example. */
+export function createExampleDocument (name: ExampleName): TeamDocument {
+  return generateDocument(readExampleAnswers(name))
+}
