--- a/packages/agent/src/links/entryLink.ts
+++ b/packages/agent/src/links/entryLink.ts
@@ -124,6 +124,7 @@
     this.entryId = hello.entryId ?? ''
     this.incarnation = hello.incarnation ?? ''
     this.backoffMs = MIN_BACKOFF_MS
+    this.scheduleFlush()
     this.services.log.event(events.LinkOpened, { peer: this.address, entryId: this.entryId })
     const offsetMs = Math.abs((hello.wallClockMs ?? 0) - this.services.timers.wallClockMs())
     if (offsetMs > protocol.CLOCK_BOUND_MS) this.services.log.event(events.ClockOff, { peer: this.address, offsetMs })
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -27,8 +27,17 @@
   onJobEnded: (job: Job) => void
 }
 
+/** Counts of starts sent to agents. */
+export interface DispatchCounters {
+  /** Tasks sent to agents. */
+  sentStarts: number
+  /** Tasks that an agent refused to start. */
+  refusedStarts: number
+}
+
 /** Chooses an agent for each waiting task. */
 export class Dispatcher {
+  readonly counters: DispatchCounters = { sentStarts: 0, refusedStarts: 0 }
   private readonly sessions = new Set<AgentSession>()
   private readonly waiting = new WaitingTasks()
   private isPumpScheduled = false
@@ -74,6 +83,7 @@
   /** Takes one task's report. */
   settle (task: WaitingTask, report: protocol.wire.ITaskReport): void {
     if (!isFinal(report)) return
+    if (report.state === wire.TaskState.TASK_STATE_NOT_RUN) this.counters.refusedStarts++
     if (this.canMove(task, report)) {
       this.waiting.push({ job: task.job, index: task.index, attempt: task.attempt + 1 })
       this.schedulePump()
@@ -123,8 +133,12 @@
 
   private start (session: AgentSession, task: WaitingTask): void {
     const grant = this.options.guard.checkStart(task.job.partition)
-    if (grant === undefined) this.refuse(task, wire.RefusalReason.REFUSAL_REASON_LEASE_EXPIRED)
-    else session.addStart(task, grant)
+    if (grant === undefined) {
+      this.refuse(task, wire.RefusalReason.REFUSAL_REASON_LEASE_EXPIRED)
+      return
+    }
+    this.counters.sentStarts++
+    session.addStart(task, grant)
   }
 
   private choose (task: WaitingTask): AgentSession | undefined {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { createCallerRoutes } from './api/routes.ts'
-import { Dispatcher } from './dispatch/dispatcher.ts'
+import { Dispatcher, type DispatchCounters } from './dispatch/dispatcher.ts'
 import { events } from './events.ts'
 import { createLocalGateway } from './jobs/gateway.ts'
 import { Intake } from './jobs/intake.ts'
@@ -80,6 +80,16 @@
     this.services.log.event(events.Stopped)
   }
 
+  /** Number of connected agents whose backend server offers the service. */
+  agentCount (service: string): number {
+    return this.agentLinks.sessions.filter(session => session.service === service).length
+  }
+
+  /** Counts of starts since the entry began. */
+  get counters (): Readonly<DispatchCounters> {
+    return this.dispatcher.counters
+  }
+
   /** States what is still in progress. */
   describeRemaining (): string {
     return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
