--- /dev/null
+++ b/scripts/eventCatalogue.ts
@@ -0,0 +1,47 @@
+// Collects the numbered events of all packages and formats their catalogue.
+import { existsSync, readdirSync } from 'node:fs'
+import * as path from 'node:path'
+import { pathToFileURL } from 'node:url'
+import type * as settings from '@egretvalve/settings'
+
+export const CATALOGUE_FILE = 'docs/EVENTS.md'
+
+/** An event with the package that declares it. */
+export interface CatalogueEntry extends settings.LogEvent {
+  packageName: string
+}
+
+/** Reads the events of all packages, ordered by code. */
+export async function readEvents (): Promise<CatalogueEntry[]> {
+  const entries: CatalogueEntry[] = []
+  for (const packageName of readdirSync('packages').sort()) {
+    for (const file of listEventFiles(packageName)) {
+      const module = await import(pathToFileURL(path.resolve(file)).href) as { events: Record<string, settings.LogEvent> }
+      for (const event of Object.values(module.events)) entries.push({ ...event, packageName })
+    }
+  }
+  return entries.sort((a, b) => a.code - b.code)
+}
+
+function listEventFiles (packageName: string): string[] {
+  const folder = path.join('packages', packageName, 'src')
+  if (!existsSync(folder)) return []
+  const names = readdirSync(folder, { recursive: true, encoding: 'utf8' })
+  return names.filter(name => path.basename(name) === 'events.ts').sort().map(name => path.join(folder, name))
+}
+
+/** Formats the catalogue as a page. */
+export function formatCatalogue (entries: readonly CatalogueEntry[]): string {
+  const rows = entries.map(entry => `| ${entry.code} | ${entry.level} | ${entry.packageName} | ${entry.message} |`)
+  return [
+    '# Log events',
+    '',
+    'Each log line is a JSON object on standard error. Its field `event` holds the code below; the other fields carry their unit in their name.',
+    'This page is written by `npm run catalogue`.',
+    '',
+    '| code | level | package | message |',
+    '|---|---|---|---|',
+    ...rows,
+    ''
+  ].join('\n')
+}
--- /dev/null
+++ b/test/unit/docs/events.test.ts
@@ -0,0 +1,33 @@
+import { readFileSync } from 'node:fs'
+import { expect } from 'chai'
+import { CATALOGUE_FILE, formatCatalogue, readEvents } from '../../../scripts/eventCatalogue.ts'
+
+/** First code of each package; each has a thousand. */
+const FIRST_CODES: Readonly<Record<string, number>> = {
+  entry: 1000,
+  agent: 2000,
+  platform: 3000,
+  ownership: 4000,
+  config: 5000,
+  standin: 6000,
+  bench: 7000,
+  cli: 8000,
+  placement: 9000
+}
+const CODES_PER_PACKAGE = 1000
+
+describe('log events', () => {
+  it('have the catalogue that `npm run catalogue` writes', async () => {
+    expect(readFileSync(CATALOGUE_FILE, 'utf8')).to.equal(formatCatalogue(await readEvents()))
+  })
+
+  it('have unique codes within the range of their package', async () => {
+    const entries = await readEvents()
+    expect(new Set(entries.map(entry => entry.code)).size).to.equal(entries.length)
+    const outside = entries.filter(entry => {
+      const first = FIRST_CODES[entry.packageName] ?? Infinity
+      return entry.code < first || entry.code >= first + CODES_PER_PACKAGE
+    })
+    expect(outside).to.deep.equal([])
+  })
+})
