--- a/scripts/eventCatalogue.ts
+++ b/scripts/eventCatalogue.ts
@@ -11,18 +11,26 @@
   packageName: string
 }
 
+/** Each export of an events file is an object of events. */
+type EventModule = Record<string, Record<string, settings.LogEvent>>
+
 /** Reads the events of all packages, ordered by code. */
 export async function readEvents (): Promise<CatalogueEntry[]> {
   const entries: CatalogueEntry[] = []
   for (const packageName of readdirSync('packages').sort()) {
     for (const file of listEventFiles(packageName)) {
-      const module = await import(pathToFileURL(path.resolve(file)).href) as { events: Record<string, settings.LogEvent> }
-      for (const event of Object.values(module.events)) entries.push({ ...event, packageName })
+      const module = await import(pathToFileURL(path.resolve(file)).href) as EventModule
+      const events = Object.values(module).flatMap(exported => Object.values(exported)).filter(isEvent)
+      entries.push(...events.map(event => ({ ...event, packageName })))
     }
   }
   return entries.sort((a, b) => a.code - b.code)
 }
 
+function isEvent (value: settings.LogEvent): boolean {
+  return typeof value?.code === 'number'
+}
+
 function listEventFiles (packageName: string): string[] {
   const folder = path.join('packages', packageName, 'src')
   if (!existsSync(folder)) return []
