entry: describe the caller API in OpenAPI and read bodies strictly

Cause: callers need a description that agrees with the checks; repeated keys were accepted. Change: /v1/openapi.json is generated from the zod schemas; entry and agent read bodies by protocol.parseJson. Conclusion: the description can't differ from the checks.

--- a/packages/agent/src/announcement/routes.ts
+++ b/packages/agent/src/announcement/routes.ts
@@ -4,23 +4,11 @@
 import type { Announcer } from './announcer.ts'
 import { announcementSchema } from './schema.ts'
 
-function parseJson (body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString('utf8'))
-  } catch {
-    return undefined
-  }
-}
-
 function announce (announcer: Announcer, body: Buffer): runtime.WebResponse {
-  const parsed = announcementSchema.safeParse(parseJson(body))
-  if (parsed.success) {
-    announcer.renew(parsed.data)
-    return runtime.jsonResponse(200, { leaseMs: parsed.data.leaseMs })
-  }
-  const issue = parsed.error.issues[0]!
-  const field = issue.path.join('.') || 'body'
-  return runtime.errorResponse(400, protocol.ErrorCode.InvalidInput, `${field}: ${issue.message}`, field)
+  const parsed = protocol.parseJson(body, announcementSchema)
+  if (parsed.err) return runtime.errorResponse(400, protocol.ErrorCode.InvalidInput, protocol.describeInputProblem(parsed.val), parsed.val.field)
+  announcer.renew(parsed.val)
+  return runtime.jsonResponse(200, { leaseMs: parsed.val.leaseMs })
 }
 
 /** Creates the announcement routes. */
--- a/packages/entry/src/api/routes.ts
+++ b/packages/entry/src/api/routes.ts
@@ -4,7 +4,8 @@
 import type * as settings from '@egretvalve/settings'
 import type * as results from 'ts-results'
 import type { IntakeResult } from '../jobs/intake.ts'
-import { type FieldProblem, parseJob, parseRequest, type ParseContext } from './parse.ts'
+import { createOpenApi } from './openapi.ts'
+import { parseJob, parseRequest, type ParseContext } from './parse.ts'
 import { createAnswerResponse } from './render.ts'
 
 /** What callers can ask of an entry, whichever entry owns the submission. */
@@ -25,23 +26,25 @@
   maxWaitMs: number
 }
 
-type Parse = (body: Buffer, context: ParseContext) => results.Result<protocol.wire.ISubmission, FieldProblem>
+type Parse = (body: Buffer, context: ParseContext) => results.Result<protocol.wire.ISubmission, protocol.InputProblem>
 
 /** Creates the routes. */
 export function createCallerRoutes (gateway: CallerGateway, options: RouteOptions): runtime.WebRoute[] {
+  const openApi = createOpenApi()
   return [
     { method: 'POST', path: '/v1/jobs', handle: async request => await submit(request, parseJob, gateway, options) },
     { method: 'POST', path: '/v1/requests', handle: async request => await submit(request, parseRequest, gateway, options) },
     { method: 'GET', path: '/v1/jobs/:team/:submissionId', handle: async request => await lookUp(request, 0, gateway) },
     { method: 'GET', path: '/v1/jobs/:team/:submissionId/answer', handle: async request => await waitForAnswer(request, gateway, options) },
     { method: 'DELETE', path: '/v1/jobs/:team/:submissionId', handle: async request => await cancel(request, gateway) },
+    { method: 'GET', path: '/v1/openapi.json', handle: async () => runtime.jsonResponse(200, openApi) },
     { method: 'GET', path: '/healthz', handle: async () => runtime.jsonResponse(200, { healthy: true }) },
     { method: 'GET', path: '/readyz', handle: async () => runtime.jsonResponse(gateway.isReady() ? 200 : 503, { ready: gateway.isReady() }) }
   ]
 }
 
-function refuseField (problem: FieldProblem): runtime.WebResponse {
-  return runtime.errorResponse(400, protocol.ErrorCode.InvalidInput, `${problem.field}: ${problem.message}`, problem.field)
+function refuseField (problem: protocol.InputProblem): runtime.WebResponse {
+  return runtime.errorResponse(400, protocol.ErrorCode.InvalidInput, protocol.describeInputProblem(problem), problem.field)
 }
 
 /** Reads `waitMs` of the query; undefined when it is wrong. */
@@ -53,7 +56,7 @@
 }
 
 function refuseWait (request: runtime.WebRequest, maxMs: number): runtime.WebResponse {
-  return refuseField({ field: 'waitMs', message: `got ${request.query.get('waitMs')}; expected a whole number of milliseconds from 0 to ${maxMs}` })
+  return refuseField({ field: 'waitMs', given: String(request.query.get('waitMs')), expects: `a whole number of milliseconds from 0 to ${maxMs}` })
 }
 
 async function submit (request: runtime.WebRequest, parse: Parse, gateway: CallerGateway, options: RouteOptions): Promise<runtime.WebResponse> {
