--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -1,5 +1,6 @@
 /** An HTTP server built on moleculer-web whose handlers take a request and return a response. */
-import type * as http from 'node:http'
+import * as http from 'node:http'
+import * as https from 'node:https'
 import type * as net from 'node:net'
 import type * as moleculer from 'moleculer'
 import ApiService from 'moleculer-web'
@@ -48,6 +49,9 @@
   tls?: { key: Buffer, cert: Buffer, ca?: Buffer }
 }
 
+/** Longest time between two looks for connections that are too slow, in milliseconds. */
+const MAX_CHECK_PERIOD_MS = 1_000
+
 type MoleculerRequest = http.IncomingMessage & { $params: Record<string, string> }
 
 /** Creates a JSON response. */
@@ -101,21 +105,20 @@
     for (const route of this.options.routes) {
       aliases[`${route.method} ${route.path}`] = (request, response) => { this.serve(route, request, response) }
     }
-    const { requestTimeoutMs } = this.options
+    const { requestTimeoutMs, tls } = this.options
     return {
       name: this.options.name,
       mixins: [ApiService as unknown as moleculer.ServiceSchema],
       settings: {
         ip: host,
         port,
-        https: this.options.tls,
-        httpServerTimeout: null,
         path: '/',
         routes: [{ path: '/', bodyParsers: false, aliases, mappingPolicy: 'restrict', mergeParams: false, onError: refuseUnknownRoute }]
       },
-      created (this: { server: http.Server }) {
-        this.server.requestTimeout = requestTimeoutMs
-        this.server.headersTimeout = requestTimeoutMs
+      methods: {
+        createServer (this: HttpService) {
+          this.server ??= createHttpServer(this.httpHandler, requestTimeoutMs, tls)
+        }
       }
     } as unknown as moleculer.ServiceSchema
   }
@@ -154,6 +157,22 @@
   }
 }
 
+/** What the server's service holds. */
+interface HttpService {
+  server: http.Server | undefined
+  httpHandler: http.RequestListener
+}
+
+/** Creates a server that closes a connection whose request does not arrive in time. */
+function createHttpServer (handler: http.RequestListener, requestTimeoutMs: number, tls: WebServerOptions['tls']): http.Server {
+  const options = {
+    requestTimeout: requestTimeoutMs,
+    headersTimeout: requestTimeoutMs,
+    connectionsCheckingInterval: Math.min(requestTimeoutMs, MAX_CHECK_PERIOD_MS)
+  }
+  return tls === undefined ? http.createServer(options, handler) : https.createServer({ ...options, ...tls }, handler)
+}
+
 /** Waits until the server listens; a refused address is an error that names it. */
 async function waitForListening (server: http.Server, listen: string): Promise<void> {
   if (server.listening) return
