runtime: end a stream whose handler stops reading

Cause: a report without a submission stopped the handler, which destroyed the stream before its status was sent; the peer waited for ever. Change: reading a link no longer destroys it; the call ends with its status. Conclusion: both ends learn that a stream is over.

--- a/packages/runtime/src/links.ts
+++ b/packages/runtime/src/links.ts
@@ -64,6 +64,8 @@
     const handle = (call: grpc.ServerDuplexStream<Q, RP>): void => {
       call.on('error', () => {})
       const stream = call as unknown as LinkStream<Q, RP>
+      // A handler that stops reading must still be able to end the call with a status.
+      stream[Symbol.asyncIterator] = () => call.iterator({ destroyOnReturn: false }) as AsyncIterator<Q>
       handler(stream, call.getPeer()).catch(() => {}).finally(() => { call.end() })
     }
     this.server.addService({ [name]: method as unknown as grpc.MethodDefinition<unknown, unknown> }, { [name]: handle as unknown as grpc.UntypedHandleCall })
