--- a/packages/standin/src/backend/backend.ts
+++ b/packages/standin/src/backend/backend.ts
@@ -25,6 +25,8 @@
   start: () => Promise<void>
   /** Announces that it leaves, finishes the tasks in progress, then closes. */
   stop: () => Promise<void>
+  /** Announces that it leaves and goes on serving what still arrives. */
+  leave: () => Promise<void>
   /** Closes at once without a word to the agent, as a server does that dies. */
   crash: () => Promise<void>
   /** Changes the given faults and keeps the others. */
@@ -68,8 +70,13 @@
     await this.announcer.start()
   }
 
-  async stop (): Promise<void> {
+  async leave (): Promise<void> {
     await this.announcer?.leave()
+    this.announcer = undefined
+  }
+
+  async stop (): Promise<void> {
+    await this.leave()
     await this.close()
     this.log.event(events.backendStopped, { address: this.address, started: this.counters.started })
   }
@@ -128,6 +135,7 @@
     if (route === 'GET /starts') sendJson(response, this.starts(url.searchParams.get('submissionId') ?? undefined))
     else if (route === 'GET /counters') sendJson(response, this.counters)
     else if (route === 'PUT /faults') this.changeFaults(body, response)
+    else if (route === 'PUT /leave') await this.leave().then(() => { sendJson(response, { leaving: true }) })
     else if (request.method === 'POST') await this.runTask(request, body, response)
     else response.writeHead(404).end()
   }
