shared: count the messages of each kind that a process sends on its links

Cause: wasted messages and control traffic can't be told from work without counts by kind. Change: the link serializers count messages, bytes and tasks.

--- a/packages/protocol/src/services.ts
+++ b/packages/protocol/src/services.ts
@@ -1,15 +1,17 @@
 /** gRPC service definitions over the committed message code. */
 import type * as grpc from '@grpc/grpc-js'
 import { wire } from './generated/wire.js'
+import { linkTraffic } from './traffic.ts'
 
 interface Codec<T, P> {
   encode: (message: P) => { finish: () => Uint8Array }
   decode: (bytes: Uint8Array) => T
 }
 
-function createSerializer<T, P> (codec: Codec<T, P>): (message: P) => Buffer {
+function createSerializer<T, P extends object> (sender: string, codec: Codec<T, P>): (message: P) => Buffer {
   return message => {
     const bytes = codec.encode(message).finish()
+    linkTraffic.add(sender, message, bytes.byteLength)
     return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
   }
 }
@@ -25,28 +27,34 @@
   responseDeserialize: grpc.deserialize<R>
 }
 
-function createStreamMethod<Q, QP, R, RP> (path: string, request: Codec<Q, QP>, response: Codec<R, RP>): StreamMethod<QP, RP, Q, R> {
+function createStreamMethod<Q, QP extends object, R, RP extends object> (
+  path: string,
+  clientName: string,
+  serverName: string,
+  request: Codec<Q, QP>,
+  response: Codec<R, RP>
+): StreamMethod<QP, RP, Q, R> {
   return {
     path,
     requestStream: true,
     responseStream: true,
-    requestSerialize: createSerializer(request),
+    requestSerialize: createSerializer(clientName, request),
     requestDeserialize: bytes => request.decode(bytes),
-    responseSerialize: createSerializer(response),
+    responseSerialize: createSerializer(serverName, response),
     responseDeserialize: bytes => response.decode(bytes)
   }
 }
 
 /** The stream that an agent opens to an entry. */
 export const agentLink = {
-  exchange: createStreamMethod('/egretvalve.AgentLink/Exchange',
+  exchange: createStreamMethod('/egretvalve.AgentLink/Exchange', 'agent', 'entry',
     wire.AgentToEntry as Codec<wire.AgentToEntry, wire.IAgentToEntry>,
     wire.EntryToAgent as Codec<wire.EntryToAgent, wire.IEntryToAgent>)
 }
 
 /** The stream that an entry opens to another entry. */
 export const peerLink = {
-  exchange: createStreamMethod('/egretvalve.PeerLink/Exchange',
+  exchange: createStreamMethod('/egretvalve.PeerLink/Exchange', 'peer', 'peer',
     wire.PeerFrame as Codec<wire.PeerFrame, wire.IPeerFrame>,
     wire.PeerFrame as Codec<wire.PeerFrame, wire.IPeerFrame>)
 }
