--- /dev/null
+++ b/packages/bench/src/announcer.ts
@@ -0,0 +1,52 @@
+/** Announces stand-in backend servers to their agents under a lease. */
+import type * as settings from '@egretvalve/settings'
+import * as undici from 'undici'
+
+/** Length of the lease in milliseconds. */
+const LEASE_MS = 6_000
+const RENEWAL_PERIOD_MS = 2_000
+const CONNECTIONS_PER_SERVER = 64
+
+/** What is announced. */
+export interface AnnouncedServer {
+  service: string
+  address: string
+  slots: number
+  rack: string
+}
+
+/** Renews the announcement of one backend server until it leaves. */
+export class ServerAnnouncer {
+  private renewal: settings.TimerHandle | undefined
+
+  constructor (private readonly announceAddress: string, private readonly server: AnnouncedServer, private readonly timers: settings.Timers) {}
+
+  /** Announces the server and keeps the lease. */
+  async announce (): Promise<void> {
+    await this.renew()
+    this.renewal = this.timers.every(RENEWAL_PERIOD_MS, () => { this.renew().catch(() => {}) })
+  }
+
+  /** Announces that the server leaves. */
+  async leave (): Promise<void> {
+    this.stop()
+    const response = await undici.request(this.url, { method: 'DELETE' })
+    await response.body.dump()
+  }
+
+  /** Ends the renewals without leaving. */
+  stop (): void {
+    this.renewal?.cancel()
+    this.renewal = undefined
+  }
+
+  private get url (): string {
+    return `http://${this.announceAddress}/v1/announcement`
+  }
+
+  private async renew (): Promise<void> {
+    const body = JSON.stringify({ ...this.server, connections: CONNECTIONS_PER_SERVER, leaseMs: LEASE_MS })
+    const response = await undici.request(this.url, { method: 'PUT', headers: { 'content-type': 'application/json' }, body })
+    await response.body.dump()
+  }
+}
--- a/packages/bench/src/baselines.ts
+++ b/packages/bench/src/baselines.ts
@@ -5,12 +5,11 @@
 import { TaskHeader } from './backend.ts'
 import type { BackendServer } from './backend.ts'
 import { isOwnResult } from './backendResult.ts'
-import type { Dispatcher, LiveSubmission, ReceivedAnswer } from './dispatcher.ts'
+import type { Dispatcher, DispatcherMessages, LiveSubmission, ReceivedAnswer } from './dispatcher.ts'
 import { ServerChange } from './plan.ts'
 import type { ServerEvent } from './plan.ts'
 import { Random } from './random.ts'
 import { PolicyName, TaskResult } from './record.ts'
-import type { RunCosts } from './record.ts'
 import { AnswerKind } from './trace.ts'
 
 /** Policies that bind on arrival. */
@@ -69,8 +68,8 @@
     for (const entry of this.entries) entry.servers[event.server]!.isLeaving = event.change === ServerChange.Leave
   }
 
-  countMessages (): Omit<RunCosts, 'cpuMs'> {
-    return { wastedMessages: 0, workMessages: 2 * this.sentMessages }
+  countMessages (): DispatcherMessages {
+    return { workMessages: 2 * this.sentMessages, overheadMessages: 0, tasksSent: this.sentMessages }
   }
 
   private async runTask (submission: LiveSubmission, index: number, signal: AbortSignal): Promise<TaskResult> {
--- a/packages/bench/src/dispatcher.ts
+++ b/packages/bench/src/dispatcher.ts
@@ -1,6 +1,6 @@
 /** The interface between the load generator and a dispatcher under test. */
 import type { ServerEvent } from './plan.ts'
-import type { PolicyName, RunCosts, TaskResult } from './record.ts'
+import type { PolicyName, TaskResult } from './record.ts'
 import type { AnswerKind, TraceJob } from './trace.ts'
 
 /** An answer as its caller got it. */
@@ -20,6 +20,16 @@
   entry: number
 }
 
+/** Messages that a dispatcher's processes sent. */
+export interface DispatcherMessages {
+  /** Messages that carried starts or results. */
+  workMessages: number
+  /** Messages sent because of tasks that carried neither a start nor a result. */
+  overheadMessages: number
+  /** Tasks in start messages, repeated attempts included. */
+  tasksSent: number
+}
+
 /** A dispatcher over the run's stand-in backend servers. */
 export interface Dispatcher {
   policy: PolicyName
@@ -29,5 +39,5 @@
   cancel: (submission: LiveSubmission) => Promise<void>
   changeServer: (event: ServerEvent) => Promise<void>
   /** Messages since the start. */
-  countMessages: () => Omit<RunCosts, 'cpuMs'>
+  countMessages: () => DispatcherMessages
 }
--- a/packages/bench/src/generator.ts
+++ b/packages/bench/src/generator.ts
@@ -2,11 +2,11 @@
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import type { BackendServer } from './backend.ts'
-import type { Dispatcher, LiveSubmission } from './dispatcher.ts'
+import type { Dispatcher, DispatcherMessages, LiveSubmission } from './dispatcher.ts'
 import { ServerChange } from './plan.ts'
 import type { LoadPlan, ServerEvent } from './plan.ts'
 import { Random } from './random.ts'
-import type { JobOutcome, RunRecord, TaskStart } from './record.ts'
+import type { JobOutcome, RunCosts, RunRecord, TaskStart } from './record.ts'
 import { TraceClass, jobKey } from './trace.ts'
 import type { TraceJob } from './trace.ts'
 
@@ -26,12 +26,16 @@
   tasks: [{ runMs: 2, declaredMs: 2 }]
 }
 
-type MessageCounts = ReturnType<Dispatcher['countMessages']>
+/** A start that didn't lead to a first start of its task wasted itself and its report. */
+const MESSAGES_PER_VAIN_START = 2
 
-function subtractMessages (after: MessageCounts, before: MessageCounts): MessageCounts {
+function resolveCosts (after: DispatcherMessages, before: DispatcherMessages, starts: readonly TaskStart[], cpuMs: number): RunCosts {
+  const firstStarts = new Set(starts.map(start => `${start.key}#${start.index}`)).size
+  const vainStarts = Math.max(0, after.tasksSent - before.tasksSent - firstStarts)
   return {
-    wastedMessages: after.wastedMessages - before.wastedMessages,
-    workMessages: after.workMessages - before.workMessages
+    wastedMessages: after.overheadMessages - before.overheadMessages + MESSAGES_PER_VAIN_START * vainStarts,
+    workMessages: after.workMessages - before.workMessages,
+    cpuMs
   }
 }
 
@@ -61,12 +65,14 @@
     const outcomes = await this.submitAll()
     await Promise.all(events)
     const cpu = process.cpuUsage(cpuBefore)
+    const starts = this.servers.flatMap((server, index) => this.listStarts(server, index))
+    const cpuMs = (cpu.user + cpu.system) / MICROSECONDS_PER_MS
     return {
       policy: this.dispatcher.policy,
       plan: this.plan,
       outcomes,
-      starts: this.servers.flatMap((server, index) => this.listStarts(server, index)),
-      costs: { ...subtractMessages(this.dispatcher.countMessages(), messagesBefore), cpuMs: (cpu.user + cpu.system) / MICROSECONDS_PER_MS },
+      starts,
+      costs: resolveCosts(this.dispatcher.countMessages(), messagesBefore, starts, cpuMs),
       networkMs
     }
   }
--- /dev/null
+++ b/packages/bench/src/localFleet.ts
@@ -0,0 +1,96 @@
+/** Real entries and agents in this process, linked over loopback, beside stand-in backend servers. */
+import * as agent from '@egretvalve/agent'
+import * as entry from '@egretvalve/entry'
+import * as settings from '@egretvalve/settings'
+import * as standin from '@egretvalve/standin'
+import * as undici from 'undici'
+
+/** Size and place of a local fleet. */
+export interface LocalFleetOptions {
+  entries: number
+  agents: number
+  timers: settings.Timers
+  /** Settings of each entry that replace the defaults. */
+  entrySettings?: Partial<entry.EntrySettings>
+  agentSettings?: Partial<agent.AgentSettings>
+}
+
+const ANY_PORT = '127.0.0.1:0'
+const FAILURE_DOMAINS = ['a', 'b', 'c']
+const SERVERS_PER_RACK = 3
+const READY_POLL_MS = 20
+
+/** A fleet without backend servers. */
+export class LocalFleet {
+  readonly entries: entry.Entry[] = []
+  readonly agents: agent.Agent[] = []
+  readonly store: standin.MemoryStore
+
+  constructor (private readonly options: LocalFleetOptions) {
+    this.store = new standin.MemoryStore(options.timers)
+  }
+
+  /** Starts the entries, then the agents. */
+  async start (): Promise<void> {
+    for (let index = 0; index < this.options.entries; index++) await this.startEntry(index)
+    const starts = Array.from({ length: this.options.agents }, (_, index) => this.startAgent(index))
+    await Promise.all(starts)
+    await Promise.all(this.entries.map(running => waitUntilReady(running.httpAddress, this.options.timers)))
+  }
+
+  /** Stops the agents, then the entries. */
+  async stop (): Promise<void> {
+    await Promise.all(this.agents.map(running => running.stop()))
+    await Promise.all(this.entries.map(running => running.stop()))
+  }
+
+  private async startEntry (index: number): Promise<void> {
+    const running = entry.createEntry(entry.resolveEntryDefaults({
+      nodeId: `entry-${index + 1}`,
+      failureDomain: resolveFailureDomain(index),
+      httpListen: ANY_PORT,
+      linkListen: ANY_PORT,
+      plainText: true,
+      ...this.options.entrySettings
+    }), { ...this.createServices(), store: this.store })
+    await running.start()
+    this.entries.push(running)
+  }
+
+  private async startAgent (index: number): Promise<void> {
+    const running = agent.createAgent(agent.resolveAgentDefaults({
+      nodeId: `agent-${index + 1}`,
+      failureDomain: resolveFailureDomain(index),
+      rack: resolveRack(index),
+      announceListen: ANY_PORT,
+      entries: this.entries.map(known => known.linkAddress),
+      plainText: true,
+      ...this.options.agentSettings
+    }), this.createServices())
+    this.agents[index] = running
+    await running.start()
+  }
+
+  private createServices (): entry.EntryServices {
+    return { timers: this.options.timers, log: settings.createSilentLog(), metrics: settings.createSilentMetrics() }
+  }
+}
+
+/** Returns the rack of a worker by its number. */
+export function resolveRack (index: number): string {
+  return `rack-${Math.floor(index / SERVERS_PER_RACK) + 1}`
+}
+
+function resolveFailureDomain (index: number): string {
+  return `local-${FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!}`
+}
+
+/** Waits until an entry takes submissions. */
+export async function waitUntilReady (httpAddress: string, timers: settings.Timers): Promise<void> {
+  for (;;) {
+    const response = await undici.request(`http://${httpAddress}/readyz`)
+    await response.body.dump()
+    if (response.statusCode === 200) return
+    await timers.sleep(READY_POLL_MS)
+  }
+}
