--- a/packages/bench/src/announcer.ts
+++ b/packages/bench/src/announcer.ts
@@ -6,6 +6,8 @@
 const LEASE_MS = 6_000
 const RENEWAL_PERIOD_MS = 2_000
 const CONNECTIONS_PER_SERVER = 64
+const CORES_PER_SERVER = 30
+const MEMORY_PER_SERVER_MB = 128_000
 
 /** What is announced. */
 export interface AnnouncedServer {
@@ -45,7 +47,7 @@
   }
 
   private async renew (): Promise<void> {
-    const body = JSON.stringify({ ...this.server, connections: CONNECTIONS_PER_SERVER, leaseMs: LEASE_MS })
+    const body = JSON.stringify({ ...this.server, connections: CONNECTIONS_PER_SERVER, cores: CORES_PER_SERVER, memoryMb: MEMORY_PER_SERVER_MB, leaseMs: LEASE_MS })
     const response = await undici.request(this.url, { method: 'PUT', headers: { 'content-type': 'application/json' }, body })
     await response.body.dump()
   }
--- /dev/null
+++ b/test/unit/bench/replay.test.ts
@@ -0,0 +1,26 @@
+import { expect } from 'chai'
+import * as bench from '@egretvalve/bench'
+
+interface Run {
+  exitCode: number
+  lines: string[]
+}
+
+async function replay (args: readonly string[]): Promise<Run> {
+  const lines: string[] = []
+  const streams = { out: (line: string) => { lines.push(line) }, error: (line: string) => { lines.push(line) } }
+  return { exitCode: await bench.runReplay(args, {}, streams), lines }
+}
+
+describe('runReplay', () => {
+  it('gets the stated answers from one entry and starts nothing twice', async () => {
+    const run = await replay(['--trace', 'test/traces/resubmissions.jsonl', '--entries', '1'])
+    expect(run).to.deep.equal({ exitCode: 0, lines: ['11 submissions replayed, 0 outcomes differ'] })
+  })
+
+  it('names a file that it cannot read', async () => {
+    const run = await replay(['--trace', 'test/traces/missing.jsonl'])
+    expect(run.exitCode).to.equal(2)
+    expect(run.lines[0]).to.match(/^trace\.read \(test\/traces\/missing\.jsonl\)/)
+  })
+})
