--- /dev/null
+++ b/packages/admission/src/deadlineHeap.ts
@@ -0,0 +1,54 @@
+/** Binary heap of waiting items, earliest deadline first; among equals the one that came first. */
+import type { WaitingItem } from './waitingQueue.ts'
+
+function precedes<T> (left: WaitingItem<T>, right: WaitingItem<T>): boolean {
+  if (left.deadlineAtMs !== right.deadlineAtMs) return left.deadlineAtMs < right.deadlineAtMs
+  return left.sequence < right.sequence
+}
+
+/** Items of one class and team. */
+export class DeadlineHeap<T> {
+  /** Expected work of the items that still wait, in milliseconds of run time; kept by the queue. */
+  workMs = 0
+  private readonly items: Array<WaitingItem<T>> = []
+
+  get first (): WaitingItem<T> | undefined {
+    return this.items[0]
+  }
+
+  push (item: WaitingItem<T>): void {
+    let index = this.items.push(item) - 1
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (!precedes(item, this.items[parent]!)) break
+      this.items[index] = this.items[parent]!
+      index = parent
+    }
+    this.items[index] = item
+  }
+
+  shift (): WaitingItem<T> | undefined {
+    const first = this.items[0]
+    const last = this.items.pop()
+    if (last !== undefined && this.items.length > 0) this.sink(last)
+    return first
+  }
+
+  private sink (item: WaitingItem<T>): void {
+    let index = 0
+    for (let child = this.lowerChild(0); child !== undefined; child = this.lowerChild(index)) {
+      if (!precedes(this.items[child]!, item)) break
+      this.items[index] = this.items[child]!
+      index = child
+    }
+    this.items[index] = item
+  }
+
+  private lowerChild (index: number): number | undefined {
+    const left = 2 * index + 1
+    const right = left + 1
+    if (left >= this.items.length) return undefined
+    if (right < this.items.length && precedes(this.items[right]!, this.items[left]!)) return right
+    return left
+  }
+}
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,1 +1,10 @@
-export {}
+/** Classes, deadlines, quotas, predicted waits, retry budgets. */
+export * from './admission.ts'
+export * from './defaults.ts'
+export * from './hedging.ts'
+export * from './retryBudget.ts'
+export * from './runTime.ts'
+export * from './startRate.ts'
+export * from './teamShares.ts'
+export * from './urgency.ts'
+export * from './waitingQueue.ts'
--- /dev/null
+++ b/packages/admission/src/teamShares.ts
@@ -0,0 +1,82 @@
+/** Weighted fair shares of the teams. A team without waiting work lends its share to the others. */
+
+/** Weight of a team of which the configuration says nothing. */
+const DEFAULT_WEIGHT = 1
+
+interface TeamUsage {
+  weight: number
+  /** Decayed sum of started work, in milliseconds of run time. */
+  usedMs: number
+  updatedAtMs: number
+}
+
+/** Tracks the started work of each team. */
+export class TeamShares {
+  private readonly teams = new Map<string, TeamUsage>()
+
+  constructor (private readonly halfLifeMs: number) {}
+
+  /** Sets a team's weight; shares are proportional to the weights. */
+  setWeight (team: string, weight: number): void {
+    this.usageOf(team).weight = weight
+  }
+
+  weightOf (team: string): number {
+    return this.teams.get(team)?.weight ?? DEFAULT_WEIGHT
+  }
+
+  /** Counts work that has started. */
+  noteStarted (team: string, workMs: number, nowMs: number): void {
+    const usage = this.usageOf(team)
+    this.decay(usage, nowMs)
+    usage.usedMs += workMs
+  }
+
+  /** Returns a team's recent work divided by its weight: the team with the least is served first. */
+  weightedUsageMs (team: string, nowMs: number): number {
+    const usage = this.usageOf(team)
+    this.decay(usage, nowMs)
+    return usage.usedMs / usage.weight
+  }
+
+  /** Returns the part of the capacity that a team may claim among teams with work, from 0 to 1. */
+  shareAmong (team: string, activeTeams: Iterable<string>): number {
+    let sum = 0
+    let isActive = false
+    for (const active of activeTeams) {
+      sum += this.weightOf(active)
+      if (active === team) isActive = true
+    }
+    if (!isActive) sum += this.weightOf(team)
+    return this.weightOf(team) / sum
+  }
+
+  /** Returns the weighted usage above which a team is over its share among the active teams, in milliseconds. */
+  fairUsageMs (activeTeams: Iterable<string>, nowMs: number): number {
+    let usedMs = 0
+    let weights = 0
+    for (const team of activeTeams) {
+      const usage = this.usageOf(team)
+      this.decay(usage, nowMs)
+      usedMs += usage.usedMs
+      weights += usage.weight
+    }
+    return weights === 0 ? 0 : usedMs / weights
+  }
+
+  private usageOf (team: string): TeamUsage {
+    let usage = this.teams.get(team)
+    if (usage === undefined) {
+      usage = { weight: DEFAULT_WEIGHT, usedMs: 0, updatedAtMs: 0 }
+      this.teams.set(team, usage)
+    }
+    return usage
+  }
+
+  private decay (usage: TeamUsage, nowMs: number): void {
+    const elapsedMs = nowMs - usage.updatedAtMs
+    if (elapsedMs <= 0) return
+    usage.usedMs *= 2 ** (-elapsedMs / this.halfLifeMs)
+    usage.updatedAtMs = nowMs
+  }
+}
