Dispatch by placement and admission; grant freed slots by urgency

Cause: the first dispatcher chose by free slots of the last report alone, kept one queue in order of arrival and refused nothing. Change: the entry queues by class, teams' share and latest start, asks placement for agents, refuses early by predicted wait and retries repeatable work within a budget on other agents. Work that can't end by its deadline is dropped before its start. The agent reports what it has received, grants freed slots to the entry with the most urgent work and keeps slots for short work. An agent whose backend server announced itself while a stream was opening now reports it: entries never learned of it before, and every submission was refused with unknown-service.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -76,7 +76,7 @@
     const workMs = request.taskCount * request.expectedRunMs
     if (nowMs >= request.deadlineAtMs) return refuseExpired()
     const predictedWaitMs = this.predictWaitMs(request, capacity, nowMs)
-    const excessMs = nowMs + predictedWaitMs + request.expectedRunMs - request.deadlineAtMs
+    const excessMs = predictedWaitMs === 0 ? 0 : nowMs + predictedWaitMs + request.expectedRunMs - request.deadlineAtMs
     if (excessMs > 0) return this.refuse(request, predictedWaitMs, excessMs, nowMs)
     if (isPressing) this.pressingArrivals.add(workMs, nowMs)
     return { kind: AdmissionKind.Admitted, predictedWaitMs }
--- a/packages/admission/src/deadlineHeap.ts
+++ b/packages/admission/src/deadlineHeap.ts
@@ -1,8 +1,8 @@
-/** Binary heap of waiting items, earliest deadline first; among equals the one that came first. */
+/** Binary heap of waiting items, earliest latest start first; among equals the one that came first. */
 import type { WaitingItem } from './waitingQueue.ts'
 
 function precedes<T> (left: WaitingItem<T>, right: WaitingItem<T>): boolean {
-  if (left.deadlineAtMs !== right.deadlineAtMs) return left.deadlineAtMs < right.deadlineAtMs
+  if (left.latestStartAtMs !== right.latestStartAtMs) return left.latestStartAtMs < right.latestStartAtMs
   return left.sequence < right.sequence
 }
 
--- a/packages/admission/src/urgency.ts
+++ b/packages/admission/src/urgency.ts
@@ -1,7 +1,7 @@
 /** Urgency of the work that waits at an entry, as agents are told about it. */
 import * as protocol from '@egretvalve/protocol'
 import type { UrgencyOptions } from './defaults.ts'
-import type { WaitingItem, WaitingQueue } from './waitingQueue.ts'
+import type { WaitingItem } from './waitingQueue.ts'
 
 const { wire } = protocol
 
@@ -9,11 +9,11 @@
 export function resolveUrgency (head: WaitingItem<unknown> | undefined, nowMs: number, options: UrgencyOptions): protocol.wire.Urgency {
   if (head === undefined || nowMs - head.enqueuedAtMs < options.raiseAfterMs) return wire.Urgency.URGENCY_IDLE
   if (head.requestClass !== wire.RequestClass.REQUEST_CLASS_PRESSING) return wire.Urgency.URGENCY_ORDINARY
-  const slackMs = head.deadlineAtMs - head.expectedRunMs - nowMs
+  const slackMs = head.latestStartAtMs - nowMs
   return slackMs < options.criticalSlackMs ? wire.Urgency.URGENCY_CRITICAL : wire.Urgency.URGENCY_PRESSING
 }
 
-/** Follows the urgency of one queue: it rises at once and falls after it has stayed lower for a time. */
+/** Follows the urgency of one service: it rises at once and falls after it has stayed lower for a time. */
 export class UrgencyTracker {
   announced: protocol.wire.Urgency = wire.Urgency.URGENCY_IDLE
   private lastAtLevelMs = 0
@@ -21,8 +21,7 @@
   constructor (private readonly options: UrgencyOptions) {}
 
   /** Returns the urgency to announce now, or undefined while the announced one holds. */
-  update (queue: WaitingQueue<unknown>, nowMs: number): protocol.wire.Urgency | undefined {
-    const urgency = resolveUrgency(queue.peek(nowMs), nowMs, this.options)
+  update (urgency: protocol.wire.Urgency, nowMs: number): protocol.wire.Urgency | undefined {
     if (urgency >= this.announced) this.lastAtLevelMs = nowMs
     if (urgency === this.announced) return undefined
     if (urgency < this.announced && nowMs - this.lastAtLevelMs < this.options.lowerAfterMs) return undefined
--- a/packages/admission/src/waitingQueue.ts
+++ b/packages/admission/src/waitingQueue.ts
@@ -10,8 +10,8 @@
 export interface WaitingWork<T> {
   team: string
   requestClass: protocol.wire.RequestClass
-  /** Time after which no task of it may start; positive infinity for none. */
-  deadlineAtMs: number
+  /** Time after which a task of it is not worth a start any more; positive infinity for none. */
+  latestStartAtMs: number
   enqueuedAtMs: number
   /** Expected run time of one task. */
   expectedRunMs: number
@@ -38,7 +38,7 @@
   return { heaps: new Map(), taskCount: 0, workMs: 0 }
 }
 
-/** Orders waiting work by class, then by the teams' shares, then by deadline. */
+/** Orders waiting work by class, then by the teams' shares, then by latest start. */
 export class WaitingQueue<T> {
   private readonly pressing = createClassQueue<T>()
   private readonly ordinary = createClassQueue<T>()
@@ -88,7 +88,7 @@
     item.taskCount = 0
   }
 
-  /** Removes and returns the items whose deadline has passed, each with the tasks it still had. */
+  /** Removes and returns the items whose latest start has passed, each with the tasks it still had. */
   dropExpired (nowMs: number): Array<WaitingItem<T>> {
     return [...this.dropExpiredOf(this.pressing, nowMs), ...this.dropExpiredOf(this.ordinary, nowMs)]
   }
@@ -121,7 +121,7 @@
     this.pressingStreak = delaysOrdinary ? this.pressingStreak + taskCount : 0
   }
 
-  /** The earliest deadline among the teams within their share, or else the head of the team with the least usage. */
+  /** The earliest latest start among the teams within their share, or else the head of the team with the least usage. */
   private headOf (queue: ClassQueue<T>, nowMs: number): WaitingItem<T> | undefined {
     if (queue.taskCount === 0) {
       queue.heaps.clear()
@@ -137,7 +137,7 @@
         continue
       }
       if (this.shares.weightedUsageMs(team, nowMs) > fairUsageMs) continue
-      if (best === undefined || first.deadlineAtMs < best.deadlineAtMs) best = first
+      if (best === undefined || first.latestStartAtMs < best.latestStartAtMs) best = first
     }
     return best ?? this.onlyHead(queue)
   }
@@ -153,7 +153,7 @@
   private dropExpiredOf (queue: ClassQueue<T>, nowMs: number): Array<WaitingItem<T>> {
     const expired: Array<WaitingItem<T>> = []
     for (const heap of queue.heaps.values()) {
-      for (let first = pruneHead(heap); first !== undefined && first.deadlineAtMs <= nowMs; first = pruneHead(heap)) {
+      for (let first = pruneHead(heap); first !== undefined && first.latestStartAtMs <= nowMs; first = pruneHead(heap)) {
         heap.shift()
         expired.push({ ...first })
         count(queue, first, -first.taskCount)
--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -89,10 +89,10 @@
   private openLink (address: string): void {
     if (this.links.has(address)) return
     const handler = {
-      createHello: () => this.createHello(),
-      createLoad: () => this.createLoad(),
+      createHello: (link: EntryLink) => this.createHello(link),
+      createLoad: (link: EntryLink) => this.createLoad(link),
       onMessage: (link: EntryLink, message: protocol.wire.EntryToAgent) => { this.receive(link, message) },
-      onClosed: () => {}
+      onClosed: (link: EntryLink) => { this.executor.forgetLink(link) }
     }
     const link = new EntryLink(address, handler, { timers: this.services.timers, log: this.services.log, tls: this.services.tls })
     this.links.set(address, link)
@@ -100,13 +100,19 @@
   }
 
   private receive (link: EntryLink, message: protocol.wire.EntryToAgent): void {
-    if (message.start != null) {
+    if (message.urgency != null) {
+      this.executor.setUrgency(link, message.urgency.urgency ?? protocol.wire.Urgency.URGENCY_IDLE)
+    } else if (message.creditReturn != null) {
+      this.executor.returnCredits(link, message.creditReturn.credits ?? 0)
+    } else if (message.start != null) {
       for (const job of message.start.jobs ?? []) this.executor.accept(job, link)
     } else if (message.cancel != null) {
       this.executor.cancel(message.cancel.key!)
     } else if (message.inquiry != null) {
       this.answerInquiry(link, message.inquiry)
     } else if (message.hello != null) {
+      // The backend server may have announced itself while the stream was opening.
+      link.scheduleFlush()
       this.learnEntries(message.hello.entries ?? [])
     } else if (message.entries != null) {
       this.learnEntries(message.entries.entries ?? [])
@@ -139,29 +145,28 @@
     }
   }
 
-  private createHello (): protocol.wire.IAgentHello {
+  private createHello (link: EntryLink): protocol.wire.IAgentHello {
     return {
       agentId: this.agentId,
       incarnation: this.incarnation,
       region: this.settings.region,
       failureDomain: this.settings.failureDomain,
       wallClockMs: this.services.timers.wallClockMs(),
-      load: this.createLoad(),
+      load: this.createLoad(link),
       versions: []
     }
   }
 
-  private createLoad (): protocol.wire.ILoadReport {
+  private createLoad (link: EntryLink): protocol.wire.ILoadReport {
     const announcement = this.announcer.current
-    const { runningCount, queuedCount, slots } = this.executor
+    const total = announcement === undefined ? {} : createCapacity(announcement)
     return {
+      ...this.executor.createLoad(link, total),
       service: announcement?.service ?? '',
-      freeSlots: Math.max(0, slots - runningCount - queuedCount),
-      queued: queuedCount,
-      running: runningCount,
       draining: this.executor.draining || !this.announcer.acceptsTasks,
-      total: announcement === undefined ? undefined : createCapacity(announcement),
-      rack: announcement?.rack ?? this.settings.rack
+      total,
+      rack: announcement?.rack ?? this.settings.rack,
+      receivedTasks: link.receivedTasks
     }
   }
 }
--- a/packages/agent/src/links/entryLink.ts
+++ b/packages/agent/src/links/entryLink.ts
@@ -11,7 +11,7 @@
 
 /** What a link needs of its agent. */
 export interface EntryLinkHandler {
-  createHello: () => protocol.wire.IAgentHello
+  createHello: (link: EntryLink) => protocol.wire.IAgentHello
   createLoad: (link: EntryLink) => protocol.wire.ILoadReport
   onMessage: (link: EntryLink, message: protocol.wire.EntryToAgent) => void
   onClosed: (link: EntryLink) => void
@@ -29,6 +29,8 @@
   /** Set once the entry has greeted. */
   entryId = ''
   incarnation = ''
+  /** Tasks received since the stream opened. */
+  receivedTasks = 0
   private outbox: runtime.Outbox<protocol.wire.IAgentToEntry> | undefined
   private dialed: { close: () => void } | undefined
   private readonly abort = new AbortController()
@@ -47,6 +49,11 @@
     return this.outbox !== undefined && this.entryId !== ''
   }
 
+  /** True while a report waits to be sent. */
+  get isReporting (): boolean {
+    return this.isFlushScheduled
+  }
+
   /** Keeps the stream open until `stop`. */
   async run (): Promise<void> {
     while (!this.abort.signal.aborted) {
@@ -100,7 +107,8 @@
     const dialed = runtime.dialLink(this.address, protocol.agentLink.exchange, this.services.tls)
     this.dialed = dialed
     this.outbox = new runtime.Outbox(dialed.stream)
-    this.outbox.send({ hello: this.handler.createHello() })
+    this.receivedTasks = 0
+    this.outbox.send({ hello: this.handler.createHello(this) })
     const heartbeat = this.services.timers.every(HEARTBEAT_PERIOD_MS, () => {
       this.send({ heartbeat: { wallClockMs: this.services.timers.wallClockMs() } })
     })
@@ -117,9 +125,14 @@
 
   private receive (message: protocol.wire.EntryToAgent): void {
     if (message.hello !== null && message.hello !== undefined) this.greet(message.hello)
+    this.countTasks(message.start)
     this.handler.onMessage(this, message)
   }
 
+  private countTasks (start: protocol.wire.IStartBatch | null | undefined): void {
+    for (const job of start?.jobs ?? []) this.receivedTasks += job.tasks?.length ?? 0
+  }
+
   private greet (hello: protocol.wire.IEntryHello): void {
     this.entryId = hello.entryId ?? ''
     this.incarnation = hello.incarnation ?? ''
--- a/packages/agent/src/queue/taskQueue.ts
+++ b/packages/agent/src/queue/taskQueue.ts
@@ -25,13 +25,21 @@
     return this.tasks.length
   }
 
+  /** Tasks in order of urgency. */
+  get all (): readonly QueuedTask[] {
+    return this.tasks
+  }
+
   push (queued: QueuedTask): void {
-    this.tasks.push(queued)
-    this.tasks.sort(compareUrgency)
+    const index = this.tasks.findIndex(other => compareUrgency(queued, other) < 0)
+    if (index === -1) this.tasks.push(queued)
+    else this.tasks.splice(index, 0, queued)
   }
 
-  shift (): QueuedTask | undefined {
-    return this.tasks.shift()
+  /** Removes and returns the most urgent task that may start. */
+  shift (mayStart: (queued: QueuedTask) => boolean): QueuedTask | undefined {
+    const index = this.tasks.findIndex(mayStart)
+    return index === -1 ? undefined : this.tasks.splice(index, 1)[0]
   }
 
   /** Removes and returns the tasks that match. */
--- a/packages/agent/src/tasks/executor.ts
+++ b/packages/agent/src/tasks/executor.ts
@@ -3,13 +3,16 @@
 import type * as settings from '@egretvalve/settings'
 import type { Announcer } from '../announcement/announcer.ts'
 import type { EntryLink } from '../links/entryLink.ts'
+import { CreditLedger } from '../queue/credits.ts'
+import { ProtectedSlots } from '../queue/protectedSlots.ts'
+import { isDeclaredLong, isRunningLong, type Occupant, resolveFree, slotsOf } from '../queue/slots.ts'
 import { type QueuedTask, TaskQueue } from '../queue/taskQueue.ts'
 import type { StartRecord } from '../record/startRecord.ts'
 import { BackendClient } from './backendClient.ts'
 
 const { wire } = protocol
 
-interface RunningTask {
+interface RunningTask extends Occupant {
   queued: QueuedTask
   abort: AbortController
 }
@@ -28,11 +31,20 @@
 export class Executor {
   private readonly queue = new TaskQueue()
   private readonly running = new Set<RunningTask>()
+  private readonly protectedSlots = new ProtectedSlots()
+  private readonly credits: CreditLedger<EntryLink>
+  private usedSlots = 0
   private client: BackendClient | undefined
   private isDraining = false
   private onIdle: (() => void) | undefined
 
-  constructor (private readonly options: ExecutorOptions) {}
+  constructor (private readonly options: ExecutorOptions) {
+    this.credits = new CreditLedger({
+      timers: options.timers,
+      onChange: link => { link.scheduleFlush() },
+      onLapse: () => { this.startNext() }
+    })
+  }
 
   get runningCount (): number {
     return this.running.size
@@ -51,8 +63,43 @@
     return this.options.announcer.current?.slots ?? 0
   }
 
+  /** Creates the part of a load report that tells an entry how busy the server is. */
+  createLoad (link: EntryLink, total: protocol.wire.ICapacity): protocol.wire.ILoadReport {
+    const nowMs = this.options.timers.nowMs()
+    const freeSlots = this.unreservedSlots()
+    const jobs = [...this.running, ...this.queue.all].map(each => each.job)
+    return {
+      freeSlots,
+      queued: this.queue.size,
+      running: this.running.size,
+      runningLong: this.countRunningLong(nowMs),
+      credits: this.credits.creditsOf(link),
+      free: resolveFree(total, jobs),
+      freeLongSlots: Math.max(0, this.freeLongSlots(nowMs))
+    }
+  }
+
+  /** Takes an entry's notice of the urgency of its waiting work. */
+  setUrgency (link: EntryLink, urgency: protocol.wire.Urgency): void {
+    this.credits.setUrgency(link, urgency)
+    this.startNext()
+  }
+
+  /** Takes back credits that an entry does not use. */
+  returnCredits (link: EntryLink, count: number): void {
+    this.credits.consume(link, count)
+    this.startNext()
+  }
+
+  /** Forgets the claims of an entry whose link has closed. */
+  forgetLink (link: EntryLink): void {
+    this.credits.remove(link)
+    this.startNext()
+  }
+
   /** Accepts or refuses each task of a start message. */
   accept (job: protocol.wire.IJobStart, origin: EntryLink): void {
+    this.credits.consume(origin, (job.tasks ?? []).length * slotsOf(job))
     for (const task of job.tasks ?? []) this.acceptTask({ job, task, origin })
     this.startNext()
   }
@@ -92,7 +139,7 @@
     if (this.isDraining) return wire.RefusalReason.REFUSAL_REASON_DRAINING
     if (!this.options.announcer.acceptsTasks) return wire.RefusalReason.REFUSAL_REASON_NO_BACKEND
     if (this.hasPassedDeadline(queued)) return wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED
-    if (this.running.size + this.queue.size >= this.slots + this.options.queueDepth) return wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL
+    if (this.usedSlots + this.queuedSlots() + slotsOf(queued.job) > this.slots + this.options.queueDepth) return wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL
     return wire.RefusalReason.REFUSAL_REASON_NONE
   }
 
@@ -107,23 +154,61 @@
     return this.options.record.inquire(queued.job.key!, queued.task.index ?? 0, queued.task.attempt ?? 0)
   }
 
+  /** Starts what may start, then grants the slots that are left to entries with waiting work. */
   private startNext (): void {
-    while (this.running.size < this.slots) {
-      const queued = this.queue.shift()
-      if (queued === undefined) return
+    for (let queued = this.shiftStartable(); queued !== undefined; queued = this.shiftStartable()) {
       if (this.hasPassedDeadline(queued)) this.refuse(queued, wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED)
       else this.run(queued)
     }
+    if (!this.isDraining) this.credits.distribute(this.unreservedSlots(), link => link.isReporting)
+  }
+
+  private shiftStartable (): QueuedTask | undefined {
+    if (this.queue.size === 0) return undefined
+    return this.queue.shift(queued => this.mayStart(queued))
+  }
+
+  /** Ordinary tasks leave alone the slots that are reserved for other entries. */
+  private mayStart (queued: QueuedTask): boolean {
+    const isPressing = queued.job.requestClass === wire.RequestClass.REQUEST_CLASS_PRESSING
+    const reserved = isPressing ? 0 : this.credits.outstanding
+    const slots = slotsOf(queued.job)
+    if (this.usedSlots + reserved + slots > this.slots) return false
+    return !isDeclaredLong(queued.task) || this.freeLongSlots(this.options.timers.nowMs()) >= slots
+  }
+
+  private unreservedSlots (): number {
+    return Math.max(0, this.slots - this.usedSlots - this.queuedSlots() - this.credits.outstanding)
+  }
+
+  private queuedSlots (): number {
+    let slots = 0
+    for (const queued of this.queue.all) slots += slotsOf(queued.job)
+    return slots
+  }
+
+  private countRunningLong (nowMs: number): number {
+    let count = 0
+    for (const running of this.running) count += isRunningLong(running, nowMs) ? slotsOf(running.job) : 0
+    return count
+  }
+
+  private freeLongSlots (nowMs: number): number {
+    return this.slots - this.protectedSlots.count(this.slots, nowMs) - this.countRunningLong(nowMs)
   }
 
   private async run (queued: QueuedTask): Promise<void> {
-    const running = { queued, abort: new AbortController() }
-    this.running.add(running)
     const startedAtMs = this.options.timers.nowMs()
+    const running = { queued, job: queued.job, task: queued.task, startedAtMs, abort: new AbortController() }
+    this.running.add(running)
+    this.usedSlots += slotsOf(queued.job)
     this.options.record.update(queued.job.key!, { index: queued.task.index, attempt: queued.task.attempt, state: wire.TaskState.TASK_STATE_RUNNING })
     const outcome = await this.resolveClient().run(queued.job, queued.task, running.abort.signal)
     this.running.delete(running)
-    const runMs = this.options.timers.nowMs() - startedAtMs
+    this.usedSlots -= slotsOf(queued.job)
+    const nowMs = this.options.timers.nowMs()
+    const runMs = nowMs - startedAtMs
+    this.protectedSlots.noteEnded(runMs, nowMs)
     this.finish(queued, { ...outcome, index: queued.task.index, attempt: queued.task.attempt, runMs })
     this.startNext()
   }
--- /dev/null
+++ b/packages/entry/src/dispatch/agentFleet.ts
@@ -0,0 +1,89 @@
+/** The connected agents: their sessions and what placement knows about them. */
+import * as admission from '@egretvalve/admission'
+import * as placement from '@egretvalve/placement'
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import type { AgentSession } from '../links/agentSession.ts'
+import { isServerFailure } from './retryPolicy.ts'
+
+const { wire } = protocol
+
+/** Fewest own tasks on the servers from which the part of the other entries is estimated. */
+const MIN_OWN_TASKS = 4
+
+/** Sessions and views of the agents of this entry. */
+export class AgentFleet {
+  readonly view: placement.FleetView
+  private readonly sessions = new Map<string, AgentSession>()
+
+  constructor (ownFailureDomain: string, private readonly timers: settings.Timers, private readonly log: settings.Log) {
+    this.view = new placement.FleetView(ownFailureDomain, placement.DEFAULT_PLACEMENT, placement.DEFAULT_EJECTION, change => { this.logStanding(change) })
+  }
+
+  get connected (): Iterable<AgentSession> {
+    return this.sessions.values()
+  }
+
+  add (session: AgentSession): void {
+    this.sessions.set(session.agentId, session)
+    this.view.connect(session.agentId, session.failureDomain, session.currentLoad, this.timers.nowMs())
+  }
+
+  remove (session: AgentSession): void {
+    if (this.sessions.get(session.agentId) !== session) return
+    this.sessions.delete(session.agentId)
+    this.view.disconnect(session.agentId)
+  }
+
+  get (agentId: string): AgentSession | undefined {
+    return this.sessions.get(agentId)
+  }
+
+  /** Takes over the newest load report of an agent. */
+  applyLoad (session: AgentSession): void {
+    this.view.get(session.agentId)?.applyLoad(session.currentLoad, this.timers.nowMs())
+  }
+
+  knowsService (service: string): boolean {
+    for (const view of this.view.views) {
+      if (view.service === service) return true
+    }
+    return false
+  }
+
+  /** Counts the outcome of a task for the ejection of failing servers. */
+  noteOutcome (agentId: string, report: protocol.wire.ITaskReport): void {
+    if (report.state === wire.TaskState.TASK_STATE_NOT_RUN) this.view.ejection.noteNoOutcome(agentId)
+    else this.view.ejection.noteOutcome(agentId, isServerFailure(report), this.timers.nowMs())
+  }
+
+  /** Returns what this entry can count on: the servers' slots and an estimate of the entries that share them. */
+  capacityOf (service: string): admission.EntryCapacity {
+    const { slots, freeSlots, busy } = this.view.capacityOf(service)
+    let own = 0
+    for (const session of this.sessions.values()) own += session.outstanding.size
+    const entries = own < MIN_OWN_TASKS ? 1 : Math.max(1, busy / own)
+    return { slots, freeSlots, entries }
+  }
+
+  /** Announces the urgency of the work that waits for a service. */
+  announceUrgency (service: string, urgency: protocol.wire.Urgency, waiting: number): void {
+    for (const session of this.sessions.values()) {
+      if (session.service === service) session.announceUrgency({ service, urgency, waiting })
+    }
+  }
+
+  /** Returns the credits for a service that has no waiting work. */
+  returnCredits (service: string): void {
+    for (const view of this.view.viewsOf(service)) {
+      const credits = view.takeUnusedCredits()
+      if (credits > 0) this.sessions.get(view.agentId)?.returnCredits({ service, credits })
+    }
+  }
+
+  private logStanding (change: placement.StandingChange): void {
+    const { serverEjected, serverRestored } = placement.placementEvents
+    const event = change.standing === placement.ServerStanding.Ejected ? serverEjected : serverRestored
+    this.log.event(event, { agentId: change.agentId, failureRate: change.failureRate })
+  }
+}
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -1,92 +1,130 @@
 /** Sends waiting tasks to agents with free slots and takes their reports. */
+import * as admission from '@egretvalve/admission'
+import * as placement from '@egretvalve/placement'
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import type { Job } from '../jobs/job.ts'
 import type { AgentSession } from '../links/agentSession.ts'
 import type { StartGuard } from '../owners/router.ts'
-import { WaitingTasks, type WaitingTask } from './waitingTasks.ts'
+import { AgentFleet } from './agentFleet.ts'
+import { RetryPolicy } from './retryPolicy.ts'
+import { type Lane, ServiceQueue, type WaitingGroup } from './serviceQueue.ts'
+import { createTaskGroups, declaredRunMs, resolveDeadlineMs, type TaskGroup, type WaitingTask } from './taskGroup.ts'
 
 const { wire } = protocol
 
-/** Refusals after which a task, which has not run, may go to another agent. */
-const MOVABLE_REFUSALS = new Set<protocol.wire.RefusalReason>([
-  wire.RefusalReason.REFUSAL_REASON_DRAINING,
-  wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL,
-  wire.RefusalReason.REFUSAL_REASON_NO_BACKEND,
-  wire.RefusalReason.REFUSAL_REASON_NOT_RECEIVED,
-  wire.RefusalReason.REFUSAL_REASON_RECORD_FULL
-])
-
-const EXPIRY_PERIOD_MS = 20
+/** Period in which deadlines and urgencies are looked at while nothing else happens, in milliseconds. */
+const TICK_PERIOD_MS = 10
+/** Most tasks of one job that are placed before the order of the queue is looked at again. */
+const MAX_PLACED_TOGETHER = 64
 
 /** What the dispatcher needs of its entry. */
 export interface DispatcherOptions {
   timers: settings.Timers
+  log: settings.Log
+  failureDomain: string
   guard: StartGuard
   /** Called when the last task of a job has ended. */
   onJobEnded: (job: Job) => void
 }
 
-/** Chooses an agent for each waiting task. */
+/** Admits submissions and chooses an agent for each waiting task. */
 export class Dispatcher {
-  private readonly sessions = new Set<AgentSession>()
-  private readonly waiting = new WaitingTasks()
+  private readonly fleet: AgentFleet
+  private readonly services = new Map<string, ServiceQueue>()
+  private readonly waitingGroups = new Map<Job, WaitingGroup[]>()
+  private readonly retries = new RetryPolicy()
   private isPumpScheduled = false
-  private readonly expiry: settings.TimerHandle
+  private readonly tick: settings.TimerHandle
 
   constructor (private readonly options: DispatcherOptions) {
-    this.expiry = options.timers.every(EXPIRY_PERIOD_MS, () => { this.dropExpired() })
+    this.fleet = new AgentFleet(options.failureDomain, options.timers, options.log)
+    this.tick = options.timers.every(TICK_PERIOD_MS, () => { this.pump() })
   }
 
   get waitingCount (): number {
-    return this.waiting.size
+    let count = 0
+    for (const service of this.services.values()) count += service.taskCount
+    return count
   }
 
   stop (): void {
-    this.expiry.cancel()
+    this.tick.cancel()
   }
 
   /** Returns true when an agent has announced the service. */
   knowsService (service: string): boolean {
-    for (const session of this.sessions) {
-      if (session.service === service) return true
-    }
-    return false
+    return this.fleet.knowsService(service)
   }
 
   addAgent (session: AgentSession): void {
-    this.sessions.add(session)
+    this.fleet.add(session)
+    for (const service of this.services.values()) {
+      if (service.urgency.announced !== wire.Urgency.URGENCY_IDLE) this.fleet.announceUrgency(service.service, service.urgency.announced, service.taskCount)
+    }
     this.schedulePump()
   }
 
   removeAgent (session: AgentSession): void {
-    this.sessions.delete(session)
+    this.fleet.remove(session)
+  }
+
+  /** Takes over the load that an agent has just reported. */
+  receiveLoad (session: AgentSession): void {
+    this.fleet.applyLoad(session)
+    this.schedulePump()
+  }
+
+  /** Returns the refusal of a submission that can't run, or not in time; nothing of it has started. */
+  findRefusal (submission: protocol.wire.ISubmission): protocol.wire.IAnswer | undefined {
+    const service = submission.service ?? ''
+    const wanted = placement.resolveWanted(submission.wanted)
+    const unplaceable = this.fleet.view.explainUnplaceable(service, wanted)
+    if (unplaceable !== undefined) return protocol.createRefusal(submission.key!, protocol.AnswerCode.Unplaceable, unplaceable)
+    const decision = this.decide(submission, wanted)
+    switch (decision.kind) {
+      case admission.AdmissionKind.Admitted:
+        return undefined
+      case admission.AdmissionKind.Refused:
+        return protocol.createRefusal(submission.key!, decision.code, decision.message, decision.retryAfterMs)
+      default:
+        return protocol.assertNever(decision)
+    }
   }
 
   /** Queues all tasks of a job that have not ended. */
   enqueue (job: Job): void {
-    for (let index = 0; index < job.taskCount; index++) {
-      if (!job.hasEnded(index)) this.waiting.push({ job, index, attempt: 0 })
-    }
+    const { short, long } = createTaskGroups(job)
+    this.push(short)
+    this.push(long)
+    this.retries.noteFirstAttempts(short.indexes.length + long.indexes.length)
     this.schedulePump()
   }
 
-  /** Takes one task's report. */
-  settle (task: WaitingTask, report: protocol.wire.ITaskReport): void {
+  /** Takes one task's report. `agentId` names the agent that the task was sent to. */
+  settle (task: WaitingTask, report: protocol.wire.ITaskReport, agentId: string): void {
     if (!isFinal(report)) return
-    if (this.canMove(task, report)) {
-      this.waiting.push({ job: task.job, index: task.index, attempt: task.attempt + 1 })
+    this.fleet.noteOutcome(agentId, report)
+    if (report.state === wire.TaskState.TASK_STATE_FINISHED) this.observeRun(task, report)
+    const next = this.retries.resolveNextAttempt(task, report, agentId, this.options.timers.wallClockMs())
+    if (next !== undefined) {
+      this.push({ job: next.job, indexes: [next.index], attempt: next.attempt, excludedAgentIds: next.excludedAgentIds })
       this.schedulePump()
       return
     }
-    if (task.job.settle(report)) this.options.onJobEnded(task.job)
+    this.end(task.job, report)
   }
 
   /** Cancels a job: what waits won't run, and each agent that has tasks of it gets one message. */
   cancel (job: Job): void {
     job.isCancelled = true
-    for (const task of this.waiting.remove(waiting => waiting.job === job)) this.refuse(task, wire.RefusalReason.REFUSAL_REASON_CANCELLED)
-    for (const session of this.sessions) session.cancel(job)
+    const groups = this.waitingGroups.get(job) ?? []
+    this.waitingGroups.delete(job)
+    for (const session of this.fleet.connected) session.cancel(job)
+    for (const group of groups) {
+      this.serviceOf(job).cancel(group)
+      this.refuse(group.payload, wire.RefusalReason.REFUSAL_REASON_CANCELLED)
+    }
   }
 
   /** Sends waiting tasks soon, so that one batch takes what arrives together. */
@@ -99,66 +137,111 @@
     })
   }
 
-  private canMove (task: WaitingTask, report: protocol.wire.ITaskReport): boolean {
-    if (task.job.isCancelled || report.state !== wire.TaskState.TASK_STATE_NOT_RUN) return false
-    return MOVABLE_REFUSALS.has(report.refusal ?? wire.RefusalReason.REFUSAL_REASON_NONE)
+  private decide (submission: protocol.wire.ISubmission, wanted: placement.Capacity): admission.AdmissionDecision {
+    const service = this.resolveService(submission.service ?? '')
+    const tasks = submission.tasks ?? []
+    let expectedMs = 0
+    let longestMs = 0
+    for (const task of tasks) {
+      expectedMs += service.runTimes.expectedRunMs(task.declaredRunMs ?? 0)
+      longestMs = Math.max(longestMs, task.declaredRunMs ?? 0)
+    }
+    const lane = service.resolveLane(wanted, longestMs >= protocol.LONG_RUN_MS)
+    const request = {
+      team: submission.key!.team ?? '',
+      requestClass: submission.requestClass ?? wire.RequestClass.REQUEST_CLASS_ORDINARY,
+      taskCount: tasks.length,
+      expectedRunMs: expectedMs / Math.max(1, tasks.length),
+      deadlineAtMs: resolveDeadlineMs(submission)
+    }
+    return lane.admission.decide(request, this.fleet.capacityOf(service.service), this.options.timers.wallClockMs())
+  }
+
+  private push (group: TaskGroup): void {
+    const item = this.serviceOf(group.job).push(group, this.options.timers.wallClockMs())
+    if (item === undefined) return
+    const items = this.waitingGroups.get(group.job)
+    if (items === undefined) this.waitingGroups.set(group.job, [item])
+    else items.push(item)
   }
 
   private pump (): void {
     const nowWallMs = this.options.timers.wallClockMs()
-    const blocked: WaitingTask[] = []
-    for (let task = this.waiting.shift(); task !== undefined; task = this.waiting.shift()) {
-      if (isExpired(task, nowWallMs)) {
-        this.refuse(task, wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED)
-        continue
-      }
-      const session = this.choose(task)
-      if (session === undefined) blocked.push(task)
-      else this.start(session, task)
-      if (blocked.length > 0 && !this.hasFreeSlots()) break
+    for (const service of this.services.values()) {
+      if (service.taskCount > 0) this.pumpService(service, nowWallMs)
+      this.updateUrgency(service, nowWallMs)
     }
-    this.waiting.restore(blocked)
-    for (const session of this.sessions) session.flushStarts()
+    for (const session of this.fleet.connected) session.flushStarts()
   }
 
-  private start (session: AgentSession, task: WaitingTask): void {
-    const grant = this.options.guard.checkStart(task.job.partition)
-    if (grant === undefined) this.refuse(task, wire.RefusalReason.REFUSAL_REASON_LEASE_EXPIRED)
-    else session.addStart(task, grant)
+  private pumpService (service: ServiceQueue, nowWallMs: number): void {
+    for (const expired of service.dropExpired(nowWallMs)) this.refuse(expired.payload, wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED)
+    const blocked = new Set<Lane>()
+    for (let lane = service.nextLane(blocked, nowWallMs); lane !== undefined; lane = service.nextLane(blocked, nowWallMs)) {
+      if (!this.placeHead(service, lane, nowWallMs)) blocked.add(lane)
+    }
   }
 
-  private choose (task: WaitingTask): AgentSession | undefined {
-    let best: AgentSession | undefined
-    for (const session of this.sessions) {
-      if (session.service !== task.job.submission.service || session.freeSlots <= 0) continue
-      if (best === undefined || session.freeSlots > best.freeSlots) best = session
+  /** Places tasks of the lane's most urgent group, or returns false when none finds a slot. */
+  private placeHead (service: ServiceQueue, lane: Lane, nowWallMs: number): boolean {
+    const head = lane.queue.peek(nowWallMs)!
+    const group = head.payload
+    const grant = this.options.guard.checkStart(group.job.partition)
+    if (grant === undefined) {
+      lane.queue.cancel(head)
+      this.refuse(group, wire.RefusalReason.REFUSAL_REASON_LEASE_EXPIRED)
+      return true
     }
-    return best
+    const count = Math.min(head.taskCount, MAX_PLACED_TOGETHER)
+    const request = { service: service.service, wanted: lane.wanted, isLong: lane.isLong, count, excludedAgentIds: group.excludedAgentIds }
+    const placements = this.fleet.view.choose(request, this.options.timers.nowMs())
+    let placed = 0
+    for (const { agentId, count: sent } of placements) {
+      const session = this.fleet.get(agentId)!
+      for (let task = 0; task < sent; task++) {
+        session.addStart({ job: group.job, index: group.indexes.pop()!, attempt: group.attempt, excludedAgentIds: group.excludedAgentIds }, grant)
+      }
+      placed += sent
+    }
+    lane.queue.take(head, placed, nowWallMs)
+    lane.admission.noteStarted(placed * head.expectedRunMs, nowWallMs)
+    return placed > 0
   }
 
-  private hasFreeSlots (): boolean {
-    for (const session of this.sessions) {
-      if (session.freeSlots > 0) return true
-    }
-    return false
+  private updateUrgency (service: ServiceQueue, nowWallMs: number): void {
+    const urgency = service.updateUrgency(nowWallMs)
+    if (urgency !== undefined) this.fleet.announceUrgency(service.service, urgency, service.taskCount)
+    if (service.taskCount === 0 && service.urgency.announced !== wire.Urgency.URGENCY_IDLE) this.fleet.returnCredits(service.service)
   }
 
-  private dropExpired (): void {
-    const nowWallMs = this.options.timers.wallClockMs()
-    for (const task of this.waiting.remove(waiting => isExpired(waiting, nowWallMs))) {
-      this.refuse(task, wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED)
+  private observeRun (task: WaitingTask, report: protocol.wire.ITaskReport): void {
+    this.serviceOf(task.job).runTimes.observe(declaredRunMs(task.job, task.index), report.runMs ?? 0)
+  }
+
+  private serviceOf (job: Job): ServiceQueue {
+    return this.resolveService(job.submission.service ?? '')
+  }
+
+  private resolveService (name: string): ServiceQueue {
+    let service = this.services.get(name)
+    if (service === undefined) {
+      service = new ServiceQueue(name)
+      this.services.set(name, service)
     }
+    return service
   }
 
-  private refuse (task: WaitingTask, refusal: protocol.wire.RefusalReason): void {
-    const report = { index: task.index, attempt: task.attempt, state: wire.TaskState.TASK_STATE_NOT_RUN, refusal }
-    if (task.job.settle(report)) this.options.onJobEnded(task.job)
+  private refuse (group: TaskGroup, refusal: protocol.wire.RefusalReason): void {
+    for (const index of group.indexes.splice(0)) {
+      this.end(group.job, { index, attempt: group.attempt, state: wire.TaskState.TASK_STATE_NOT_RUN, refusal })
+    }
   }
-}
 
-function isExpired (task: WaitingTask, nowWallMs: number): boolean {
-  const deadlineAtMs = task.job.submission.deadlineAtMs ?? 0
-  return deadlineAtMs > 0 && nowWallMs > deadlineAtMs
+  private end (job: Job, report: protocol.wire.ITaskReport): void {
+    if (!job.settle(report)) return
+    this.waitingGroups.delete(job)
+    this.options.onJobEnded(job)
+  }
 }
 
 function isFinal (report: protocol.wire.ITaskReport): boolean {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -47,7 +47,7 @@
     this.entryId = settings.nodeId
     this.owner = createSoleOwner()
     this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
-    this.dispatcher = new Dispatcher({ timers, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
+    this.dispatcher = new Dispatcher({ timers, log, failureDomain: settings.failureDomain, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
     this.intake = new Intake({ timers, log, metrics, registry: this.registry, dispatcher: this.dispatcher })
     this.agentLinks = new AgentLinks({ timers, log, dispatcher: this.dispatcher, agentGraceMs: settings.agentGraceMs, createHello: () => this.createHello() })
     this.broker = runtime.createBroker(settings.nodeId)
--- a/packages/entry/src/jobs/intake.ts
+++ b/packages/entry/src/jobs/intake.ts
@@ -96,7 +96,7 @@
     if (!this.options.dispatcher.knowsService(submission.service ?? '')) {
       return protocol.createRefusal(key, protocol.AnswerCode.UnknownService, `service: got ${submission.service ?? ''}; no backend server has announced it`)
     }
-    return undefined
+    return this.options.dispatcher.findRefusal(submission)
   }
 
   /** A dated id older than the oldest answer that was dropped early may have run before. */
--- a/packages/entry/src/links/agentLinks.ts
+++ b/packages/entry/src/links/agentLinks.ts
@@ -65,7 +65,8 @@
 
   private connect (hello: protocol.wire.IAgentHello, outbox: runtime.Outbox<protocol.wire.IEntryToAgent>, peer: string): AgentSession {
     const agent = this.resolveAgent(hello)
-    const session = new AgentSession(hello, agent.outstanding, outbox, (task, report) => { this.options.dispatcher.settle(task, report) })
+    const agentId = hello.agentId ?? ''
+    const session = new AgentSession(hello, agent.outstanding, outbox, (task, report) => { this.options.dispatcher.settle(task, report, agentId) })
     if (agent.session !== undefined) this.options.dispatcher.removeAgent(agent.session)
     agent.session = session
     agent.lossTimer?.cancel()
@@ -89,7 +90,7 @@
 
   private receive (session: AgentSession, batch: protocol.wire.IReportBatch): void {
     session.receive(batch)
-    this.options.dispatcher.schedulePump()
+    this.options.dispatcher.receiveLoad(session)
   }
 
   private disconnect (session: AgentSession, hasLeft: boolean): void {
@@ -116,7 +117,7 @@
     this.options.log.event(events.AgentLost, { agentId, tasks: tasks.length })
     for (const task of tasks) {
       const error = `link.read (${agentId}): agent lost after the task was sent`
-      this.options.dispatcher.settle(task, { index: task.index, attempt: task.attempt, state: wire.TaskState.TASK_STATE_UNKNOWN, error })
+      this.options.dispatcher.settle(task, { index: task.index, attempt: task.attempt, state: wire.TaskState.TASK_STATE_UNKNOWN, error }, agentId)
     }
   }
 
--- a/packages/entry/src/links/agentSession.ts
+++ b/packages/entry/src/links/agentSession.ts
@@ -1,7 +1,7 @@
 /** The entry's side of one agent's stream: what was sent, what is outstanding, what the agent last reported. */
 import * as protocol from '@egretvalve/protocol'
 import type * as runtime from '@egretvalve/runtime'
-import type { WaitingTask } from '../dispatch/waitingTasks.ts'
+import type { WaitingTask } from '../dispatch/taskGroup.ts'
 import type { Job } from '../jobs/job.ts'
 import type { StartGrant } from '../owners/router.ts'
 
@@ -67,7 +67,6 @@
   readonly incarnation: string
   readonly failureDomain: string
   private load: protocol.wire.ILoadReport
-  private sentSinceReport = 0
   private pendingStarts = new Map<string, protocol.wire.IJobStart>()
 
   constructor (
@@ -90,17 +89,9 @@
     return this.load
   }
 
-  /** Slots believed free: the last report, less what was sent since. */
-  get freeSlots (): number {
-    if (this.load.draining === true) return 0
-    const slots = this.load.total?.slots ?? 0
-    return Math.min((this.load.freeSlots ?? 0) - this.sentSinceReport, slots - this.outstanding.size)
-  }
-
   /** Adds a task to the next batch. */
   addStart (task: WaitingTask, grant: StartGrant): void {
     this.outstanding.add(task)
-    this.sentSinceReport++
     const spec = task.job.submission.tasks![task.index]!
     const start = { index: task.index, attempt: task.attempt, body: spec.body, declaredRunMs: spec.declaredRunMs }
     const pending = this.pendingStarts.get(task.job.keyText)
@@ -121,6 +112,16 @@
     if (this.outstanding.hasJob(job.keyText)) this.outbox.send({ cancel: { key: job.key } })
   }
 
+  /** Announces the urgency of the work that waits at this entry. */
+  announceUrgency (urgency: protocol.wire.IUrgencyNotice): void {
+    this.outbox.send({ urgency })
+  }
+
+  /** Returns credits that this entry does not use. */
+  returnCredits (creditReturn: protocol.wire.ICreditReturn): void {
+    this.outbox.send({ creditReturn })
+  }
+
   /** Asks what became of tasks sent on an earlier stream. */
   inquire (): void {
     if (this.outstanding.size > 0) this.outbox.send({ inquiry: this.outstanding.createInquiry() })
@@ -128,10 +129,7 @@
 
   /** Takes a batch of reports and the load that rides on it. */
   receive (batch: protocol.wire.IReportBatch): void {
-    if (batch.load != null) {
-      this.load = batch.load
-      this.sentSinceReport = 0
-    }
+    if (batch.load != null) this.load = batch.load
     for (const job of batch.jobs ?? []) this.receiveJob(job)
   }
 
--- a/packages/placement/src/agentView.ts
+++ b/packages/placement/src/agentView.ts
@@ -5,6 +5,7 @@
 /** Tasks of one size that were sent together. */
 interface SentGroup {
   wanted: capacity.Capacity
+  isLong: boolean
   count: number
 }
 
@@ -18,12 +19,15 @@
   total = capacity.resolveCapacity(undefined)
   /** Free and unreserved slots at the last report. */
   freeSlots = 0
+  /** Free slots that long tasks may take at the last report. */
+  freeLongSlots = 0
+  /** Tasks of all entries that ran or were queued at the last report. */
+  busy = 0
   /** Slots that the agent reserved for this entry. */
   credits = 0
   reportedAtMs: number
   private free = capacity.resolveCapacity(undefined)
   private received = 0
-  private sent = 0
   private inTransit: SentGroup[] = []
 
   constructor (readonly agentId: string, readonly failureDomain: string, nowMs: number) {
@@ -38,6 +42,8 @@
     this.queued = load.queued ?? 0
     this.runningLong = load.runningLong ?? 0
     this.freeSlots = load.freeSlots ?? 0
+    this.freeLongSlots = load.freeLongSlots ?? 0
+    this.busy = (load.running ?? 0) + this.queued
     this.credits = load.credits ?? 0
     this.free = capacity.resolveCapacity(load.free)
     this.total = capacity.resolveCapacity(load.total)
@@ -46,18 +52,24 @@
   }
 
   /** Counts tasks that this entry has just sent. */
-  noteSent (count: number, wanted: capacity.Capacity): void {
-    this.sent += count
+  noteSent (count: number, wanted: capacity.Capacity, isLong = false): void {
     const last = this.inTransit.at(-1)
-    if (last !== undefined && last.wanted === wanted) last.count += count
-    else this.inTransit.push({ wanted, count })
+    if (last !== undefined && last.wanted === wanted && last.isLong === isLong) last.count += count
+    else this.inTransit.push({ wanted, isLong, count })
   }
 
-  /** Forgets what was in transit, after the agent connected again. */
-  resetTransit (): void {
-    this.sent = 0
-    this.received = 0
-    this.inTransit = []
+  /** Slots that long tasks may take now, by the last report. */
+  knownFreeLongSlots (): number {
+    let slots = this.freeLongSlots
+    for (const group of this.inTransit) slots -= group.isLong ? group.wanted.slots * group.count : 0
+    return slots
+  }
+
+  /** Gives up the credits that this entry does not use, and returns their number. */
+  takeUnusedCredits (): number {
+    const unused = Math.max(0, Math.min(this.credits, this.knownFreeSlots()))
+    this.credits -= unused
+    return unused
   }
 
   /** Slots that this entry may fill now, by the last report; can be negative. */
@@ -67,7 +79,7 @@
 
   /**
    * Slots expected to be free. An old report moves towards the fleet's mean, because other entries have
-   * used the server since; credits and a report without free slots to share do not age upwards by themselves.
+   * used the server since; credits do not age.
    */
   expectedFreeSlots (nowMs: number, meanFreeSlots: number, reportHalfLifeMs: number): number {
     const ageMs = nowMs - this.reportedAtMs
--- a/packages/placement/src/fleet.ts
+++ b/packages/placement/src/fleet.ts
@@ -12,6 +12,8 @@
   wanted: capacity.Capacity
   /** Number of tasks. */
   count: number
+  /** Whether the tasks are declared long, so that they keep out of the slots protected for short work. */
+  isLong?: boolean
   /** Agents that the tasks have already failed on. */
   excludedAgentIds?: ReadonlySet<string>
 }
@@ -27,6 +29,8 @@
   servers: number
   slots: number
   freeSlots: number
+  /** Tasks of all entries on these servers. */
+  busy: number
 }
 
 interface Candidate {
@@ -76,6 +80,11 @@
     return this.agents.get(agentId)
   }
 
+  /** Views of all connected agents. */
+  get views (): Iterable<AgentView> {
+    return this.agents.values()
+  }
+
   /** Returns the views of the agents of a service. */
   viewsOf (service: string): AgentView[] {
     return [...this.agents.values()].filter(view => view.service === service)
@@ -83,11 +92,12 @@
 
   /** Returns the capacity of a service over all servers that take work. */
   capacityOf (service: string): ServiceCapacity {
-    const sum: ServiceCapacity = { servers: 0, slots: 0, freeSlots: 0 }
+    const sum: ServiceCapacity = { servers: 0, slots: 0, freeSlots: 0, busy: 0 }
     for (const view of this.agents.values()) {
       if (view.service !== service || view.draining) continue
       sum.servers++
       sum.slots += view.total.slots
+      sum.busy += view.busy
       sum.freeSlots += Math.max(0, view.knownFreeSlots())
     }
     return sum
@@ -95,7 +105,7 @@
 
   /**
    * Chooses agents for as many tasks of the request as find room, and counts them as sent.
-   * The caller sends them, or calls back `AgentView.resetTransit` when the link fails.
+   * The caller sends them; a link that fails is connected again with a new view.
    */
   choose (request: PlacementRequest, nowMs: number): Placement[] {
     const candidates = this.findCandidates(request, nowMs)
@@ -106,7 +116,7 @@
       best.room--
       best.expectedFreeSlots -= request.wanted.slots
     }
-    return this.commit(candidates, request.wanted)
+    return this.commit(candidates, request)
   }
 
   /** Says why a wanted capacity fits no server of the service, or returns undefined when it fits one. */
@@ -127,7 +137,8 @@
     for (const view of this.agents.values()) {
       if (!this.isEligible(view, request, nowMs)) continue
       const expectedFreeSlots = view.expectedFreeSlots(nowMs, meanFreeSlots, this.options.reportHalfLifeMs)
-      const slotRoom = Math.floor(expectedFreeSlots / request.wanted.slots)
+      const usableSlots = request.isLong === true ? Math.min(expectedFreeSlots, view.knownFreeLongSlots()) : expectedFreeSlots
+      const slotRoom = Math.floor(usableSlots / request.wanted.slots)
       const room = isOneSlot ? slotRoom : Math.min(slotRoom, view.countFittingResources(request.wanted))
       if (room >= 1) candidates.push({ view, room: this.limitTrial(view, room, nowMs), expectedFreeSlots, chosen: 0 })
     }
@@ -175,11 +186,11 @@
     return prand.unsafeUniformIntDistribution(1, ties, this.random) === 1
   }
 
-  private commit (candidates: readonly Candidate[], wanted: capacity.Capacity): Placement[] {
+  private commit (candidates: readonly Candidate[], request: PlacementRequest): Placement[] {
     const placements: Placement[] = []
     for (const { view, chosen } of candidates) {
       if (chosen === 0) continue
-      view.noteSent(chosen, wanted)
+      view.noteSent(chosen, request.wanted, request.isLong)
       this.ejection.noteSent(view.agentId)
       placements.push({ agentId: view.agentId, count: chosen })
     }
--- a/packages/protocol/src/limits.ts
+++ b/packages/protocol/src/limits.ts
@@ -11,3 +11,6 @@
 
 /** Largest difference between two nodes' wall clocks that the protocols allow, in milliseconds. */
 export const CLOCK_BOUND_MS = 250
+
+/** Run time from which a task counts as long, in milliseconds. */
+export const LONG_RUN_MS = 1_500
--- a/test/unit/admission/admission.test.ts
+++ b/test/unit/admission/admission.test.ts
@@ -12,7 +12,7 @@
 }
 
 function fill (queue: admission.WaitingQueue<string>, requestClass: protocol.wire.RequestClass, taskCount: number, team = 'flood'): void {
-  queue.push({ team, requestClass, deadlineAtMs: Number.POSITIVE_INFINITY, enqueuedAtMs: 0, expectedRunMs: RUN_MS, taskCount, payload: team })
+  queue.push({ team, requestClass, latestStartAtMs: Number.POSITIVE_INFINITY, enqueuedAtMs: 0, expectedRunMs: RUN_MS, taskCount, payload: team })
 }
 
 function request (requestClass: protocol.wire.RequestClass, deadlineAtMs: number, team = 'team'): admission.AdmissionRequest {
@@ -99,15 +99,16 @@
 
 describe('UrgencyTracker', () => {
   it('rises at once and falls after a time', () => {
-    const queue = createQueue()
     const tracker = new admission.UrgencyTracker(admission.DEFAULT_URGENCY)
+    const queue = createQueue()
     const { URGENCY_IDLE, URGENCY_PRESSING, URGENCY_CRITICAL } = protocol.wire.Urgency
-    const item = queue.push({ team: 'team', requestClass: PRESSING, deadlineAtMs: 400, enqueuedAtMs: 0, expectedRunMs: RUN_MS, taskCount: 1, payload: '' })
-    expect(tracker.update(queue, 0)).to.equal(undefined)
-    expect(tracker.update(queue, 10)).to.equal(URGENCY_PRESSING)
-    expect(tracker.update(queue, 250)).to.equal(URGENCY_CRITICAL)
-    queue.cancel(item)
-    expect(tracker.update(queue, 300)).to.equal(undefined)
-    expect(tracker.update(queue, 400)).to.equal(URGENCY_IDLE)
+    const head = queue.push({ team: 'team', requestClass: PRESSING, latestStartAtMs: 300, enqueuedAtMs: 0, expectedRunMs: RUN_MS, taskCount: 1, payload: '' })
+    const update = (item: typeof head | undefined, nowMs: number): protocol.wire.Urgency | undefined =>
+      tracker.update(admission.resolveUrgency(item, nowMs, admission.DEFAULT_URGENCY), nowMs)
+    expect(update(head, 0)).to.equal(undefined)
+    expect(update(head, 10)).to.equal(URGENCY_PRESSING)
+    expect(update(head, 250)).to.equal(URGENCY_CRITICAL)
+    expect(update(undefined, 300)).to.equal(undefined)
+    expect(update(undefined, 400)).to.equal(URGENCY_IDLE)
   })
 })
