shared: remove the abort listener when a fake timer's sleep ends

Cause: a long-lived signal gathered one listener for each sleep and Node.js warned of a leak. Change: FakeTimers.sleep removes its listener as TimerService.sleep does.

--- a/packages/settings/src/timers.ts
+++ b/packages/settings/src/timers.ts
@@ -87,8 +87,13 @@
   async sleep (delayMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted === true) return
     await new Promise<void>(resolve => {
-      const handle = this.after(delayMs, resolve)
-      signal?.addEventListener('abort', () => { handle.cancel(); resolve() }, { once: true })
+      const finish = (): void => {
+        handle.cancel()
+        signal?.removeEventListener('abort', finish)
+        resolve()
+      }
+      const handle = this.after(delayMs, finish)
+      signal?.addEventListener('abort', finish, { once: true })
     })
   }
 
