Add versions, audit trail and spreading of configuration

Cause: every operator must see the same configuration in force, and an accepted one must never revert.

--- /dev/null
+++ b/packages/config/src/audit.ts
@@ -0,0 +1,96 @@
+/** The audit trail of a team's configuration, chained by hash. */
+import * as zod from 'zod'
+import { canonicalJson, digestText } from './canonical.ts'
+
+/** What an operator asked for. */
+export enum AuditAction {
+  Apply = 'apply',
+  Rollback = 'rollback'
+}
+
+/** Hash before the first entry of a trail. */
+export const GENESIS_HASH = '0'.repeat(64)
+
+/** Checks one field that differs. */
+export const differenceSchema = zod.object({ path: zod.string(), from: zod.string().optional(), to: zod.string().optional() })
+
+/** Checks one audit entry. */
+export const auditEntrySchema = zod.object({
+  sequence: zod.number().int().positive(),
+  changeId: zod.string(),
+  operator: zod.string(),
+  /** Wall-clock time of the entry that wrote it, in Unix milliseconds. */
+  atMs: zod.number(),
+  /** The entry through which the operator asked. */
+  entryId: zod.string(),
+  action: zod.enum(AuditAction),
+  fromVersion: zod.number().int(),
+  /** The version that came into force; the current version when the change was refused. */
+  toVersion: zod.number().int(),
+  accepted: zod.boolean(),
+  /** Why the change was refused; empty when it was accepted. */
+  reason: zod.string(),
+  differences: zod.array(differenceSchema),
+  /** Number of differences that were left out because there were too many. */
+  omittedDifferences: zod.number().int(),
+  previousHash: zod.string(),
+  hash: zod.string()
+})
+
+/** Checks an audit trail. Entries up to the base were moved to archives. */
+export const auditTrailSchema = zod.object({
+  baseSequence: zod.number().int(),
+  baseHash: zod.string(),
+  entries: zod.array(auditEntrySchema)
+})
+
+/** One audit entry. */
+export type AuditEntry = zod.infer<typeof auditEntrySchema>
+/** The latest entries of a team's trail. */
+export type AuditTrail = zod.infer<typeof auditTrailSchema>
+/** An entry before it is placed in a trail. */
+export type AuditFacts = Omit<AuditEntry, 'sequence' | 'previousHash' | 'hash'>
+
+/** Creates a trail without entries. */
+export function createAuditTrail (): AuditTrail {
+  return { baseSequence: 0, baseHash: GENESIS_HASH, entries: [] }
+}
+
+/** Returns the trail with one more entry. */
+export function appendAudit (trail: AuditTrail, facts: AuditFacts): AuditTrail {
+  const last = trail.entries.at(-1)
+  const sequence = (last?.sequence ?? trail.baseSequence) + 1
+  const previousHash = last?.hash ?? trail.baseHash
+  const unsigned = { ...facts, sequence, previousHash }
+  const entry: AuditEntry = { ...unsigned, hash: hashEntry(unsigned) }
+  return { ...trail, entries: [...trail.entries, entry] }
+}
+
+/** A place where the chain does not hold. */
+export interface AuditBreak {
+  sequence: number
+  message: string
+}
+
+/** Finds the first missing or altered entry, or undefined when the chain holds. */
+export function findAuditBreak (trail: AuditTrail): AuditBreak | undefined {
+  let sequence = trail.baseSequence
+  let previousHash = trail.baseHash
+  for (const entry of trail.entries) {
+    sequence++
+    if (entry.sequence !== sequence) return { sequence, message: `entry ${sequence} is missing` }
+    if (entry.previousHash !== previousHash) return { sequence, message: `entry ${sequence} does not follow the entry before it` }
+    if (entry.hash !== rehash(entry)) return { sequence, message: `entry ${sequence} was altered` }
+    previousHash = entry.hash
+  }
+  return undefined
+}
+
+function rehash (entry: AuditEntry): string {
+  const { hash, ...unsigned } = entry
+  return hashEntry(unsigned)
+}
+
+function hashEntry (entry: Omit<AuditEntry, 'hash'>): string {
+  return digestText(canonicalJson(entry))
+}
--- /dev/null
+++ b/packages/config/src/spreader.ts
@@ -0,0 +1,174 @@
+/** Spreads accepted configuration between nodes and gathers which node holds which version. */
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import type { ConfigChannel } from './channel.ts'
+import { FleetReporter } from './fleetReport.ts'
+import { FleetView, type NodeIdentity } from './fleet.ts'
+import { ConfigSource, type AcceptedConfig, type ConfigRegistry } from './registry.ts'
+import { ConfigSession, type SessionHandlers } from './session.ts'
+
+const { NodeKind, NodeState } = protocol.wire
+
+/** Time in which an entry's own watch usually brings a version, before the entry asks another node for it; milliseconds. */
+const WANT_DELAY_MS = 200
+/** Time after which another node is asked for a version that did not come, in milliseconds. */
+const WANT_RETRY_MS = 1_000
+
+/** What the spreader needs. */
+export interface SpreaderServices {
+  timers: settings.Timers
+  log: settings.Log
+}
+
+interface PendingWant {
+  version: number
+  askedAtMs: number
+  asked: ConfigSession
+}
+
+/**
+ * Runs on entries and agents. An entry pushes each new version to its agents, and to the other entries if the operator's
+ * change was accepted here; otherwise nodes tell each other versions and ask for the documents that they lack.
+ */
+export class ConfigSpreader {
+  readonly fleet: FleetView
+  private readonly sessions = new Set<ConfigSession>()
+  private readonly wants = new Map<string, PendingWant>()
+  private readonly reporter: FleetReporter
+  private wantTimer: settings.TimerHandle | undefined
+  private readonly unsubscribe: () => void
+
+  constructor (
+    private readonly self: NodeIdentity,
+    private readonly registry: ConfigRegistry,
+    private readonly services: SpreaderServices
+  ) {
+    this.fleet = new FleetView(services.timers)
+    this.reporter = new FleetReporter(self, registry, this.fleet, services.timers)
+    this.unsubscribe = registry.subscribe((config, source) => { this.spread(config, source) })
+  }
+
+  /** Ends the spreading; sessions are left to their links. */
+  stop (): void {
+    this.unsubscribe()
+    this.wantTimer?.cancel()
+    this.wantTimer = undefined
+  }
+
+  /** Begins the exchange with a node whose hello carried the versions given. */
+  attach (remote: NodeIdentity, channel: ConfigChannel, versions: readonly protocol.wire.ITeamVersion[]): ConfigSession {
+    const session = new ConfigSession(remote, channel, this.registry, this.createHandlers())
+    this.sessions.add(session)
+    this.fleet.join(remote, versions)
+    session.noteVersions(versions)
+    this.planWants()
+    if (this.self.kind === NodeKind.NODE_KIND_ENTRY && remote.kind === NodeKind.NODE_KIND_AGENT) this.tellMissing(session)
+    return session
+  }
+
+  /** Gathers the reports of all entries that answer within the time given. */
+  async collectFleet (timeoutMs: number): Promise<protocol.wire.IFleetVersions[]> {
+    const peers = [...this.sessions].filter(session => session.remote.kind === NodeKind.NODE_KIND_ENTRY)
+    return await this.reporter.collect(peers, timeoutMs)
+  }
+
+  /** True if some connected node holds a version that this node lacks. */
+  get isBehind (): boolean {
+    return this.listMissing().length > 0
+  }
+
+  /** Number of links to entries. */
+  get entryCount (): number {
+    return [...this.sessions].filter(session => session.remote.kind === NodeKind.NODE_KIND_ENTRY).length
+  }
+
+  private createHandlers (): SessionHandlers {
+    return {
+      handleVersions: (session, versions) => {
+        this.fleet.reportVersions(session.remote, versions)
+        this.planWants()
+      },
+      handleDelta: (session, delta) => { this.takeDelta(session, delta) },
+      handleFleet: (session, fleet) => { this.reporter.handle(session, fleet) },
+      handleDetach: (session, planned) => {
+        this.sessions.delete(session)
+        this.fleet.setState(session.remote, planned ? NodeState.NODE_STATE_LEFT : NodeState.NODE_STATE_LOST)
+        this.planWants()
+      }
+    }
+  }
+
+  private takeDelta (session: ConfigSession, delta: protocol.wire.IConfigDelta): void {
+    const source = session.remote.kind === NodeKind.NODE_KIND_AGENT ? ConfigSource.Agent : ConfigSource.Entry
+    const versions = (delta.teams ?? []).map(({ team, version }) => ({ team, version }))
+    this.fleet.reportVersions(session.remote, versions)
+    const changed = this.registry.offerDelta(delta, source)
+    if (changed.length < versions.length) session.sendVersions({ versions: this.versionsOf(versions) })
+    this.planWants()
+  }
+
+  private versionsOf (versions: readonly protocol.wire.ITeamVersion[]): protocol.wire.ITeamVersion[] {
+    return versions.map(({ team }) => ({ team, version: this.registry.versionOf(team ?? '') }))
+  }
+
+  /** Passes a version that came into force here on to the linked nodes that may lack it. */
+  private spread (config: AcceptedConfig, source: ConfigSource): void {
+    this.wants.delete(config.team)
+    const notice: protocol.wire.IConfigVersions = { versions: [{ team: config.team, version: config.version }] }
+    for (const session of this.sessions) {
+      if (this.pushes(session, source) && !session.holds(config.team, config.version)) session.sendConfigs([config])
+      else session.sendVersions(notice)
+    }
+  }
+
+  private pushes (session: ConfigSession, source: ConfigSource): boolean {
+    if (this.self.kind !== NodeKind.NODE_KIND_ENTRY) return false
+    return session.remote.kind === NodeKind.NODE_KIND_AGENT || source === ConfigSource.Operator
+  }
+
+  private tellMissing (session: ConfigSession): void {
+    const missing = this.registry.list().filter(config => !session.holds(config.team, config.version))
+    session.sendConfigs(missing)
+  }
+
+  private listMissing (): protocol.wire.ITeamVersion[] {
+    const highest = new Map<string, number>()
+    for (const session of this.sessions) {
+      for (const [team, version] of session.known) highest.set(team, Math.max(version, highest.get(team) ?? 0))
+    }
+    return [...highest]
+      .filter(([team, version]) => version > this.registry.versionOf(team))
+      .map(([team, version]) => ({ team, version }))
+  }
+
+  private planWants (): void {
+    if (this.wantTimer !== undefined || !this.isBehind) return
+    this.wantTimer = this.services.timers.after(WANT_DELAY_MS, () => {
+      this.wantTimer = undefined
+      this.askForMissing()
+      this.planWants()
+    })
+  }
+
+  /** Asks one node for each missing version, and another if the first does not answer. */
+  private askForMissing (): void {
+    const requests = new Map<ConfigSession, protocol.wire.ITeamVersion[]>()
+    for (const { team, version } of this.listMissing()) {
+      const session = this.selectHolder(team ?? '', version ?? 0)
+      if (session === undefined) continue
+      requests.set(session, [...requests.get(session) ?? [], { team, version }])
+    }
+    for (const [session, versions] of requests) session.sendWant(versions)
+  }
+
+  private selectHolder (team: string, version: number): ConfigSession | undefined {
+    const nowMs = this.services.timers.nowMs()
+    const pending = this.wants.get(team)
+    const isWaiting = pending !== undefined && pending.version >= version && nowMs - pending.askedAtMs < WANT_RETRY_MS
+    if (isWaiting && this.sessions.has(pending.asked)) return undefined
+    const holders = [...this.sessions].filter(session => session.holds(team, version))
+    const holder = holders.find(session => session !== pending?.asked) ?? holders[0]
+    if (holder !== undefined) this.wants.set(team, { version, askedAtMs: nowMs, asked: holder })
+    return holder
+  }
+}
