Add the administration API with tokens, roles and an OpenAPI description

Cause: operators change and read configuration over HTTP, and each refusal must say why. Conclusion: ready to be mounted on an entry.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,5 +1,5 @@
 /** Questionnaire, configuration documents, their versions and how they spread. */
-export { describeConfigProblem, type ConfigProblem } from './checks.ts'
+export { describeConfigProblem, describeIssues, type ConfigProblem } from './checks.ts'
 export * from './answers.ts'
 export { AuditAction, findAuditBreak, type AuditBreak, type AuditEntry, type AuditTrail } from './audit.ts'
 export * from './channel.ts'
--- /dev/null
+++ b/packages/entry/src/admin/access.ts
@@ -0,0 +1,129 @@
+/** Access to the administration API: bearer tokens, of which only digests are kept, and roles. */
+import { createHash, randomBytes, timingSafeEqual } from 'node:crypto'
+import * as protocol from '@egretvalve/protocol'
+import * as results from 'ts-results'
+
+/** What the holder of a token may do. */
+export enum Role {
+  /** Reads everything. */
+  Reader = 'reader',
+  /** Reads everything and changes one team. */
+  Operator = 'operator',
+  /** Reads and changes everything. */
+  Administrator = 'administrator'
+}
+
+/** The holder of a token. */
+export interface Principal {
+  name: string
+  role: Role
+  /** The team of an operator; empty for other roles. */
+  team: string
+}
+
+/** A token as it is kept: its digest and its holder. */
+export interface TokenGrant {
+  principal: Principal
+  /** SHA-256 digest of the token in hexadecimal. Tokens are random, so they need no salt. */
+  digestHex: string
+}
+
+/** What a request needs. */
+export enum Permission {
+  Read = 'read',
+  Change = 'change'
+}
+
+const TOKEN_BYTES = 32
+const DIGEST_PATTERN = /^[0-9a-f]{64}$/
+const NAME_PATTERN = /^[a-z][a-z0-9.-]{0,62}$/
+const BEARER_PREFIX = 'Bearer '
+const STEP = 'admin.authorize'
+/** How a grant is written. */
+export const GRANT_FORMAT = 'NAME:reader:DIGEST, NAME:operator/TEAM:DIGEST or NAME:administrator:DIGEST'
+
+function digest (token: string): Buffer {
+  return createHash('sha256').update(token).digest()
+}
+
+/** A new token, shown once, and the grant to keep. */
+export interface CreatedToken {
+  token: string
+  grantText: string
+}
+
+/** Creates a random token for a holder. */
+export function createToken (principal: Principal): CreatedToken {
+  const token = randomBytes(TOKEN_BYTES).toString('base64url')
+  const role = principal.role === Role.Operator ? `${principal.role}/${principal.team}` : principal.role
+  return { token, grantText: `${principal.name}:${role}:${digest(token).toString('hex')}` }
+}
+
+/** Reads one grant. */
+export function parseGrant (text: string): results.Result<TokenGrant, protocol.StepError> {
+  const [name = '', roleText = '', digestHex = '', ...rest] = text.split(':')
+  const [roleName, team = ''] = roleText.split('/')
+  const role = Object.values(Role).find(candidate => candidate === roleName)
+  const isValid = rest.length === 0 && NAME_PATTERN.test(name) && DIGEST_PATTERN.test(digestHex)
+  if (!isValid || role === undefined || (role === Role.Operator) !== (team !== '')) {
+    return results.Err(new protocol.StepError(protocol.ErrorCode.InvalidInput, 'admin.parseGrant', 'local', `got ${name}:${roleText}; expected ${GRANT_FORMAT}`))
+  }
+  return results.Ok({ principal: { name, role, team }, digestHex })
+}
+
+/** Reads grants separated by commas. */
+export function parseGrants (text: string): results.Result<TokenGrant[], protocol.StepError> {
+  const parsed = text.split(',').map(part => part.trim()).filter(part => part !== '').map(parseGrant)
+  const failure = parsed.find(outcome => outcome.err)
+  if (failure?.err === true) return results.Err(failure.val)
+  return results.Ok(parsed.map(outcome => outcome.unwrap()))
+}
+
+/** Decides who may do what. */
+export interface AccessControl {
+  /** Returns the holder of the token in an Authorization header. Every error says why. */
+  authenticate: (authorization: string | undefined) => results.Result<Principal, protocol.StepError>
+}
+
+/** Creates the access control over grants. Every grant is compared in constant time, so that timing tells nothing. */
+export function createAccessControl (grants: readonly TokenGrant[]): AccessControl {
+  const entries = grants.map(grant => ({ principal: grant.principal, digest: Buffer.from(grant.digestHex, 'hex') }))
+  return {
+    authenticate: authorization => {
+      if (entries.length === 0) return refuse('this entry has no access tokens; set --admin-tokens')
+      if (authorization === undefined || !authorization.startsWith(BEARER_PREFIX)) return refuse('the request has no bearer token in its Authorization header')
+      const given = digest(authorization.slice(BEARER_PREFIX.length))
+      const matches = entries.filter(entry => timingSafeEqual(entry.digest, given))
+      const match = matches[0]
+      return match === undefined ? refuse('the token is not known to this entry') : results.Ok(match.principal)
+    }
+  }
+}
+
+/** Creates the access control of the embedded default, which takes every request as an administrator's. */
+export function createOpenAccess (): AccessControl {
+  return { authenticate: () => results.Ok({ name: 'dev', role: Role.Administrator, team: '' }) }
+}
+
+function refuse (message: string): results.Err<protocol.StepError> {
+  return results.Err(new protocol.StepError(protocol.ErrorCode.Unauthorized, STEP, 'local', message))
+}
+
+/** Checks a holder's permission on a team; the error says which role it takes. */
+export function checkPermission (principal: Principal, permission: Permission, team: string): results.Result<Principal, protocol.StepError> {
+  switch (permission) {
+    case Permission.Read:
+      return results.Ok(principal)
+    case Permission.Change:
+      if (principal.role === Role.Administrator) return results.Ok(principal)
+      if (principal.role === Role.Operator && principal.team === team) return results.Ok(principal)
+      return results.Err(new protocol.StepError(protocol.ErrorCode.Forbidden, STEP, principal.name,
+        `${principal.name} is ${describeRole(principal)}; a change of team ${team} takes its operator or an administrator`))
+    default:
+      return protocol.assertNever(permission)
+  }
+}
+
+function describeRole (principal: Principal): string {
+  return principal.role === Role.Operator ? `operator of team ${principal.team}` : `${principal.role}`
+}
--- /dev/null
+++ b/packages/entry/src/admin/index.ts
@@ -0,0 +1,6 @@
+/** The administration API of an entry. */
+export * from './access.ts'
+export * from './handler.ts'
+export * from './messages.ts'
+export * from './openapi.ts'
+export * from './routes.ts'
