--- a/packages/config/src/checks.ts
+++ b/packages/config/src/checks.ts
@@ -13,6 +13,8 @@
 
 const IDENTIFIER_PATTERN = /^[a-z][a-z0-9-]{0,62}$/
 const PATH_PATTERN = /^\/[A-Za-z0-9/_.~-]{0,200}$/
+/** What is expected in place of a field that does not exist. */
+export const UNKNOWN_FIELD_EXPECTS = 'no field of this name'
 /** Longest part of a refused value that a problem quotes, in characters. */
 const MAX_QUOTED_LENGTH = 120
 
@@ -70,7 +72,7 @@
 
 function describeIssue (issue: zod.core.$ZodIssue, input: unknown): ConfigProblem[] {
   if (issue.code === 'unrecognized_keys') {
-    return issue.keys.map(key => describeValue([...issue.path, key], input, 'no field of this name'))
+    return issue.keys.map(key => describeValue([...issue.path, key], input, UNKNOWN_FIELD_EXPECTS))
   }
   return [describeValue(issue.path, input, issue.message)]
 }
