--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -1,5 +1,6 @@
 /** Subcommands of the executable. */
 import * as settings from '@egretvalve/settings'
+import { ExitCode } from './exitCode.ts'
 
 /** Where a command writes. */
 export interface Streams {
@@ -16,13 +17,6 @@
   run: (args: readonly string[], environment: Environment, streams: Streams) => Promise<number>
 }
 
-/** Exit codes. */
-export enum ExitCode {
-  Success = 0,
-  Failure = 1,
-  Usage = 2
-}
-
 /** A command whose arguments are settings. */
 export interface SettingsCommand<T extends object> {
   name: string
--- a/packages/cli/src/commands/dev.ts
+++ b/packages/cli/src/commands/dev.ts
@@ -1,7 +1,8 @@
 /** `egretvalve dev`: a whole small fleet in one process. */
 import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
-import { createSettingsCommand, ExitCode, type Streams } from '../command.ts'
+import { createSettingsCommand, type Streams } from '../command.ts'
+import { ExitCode } from '../exitCode.ts'
 import { runDemo } from '../dev/demo.ts'
 import { DevFleet } from '../dev/fleet.ts'
 
@@ -31,7 +32,7 @@
   httpPort: settings.wholeNumber('First port of the entries\' HTTP addresses; 0 takes free ports.', 'port', 0, 65_000, '0'),
   demo: settings.flag('Runs the demonstration job and ends.'),
   stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_STOP_LIMIT_MS, '60000'),
-  logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Warn)
+  logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Error)
 }
 
 async function run (values: DevSettings, streams: Streams): Promise<number> {
--- a/packages/cli/src/commands/process.ts
+++ b/packages/cli/src/commands/process.ts
@@ -1,7 +1,8 @@
 /** What the commands that run a process until a signal have in common. */
 import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
-import { ExitCode, type Streams } from '../command.ts'
+import type { Streams } from '../command.ts'
+import { ExitCode } from '../exitCode.ts'
 
 /** Settings that every process has. */
 export interface ProcessSettings extends runtime.TlsSettings {
--- a/packages/cli/src/commands/submit.ts
+++ b/packages/cli/src/commands/submit.ts
@@ -3,7 +3,8 @@
 import * as protocol from '@egretvalve/protocol'
 import * as settings from '@egretvalve/settings'
 import * as undici from 'undici'
-import { createSettingsCommand, ExitCode, type Streams } from '../command.ts'
+import { createSettingsCommand, type Streams } from '../command.ts'
+import { ExitCode } from '../exitCode.ts'
 
 interface SubmitSettings {
   entry: string
--- a/packages/cli/src/dev/fleet.ts
+++ b/packages/cli/src/dev/fleet.ts
@@ -44,11 +44,11 @@
     await this.waitUntilReady()
   }
 
-  /** Stops the callers' side first, then agents and backend servers. */
+  /** Stops the callers' side first, then backend servers, which leave, then their agents. */
   async stop (): Promise<void> {
     for (const running of this.entries) await running.stop()
-    for (const running of this.agents) await running.stop()
     for (const running of this.backends) await running.stop()
+    for (const running of this.agents) await running.stop()
     await this.store.stop()
   }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,20 +1,24 @@
 /** The executable: finds the subcommand and runs it. */
-import { ExitCode, type Command, type Streams } from './command.ts'
-import { agentCommand } from './commands/agent.ts'
-import { devCommand } from './commands/dev.ts'
-import { entryCommand } from './commands/entry.ts'
-import { standinBackendCommand } from './commands/standinBackend.ts'
-import { standinStoreCommand } from './commands/standinStore.ts'
-import { submitCommand } from './commands/submit.ts'
+import type { Command, Streams } from './command.ts'
+import { ExitCode } from './exitCode.ts'
 import { VERSION } from './version.ts'
 
-const COMMANDS: readonly Command[] = [
-  entryCommand,
-  agentCommand,
-  submitCommand,
-  devCommand,
-  standinStoreCommand,
-  standinBackendCommand
+/** A subcommand that is loaded when it is asked for, so that the others cost nothing at start-up. */
+interface CommandEntry {
+  name: string
+  summary: string
+  load: () => Promise<Command>
+}
+
+const COMMANDS: readonly CommandEntry[] = [
+  { name: 'entry', summary: 'Runs an entry.', load: async () => (await import('./commands/entry.ts')).entryCommand },
+  { name: 'agent', summary: 'Runs an agent beside a backend server.', load: async () => (await import('./commands/agent.ts')).agentCommand },
+  { name: 'submit', summary: 'Submits a job and waits for its answer.', load: async () => (await import('./commands/submit.ts')).submitCommand },
+  { name: 'dev', summary: 'Runs a whole small fleet in one process.', load: async () => (await import('./commands/dev.ts')).devCommand },
+  { name: 'load', summary: 'Drives load through a fleet and measures it.', load: async () => (await import('./commands/load.ts')).loadCommand },
+  { name: 'replay', summary: 'Replays a trace against its stated outcomes.', load: async () => (await import('./commands/load.ts')).replayCommand },
+  { name: 'standin-store', summary: 'Runs a stand-in for the platform\'s store.', load: async () => (await import('./commands/standinStore.ts')).standinStoreCommand },
+  { name: 'standin-backend', summary: 'Runs a stand-in backend server.', load: async () => (await import('./commands/standinBackend.ts')).standinBackendCommand }
 ]
 
 const NAME_WIDTH = 18
@@ -44,7 +48,7 @@
     streams.error(`command: got ${name}; expected one of ${COMMANDS.map(candidate => candidate.name).join(', ')}`)
     return ExitCode.Usage
   }
-  return await command.run(rest, process.env, streams)
+  return await (await command.load()).run(rest, process.env, streams)
 }
 
 main(process.argv.slice(2)).then(
