Mount the configuration on entries and agents

Cause: changes have to act on running entries and agents without a restart. Change: entries follow the store, pass documents to agents over their streams and apply a team's classes, deadlines and repeatability to each new submission; resubmissions keep what they began with; the administration API is served beside the caller API; an entry is ready once it knows the configuration, from the store or from linked nodes. A node now tells versions that came into force between its hello and the other's: an agent that learned a version in that gap left an entry without it for good (found by configMounted, kept as a test of its own in configSpread). Conclusion: the agent link carries configuration; links between entries are still to come.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,9 +1,11 @@
 /** The agent: one small process beside each backend server. */
+import type * as config from '@egretvalve/config'
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { Announcer } from './announcement/announcer.ts'
 import { createAnnouncementRoutes } from './announcement/routes.ts'
+import { AgentConfig } from './config/agentConfig.ts'
 import { events } from './events.ts'
 import { EntryLink } from './links/entryLink.ts'
 import type { QueuedTask } from './queue/taskQueue.ts'
@@ -29,6 +31,8 @@
   readonly agentId: string
   readonly incarnation = protocol.createIncarnation()
   announceAddress = ''
+  /** The teams' configuration in force here. */
+  readonly config: AgentConfig
   private readonly announcer: Announcer
   private readonly record: StartRecord
   private readonly executor: Executor
@@ -39,6 +43,7 @@
 
   constructor (private readonly settings: AgentSettings, private readonly services: AgentServices) {
     this.agentId = settings.nodeId
+    this.config = new AgentConfig(this.createIdentity(), services)
     this.announcer = new Announcer(services.timers, services.log, () => { this.announceLoad() })
     this.record = new StartRecord(services.timers, settings.retentionMs)
     this.executor = new Executor({
@@ -75,6 +80,7 @@
     await drained
     for (const link of this.links.values()) link.stop('planned stop')
     this.expiry?.cancel()
+    this.config.stop()
     this.announcer.stop()
     await this.web.stop()
     await this.broker.stop()
@@ -92,7 +98,7 @@
       createHello: () => this.createHello(),
       createLoad: () => this.createLoad(),
       onMessage: (link: EntryLink, message: protocol.wire.EntryToAgent) => { this.receive(link, message) },
-      onClosed: () => {}
+      onClosed: (link: EntryLink) => { this.config.close(link) }
     }
     const link = new EntryLink(address, handler, { timers: this.services.timers, log: this.services.log, tls: this.services.tls })
     this.links.set(address, link)
@@ -100,6 +106,7 @@
   }
 
   private receive (link: EntryLink, message: protocol.wire.EntryToAgent): void {
+    this.config.receive(link, message)
     if (message.start != null) {
       for (const job of message.start.jobs ?? []) this.executor.accept(job, link)
     } else if (message.cancel != null) {
@@ -139,6 +146,16 @@
     }
   }
 
+  private createIdentity (): config.NodeIdentity {
+    return {
+      nodeId: this.agentId,
+      incarnation: this.incarnation,
+      kind: protocol.wire.NodeKind.NODE_KIND_AGENT,
+      region: this.settings.region,
+      failureDomain: this.settings.failureDomain
+    }
+  }
+
   private createHello (): protocol.wire.IAgentHello {
     return {
       agentId: this.agentId,
@@ -147,7 +164,7 @@
       failureDomain: this.settings.failureDomain,
       wallClockMs: this.services.timers.wallClockMs(),
       load: this.createLoad(),
-      versions: []
+      versions: this.config.registry.versions()
     }
   }
 
--- a/packages/agent/src/links/entryLink.ts
+++ b/packages/agent/src/links/entryLink.ts
@@ -127,6 +127,8 @@
     this.services.log.event(events.LinkOpened, { peer: this.address, entryId: this.entryId })
     const offsetMs = Math.abs((hello.wallClockMs ?? 0) - this.services.timers.wallClockMs())
     if (offsetMs > protocol.CLOCK_BOUND_MS) this.services.log.event(events.ClockOff, { peer: this.address, offsetMs })
+    // The load may have changed since the agent's own greeting was written.
+    this.scheduleFlush()
   }
 
   private close (reason: string): void {
--- a/packages/config/src/spreader.ts
+++ b/packages/config/src/spreader.ts
@@ -62,7 +62,7 @@
     this.fleet.join(remote, versions)
     session.noteVersions(versions)
     this.planWants()
-    if (this.self.kind === NodeKind.NODE_KIND_ENTRY && remote.kind === NodeKind.NODE_KIND_AGENT) this.tellMissing(session)
+    this.tellMissing(session)
     return session
   }
 
@@ -126,9 +126,12 @@
     return session.remote.kind === NodeKind.NODE_KIND_AGENT || source === ConfigSource.Operator
   }
 
+  /** Agents get the documents that they lack; entries get the versions, which may have changed since this node's hello. */
   private tellMissing (session: ConfigSession): void {
     const missing = this.registry.list().filter(config => !session.holds(config.team, config.version))
-    session.sendConfigs(missing)
+    if (missing.length === 0) return
+    if (session.remote.kind === NodeKind.NODE_KIND_AGENT) session.sendConfigs(missing)
+    else session.sendVersions({ versions: missing.map(({ team, version }) => ({ team, version })) })
   }
 
   private listMissing (): protocol.wire.ITeamVersion[] {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,9 +1,11 @@
 /** The entry: HTTP for callers and administrators, dispatch of tasks to agents. */
+import type * as config from '@egretvalve/config'
 import * as platform from '@egretvalve/platform'
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { createCallerRoutes } from './api/routes.ts'
+import { EntryConfiguration } from './config/entryConfiguration.ts'
 import { Dispatcher } from './dispatch/dispatcher.ts'
 import { events } from './events.ts'
 import { createLocalGateway } from './jobs/gateway.ts'
@@ -38,6 +40,7 @@
   private readonly dispatcher: Dispatcher
   private readonly intake: Intake
   private readonly agentLinks: AgentLinks
+  private readonly configuration: EntryConfiguration
   private readonly owner: OwnerRouter
   private expiry: settings.TimerHandle | undefined
   private isReady = false
@@ -46,10 +49,25 @@
     const { timers, log, metrics } = services
     this.entryId = settings.nodeId
     this.owner = createSoleOwner()
+    this.configuration = new EntryConfiguration(settings, this.incarnation, services)
     this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
     this.dispatcher = new Dispatcher({ timers, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
-    this.intake = new Intake({ timers, log, metrics, registry: this.registry, dispatcher: this.dispatcher })
-    this.agentLinks = new AgentLinks({ timers, log, dispatcher: this.dispatcher, agentGraceMs: settings.agentGraceMs, createHello: () => this.createHello() })
+    this.intake = new Intake({
+      timers,
+      log,
+      metrics,
+      registry: this.registry,
+      dispatcher: this.dispatcher,
+      configure: submission => this.configuration.configure(submission)
+    })
+    this.agentLinks = new AgentLinks({
+      timers,
+      log,
+      dispatcher: this.dispatcher,
+      agentGraceMs: settings.agentGraceMs,
+      createHello: () => this.createHello(),
+      spreader: this.config.spreader
+    })
     this.broker = runtime.createBroker(settings.nodeId)
     this.web = this.createWebServer()
     this.linkServer = new runtime.LinkServer(settings.linkListen, services.tls)
@@ -61,6 +79,7 @@
     await protocol.loadHash()
     this.linkAddress = await this.linkServer.start()
     this.httpAddress = await this.web.start()
+    await this.configuration.start()
     this.expiry = this.services.timers.every(EXPIRY_PERIOD_MS, () => { this.registry.expire() })
     this.isReady = true
     this.services.log.event(events.Started, { httpAddress: this.httpAddress, linkAddress: this.linkAddress, incarnation: this.incarnation })
@@ -73,6 +92,7 @@
     this.intake.drain()
     await this.registry.waitUntilIdle()
     await this.web.stop()
+    await this.configuration.stop()
     this.linkServer.stop()
     this.dispatcher.stop()
     this.expiry?.cancel()
@@ -80,6 +100,11 @@
     this.services.log.event(events.Stopped)
   }
 
+  /** The teams' configuration in force here. */
+  get config (): config.EntryConfig {
+    return this.configuration.entryConfig
+  }
+
   /** States what is still in progress. */
   describeRemaining (): string {
     return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
@@ -87,13 +112,13 @@
 
   private createWebServer (): runtime.WebServer {
     const { settings, services } = this
-    const gateway = createLocalGateway({ intake: this.intake, registry: this.registry, dispatcher: this.dispatcher, isReady: () => this.isReady })
+    const gateway = createLocalGateway({ intake: this.intake, registry: this.registry, dispatcher: this.dispatcher, isReady: () => this.isReady && this.configuration.isReady })
     const routes = createCallerRoutes(gateway, { timers: services.timers, defaultDeadlineMs: settings.defaultDeadlineMs, maxWaitMs: settings.maxWaitMs })
     return new runtime.WebServer({
       broker: this.broker,
       name: 'http',
       listen: settings.httpListen,
-      routes,
+      routes: [...routes, ...this.configuration.createWebRoutes()],
       maxBodyBytes: settings.maxBodyBytes,
       requestTimeoutMs: settings.requestTimeoutMs
     })
@@ -107,7 +132,7 @@
       failureDomain: this.settings.failureDomain,
       wallClockMs: this.services.timers.wallClockMs(),
       entries: [],
-      versions: []
+      versions: this.config.registry.versions()
     }
   }
 }
--- a/packages/entry/src/jobs/intake.ts
+++ b/packages/entry/src/jobs/intake.ts
@@ -5,6 +5,7 @@
 import { events } from '../events.ts'
 import { JoinKind, type JobRegistry } from './registry.ts'
 import type { Job } from './job.ts'
+import * as results from 'ts-results'
 
 /** What the intake needs of its entry. */
 export interface IntakeOptions {
@@ -13,6 +14,8 @@
   metrics: settings.Metrics
   registry: JobRegistry
   dispatcher: Dispatcher
+  /** Applies the team's configuration to a new submission, or refuses it. */
+  configure: (submission: protocol.wire.ISubmission) => results.Result<protocol.wire.ISubmission, protocol.wire.IAnswer>
 }
 
 /** The job of a submission, or the answer that refuses it. */
@@ -35,13 +38,14 @@
   /** Takes a submission. */
   submit (submission: protocol.wire.ISubmission): IntakeResult {
     const known = this.options.registry.find(submission.key!)
-    const refusal = known === undefined ? this.findRefusal(submission) : undefined
-    if (refusal !== undefined) {
+    const admitted = known === undefined ? this.admit(submission) : results.Ok(submission)
+    if (admitted.err) {
+      const answer = admitted.val
       this.options.metrics.increment('submissions.refused')
-      this.options.log.event(events.SubmissionRefused, { submissionId: submission.key!.submissionId ?? '', team: submission.key!.team ?? '', code: refusal.code ?? '' })
-      return { kind: 'answered', answer: refusal }
+      this.options.log.event(events.SubmissionRefused, { submissionId: submission.key!.submissionId ?? '', team: submission.key!.team ?? '', code: answer.code ?? '' })
+      return { kind: 'answered', answer }
     }
-    const { kind, job } = this.options.registry.join(submission)
+    const { kind, job } = this.options.registry.join(admitted.val)
     switch (kind) {
       case JoinKind.Conflict:
         return { kind: 'conflict', message: 'submissionId: this id was used for other work; expected a new id or the same work' }
@@ -89,6 +93,12 @@
     this.options.dispatcher.enqueue(job)
   }
 
+  /** Returns a new submission with its team's configuration applied, or the answer that refuses it. */
+  private admit (submission: protocol.wire.ISubmission): results.Result<protocol.wire.ISubmission, protocol.wire.IAnswer> {
+    const refusal = this.findRefusal(submission)
+    return refusal === undefined ? this.options.configure(submission) : results.Err(refusal)
+  }
+
   private findRefusal (submission: protocol.wire.ISubmission): protocol.wire.IAnswer | undefined {
     const key = submission.key!
     if (this.isDraining) return protocol.createRefusal(key, protocol.AnswerCode.Draining, 'this entry is stopping; submit again', 1)
--- a/packages/entry/src/links/agentLinks.ts
+++ b/packages/entry/src/links/agentLinks.ts
@@ -1,7 +1,9 @@
 /** Accepts agents' streams; one task for each stream. */
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
+import type * as config from '@egretvalve/config'
 import type * as settings from '@egretvalve/settings'
+import { createAgentExchange, type AgentConfigExchange } from '../config/agentExchange.ts'
 import type { Dispatcher } from '../dispatch/dispatcher.ts'
 import { events } from '../events.ts'
 import { AgentSession, OutstandingTasks } from './agentSession.ts'
@@ -27,6 +29,8 @@
   dispatcher: Dispatcher
   agentGraceMs: number
   createHello: () => protocol.wire.IEntryHello
+  /** Passes configuration on to the agents. */
+  spreader: config.ConfigSpreader
 }
 
 /** Keeps the sessions of all agents. */
@@ -48,10 +52,15 @@
       outbox.send({ heartbeat: { wallClockMs: this.options.timers.wallClockMs() } })
     })
     let session: AgentSession | undefined
+    let exchange: AgentConfigExchange | undefined
     let hasLeft = false
     try {
       for await (const message of stream) {
-        if (message.hello != null) session = this.connect(message.hello, outbox, peer)
+        if (message.hello != null) {
+          session = this.connect(message.hello, outbox, peer)
+          exchange = createAgentExchange(this.options.spreader, message.hello, reply => { outbox.send(reply) })
+        }
+        exchange?.receive(message)
         if (message.report != null && session !== undefined) this.receive(session, message.report)
         if (message.goodbye != null) hasLeft = true
       }
@@ -60,6 +69,7 @@
     }
     heartbeat.cancel()
     outbox.close()
+    exchange?.close(hasLeft)
     if (session !== undefined) this.disconnect(session, hasLeft)
   }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,6 +1,8 @@
 /** Settings of the entry. */
 import * as protocol from '@egretvalve/protocol'
 import * as settings from '@egretvalve/settings'
+import * as zod from 'zod'
+import { GRANT_FORMAT, parseGrants, type TokenGrant } from './admin/access.ts'
 
 /** Resolved settings of an entry. */
 export interface EntrySettings {
@@ -23,6 +25,12 @@
   /** Time for a disconnected agent to return before its tasks count as unknown. */
   agentGraceMs: number
   stopLimitMs: number
+  /** Tokens of the administration API, of which only digests are given. */
+  adminTokens: TokenGrant[]
+  /** Takes every administration request as an administrator's. */
+  openAdmin: boolean
+  /** Refuses submissions of teams without a configuration. */
+  requireConfig: boolean
   plainText: boolean
   tlsKeyFile: string
   tlsCertFile: string
@@ -35,6 +43,12 @@
 const MAX_DURATION_MS = 3_600_000
 const MAX_RECORD_BYTES = 4 * 1024 * 1024 * 1024
 
+/** Grants of access tokens, separated by commas. */
+function tokenGrants (help: string): settings.SettingDefinition<TokenGrant[]> {
+  const schema = zod.string().refine(text => parseGrants(text).ok).transform(text => parseGrants(text).unwrap())
+  return { schema, defaultText: '', help, expects: `${GRANT_FORMAT}, separated by commas` }
+}
+
 export const entryDefinition: settings.SettingsDefinition<EntrySettings> = {
   nodeId: settings.text('Id of this entry; stable across restarts.', 'a name such as entry-1', 'entry'),
   region: settings.text('Region of this VM.', 'a name such as gr-attica', 'local'),
@@ -50,6 +64,9 @@
   recordMaxBytes: settings.wholeNumber('Memory for answers that are kept.', 'bytes', 1_000_000, MAX_RECORD_BYTES, '64000000'),
   agentGraceMs: settings.wholeNumber('Time for a disconnected agent to return.', 'milliseconds', 100, MAX_DURATION_MS, '10000'),
   stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_DURATION_MS, '60000'),
+  adminTokens: tokenGrants('Tokens of the administration API, as egretvalve token prints them.'),
+  openAdmin: settings.flag('Takes every administration request as an administrator\'s; for development.'),
+  requireConfig: settings.flag('Refuses submissions of teams without a configuration.'),
   plainText: settings.flag('Allows links and HTTP without TLS.'),
   tlsKeyFile: settings.text('PEM file with the private key.', 'a path', ''),
   tlsCertFile: settings.text('PEM file with the certificate.', 'a path', ''),
--- /dev/null
+++ b/test/failure/configMounted.test.ts
@@ -0,0 +1,129 @@
+import { expect } from 'chai'
+import * as agent from '@egretvalve/agent'
+import * as config from '@egretvalve/config'
+import * as entry from '@egretvalve/entry'
+import * as settings from '@egretvalve/settings'
+import * as standin from '@egretvalve/standin'
+import * as undici from 'undici'
+
+const ANY_PORT = '127.0.0.1:0'
+const WAIT_LIMIT_MS = 30_000
+const POLL_MS = 10
+const TEAM = 'xylotechne'
+const SERVICE = 'spares-shop'
+const timers = new settings.TimerService()
+const services = { timers, log: settings.createSilentLog(), metrics: settings.createSilentMetrics() }
+
+/** Waits for a condition within a generous limit. */
+async function waitFor (what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+  const limitMs = timers.nowMs() + WAIT_LIMIT_MS
+  while (!await holds()) {
+    if (timers.nowMs() > limitMs) throw new Error(`waited in vain for ${what}`)
+    await timers.sleep(POLL_MS)
+  }
+}
+
+async function call (running: entry.Entry, method: 'GET' | 'POST', path: string, body?: object): Promise<{ statusCode: number, body: any }> {
+  const response = await undici.request(`http://${running.httpAddress}${path}`, { method, body: body === undefined ? null : JSON.stringify(body) })
+  return { statusCode: response.statusCode, body: await response.body.json() }
+}
+
+/** True if the fleet status shows a backend server with free slots. */
+async function offersService (running: entry.Entry): Promise<boolean> {
+  const status = await call(running, 'GET', '/admin/v1/status')
+  const nodes = status.body.nodes as config.NodeStatus[]
+  return nodes.some(node => node.service === SERVICE && node.freeSlots > 0)
+}
+
+describe('configuration of running entries and agents', () => {
+  const store = new standin.MemoryStore(timers)
+  const entries: entry.Entry[] = []
+  let worker: agent.Agent
+  let backend: standin.StandinBackend
+
+  async function startEntry (nodeId: string, failureDomain: string, overrides: Partial<entry.EntrySettings> = {}): Promise<entry.Entry> {
+    const values = entry.resolveEntryDefaults({ nodeId, failureDomain, httpListen: ANY_PORT, linkListen: ANY_PORT, plainText: true, openAdmin: true, ...overrides })
+    const running = entry.createEntry(values, { ...services, store })
+    await running.start()
+    entries.push(running)
+    return running
+  }
+
+  before(async () => {
+    await startEntry('entry-1', 'attica-a')
+    await startEntry('entry-2', 'attica-b')
+    const values = agent.resolveAgentDefaults({ nodeId: 'agent-1', failureDomain: 'attica-c', announceListen: ANY_PORT, entries: entries.map(running => running.linkAddress), plainText: true })
+    worker = agent.createAgent(values, services)
+    await worker.start()
+    backend = standin.createStandinBackend({
+      listen: ANY_PORT,
+      agentAddress: worker.announceAddress,
+      service: SERVICE,
+      slots: 8,
+      connections: 64,
+      cores: 30,
+      memoryMb: 131_072,
+      accelerators: 0,
+      rack: 'rack-1',
+      timers,
+      log: services.log
+    })
+    await backend.start()
+    for (const running of entries) await waitFor('the backend server', async () => await offersService(running))
+  })
+
+  after(async () => {
+    for (const running of entries) await running.stop()
+    await worker.stop()
+    await backend.stop()
+    store.close()
+  })
+
+  async function apply (through: entry.Entry, seenVersion: number, change: (answers: config.Answers) => void): Promise<void> {
+    const answers = config.readExampleAnswers(config.ExampleName.Xylotechne)
+    change(answers)
+    const outcome = await call(through, 'POST', `/admin/v1/config/${TEAM}`, { seenVersion, answers })
+    expect(outcome.statusCode).to.equal(200)
+  }
+
+  it('comes into force on every node, as the nodes report', async () => {
+    await apply(entries[0]!, 0, () => {})
+    await waitFor('version 1 on the agent', () => worker.config.registry.versionOf(TEAM) === 1)
+    await waitFor('the status', async () => {
+      const status = await call(entries[1]!, 'GET', '/admin/v1/config-status')
+      const nodes = status.body.nodes as Array<{ nodeId: string, versions: Record<string, number> }>
+      return nodes.some(node => node.nodeId === 'agent-1' && node.versions[TEAM] === 1) && nodes.some(node => node.nodeId === 'entry-2' && node.versions[TEAM] === 1)
+    })
+  })
+
+  it('changes what requests may do without a restart', async () => {
+    const request = { team: TEAM, service: SERVICE, path: '/nowhere', body: 'x' }
+    const before = await call(entries[1]!, 'POST', '/v1/requests?waitMs=10000', { ...request, submissionId: 'first' })
+    expect(before.body.kind).to.equal('complete')
+    await apply(entries[0]!, 1, answers => { answers.services[0]!.name = 'other-shop' })
+    await waitFor('version 2', () => entries[1]!.config.registry.versionOf(TEAM) === 2)
+    const after = await call(entries[1]!, 'POST', '/v1/requests?waitMs=10000', { ...request, submissionId: 'second' })
+    expect(after.body).to.include({ kind: 'refused', code: 'unknown-service' })
+    const resubmitted = await call(entries[1]!, 'POST', '/v1/requests?waitMs=10000', { ...request, submissionId: 'first' })
+    expect(resubmitted.body.kind, 'a submission keeps the version that it began with').to.equal('complete')
+  })
+
+  it('starts an entry from an agent while the store is down, and is not ready before', async () => {
+    store.faults = { ...store.faults, down: true }
+    const running = await startEntry('entry-3', 'attica-c')
+    expect((await call(running, 'GET', '/readyz')).statusCode).to.equal(503)
+    const values = agent.resolveAgentDefaults({ nodeId: 'agent-2', failureDomain: 'attica-c', announceListen: ANY_PORT, entries: [entries[0]!.linkAddress, running.linkAddress], plainText: true })
+    const second = agent.createAgent(values, services)
+    await second.start()
+    await waitFor('the configuration', () => running.config.registry.versionOf(TEAM) === 2)
+    await waitFor('readiness', async () => (await call(running, 'GET', '/readyz')).statusCode === 200)
+    await second.stop()
+    store.faults = standin.createNoFaults()
+  })
+
+  it('refuses administration without a token when access is not open', async () => {
+    const running = await startEntry('entry-4', 'attica-a', { openAdmin: false })
+    expect((await call(running, 'GET', '/admin/v1/config')).statusCode).to.equal(401)
+    expect((await call(running, 'GET', '/admin/v1/openapi.json')).statusCode).to.equal(200)
+  })
+})
--- a/test/failure/configSpread.test.ts
+++ b/test/failure/configSpread.test.ts
@@ -138,6 +138,21 @@
     await fleet.stop()
   })
 
+  it('tells a version that came into force after the hello was sent', async () => {
+    const fleet = createFleet(2, 0)
+    await fleet.pass(100)
+    await fleet.apply(fleet.entries[0]!, 2)
+    fleet.store.faults = { ...fleet.store.faults, down: true }
+    const late = fleet.addEntry('entry-2')
+    fleet.cut(late)
+    const agent = createFleetAgent('agent-0', 'marmara-c', fleet.timers)
+    fleet.link(agent, late)
+    agent.registry.offer(fleet.entries[0]!.registry.get(TEAM)!, config.ConfigSource.Entry)
+    await fleet.pass(IN_FORCE_MS)
+    expect(late.registry.versionOf(TEAM)).to.equal(1)
+    await fleet.stop()
+  })
+
   it('ignores an old watch', async () => {
     const fleet = createFleet(2, 1)
     await fleet.pass(100)
