--- /dev/null
+++ b/packages/ownership/src/acquisition.ts
@@ -0,0 +1,84 @@
+/** Takes partitions into service: fences the agents, gathers their records of starts and asks silent agents again. */
+import type * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import type { OwnershipSettings } from './defaults.ts'
+import { ownershipEvents } from './events.ts'
+import { resolveFreshDateMs } from './firstSight.ts'
+import { PartitionPhase } from './partitionState.ts'
+import type { OwnedPartition } from './partitionState.ts'
+import type { FenceTransport, GatheredRecord, OwnershipListener } from './transports.ts'
+
+/** What an acquisition needs. */
+export interface AcquisitionServices {
+  fences: FenceTransport
+  listener: OwnershipListener
+  timers: settings.Timers
+  log: settings.Log
+  signal: AbortSignal
+}
+
+/** Partitions acquired together and their shared state. */
+export interface AcquisitionTarget {
+  partitions: ReadonlyMap<number, OwnedPartition>
+  /** Returns true while this entry still owns a partition at the epoch of the acquisition. */
+  isCurrent: (partition: number) => boolean
+}
+
+/** Clock bounds between the end of the earlier owner's authority and the last moment at which an agent may take its starts. */
+const EXPIRY_WAIT_BOUNDS = 2
+
+/** Fences every known agent, gathers the records and puts the partitions into service. */
+export async function acquirePartitions (target: AcquisitionTarget, options: OwnershipSettings, services: AcquisitionServices): Promise<void> {
+  const agentIds = [...services.fences.knownAgents()]
+  const waited = services.timers.sleep(EXPIRY_WAIT_BOUNDS * options.clockBoundMs, services.signal)
+  const outcomes = await Promise.all(agentIds.map(async agentId => await gatherOne(agentId, target, options, services)))
+  const silent = agentIds.filter((_agentId, index) => outcomes[index] === undefined)
+  if (silent.length > 0) await waited
+  const freshDateMs = resolveFreshDateMs(services.timers.wallClockMs(), options.clockBoundMs)
+  for (const agentId of silent) noteGap(target, agentId, freshDateMs)
+  const records = outcomes.filter(record => record !== undefined)
+  for (const record of records) noteGap(target, record.agentId, resolveGapMs(record, options))
+  putIntoService(target, records, true, services)
+  for (const partition of target.partitions.values()) partition.phase = partition.phase === PartitionPhase.Acquiring ? PartitionPhase.Ready : partition.phase
+  services.log.event(ownershipEvents.acquired, { partitions: target.partitions.size, agents: agentIds.length, silentAgents: silent.length })
+  await Promise.all(silent.map(async agentId => { await askAgain(agentId, target, options, services) }))
+}
+
+async function gatherOne (agentId: string, target: AcquisitionTarget, options: OwnershipSettings, services: AcquisitionServices): Promise<GatheredRecord | undefined> {
+  const partitions: protocol.wire.IPartitionEpoch[] = [...target.partitions].map(([partition, owned]) => ({ partition, epoch: owned.epoch }))
+  const gathered = await services.fences.gather(agentId, partitions, options.gatherTimeoutMs)
+  if (gathered.ok) return gathered.val
+  services.log.event(ownershipEvents.gatherIncomplete, { agentId, error: gathered.val.describe() })
+  return undefined
+}
+
+/** Asks an agent that did not answer until it does, the window has passed or the partitions have gone. */
+async function askAgain (agentId: string, target: AcquisitionTarget, options: OwnershipSettings, services: AcquisitionServices): Promise<void> {
+  const endsAtMs = services.timers.nowMs() + options.retentionMs + EXPIRY_WAIT_BOUNDS * options.clockBoundMs
+  while (services.timers.nowMs() < endsAtMs) {
+    await services.timers.sleep(options.gatherRetryMs, services.signal)
+    if (services.signal.aborted || ![...target.partitions.keys()].some(target.isCurrent)) return
+    const record = await gatherOne(agentId, target, options, services)
+    if (record === undefined) continue
+    putIntoService(target, [record], false, services)
+    noteGap(target, agentId, resolveGapMs(record, options))
+    return
+  }
+  noteGap(target, agentId, 0)
+}
+
+function putIntoService (target: AcquisitionTarget, records: readonly GatheredRecord[], isFirst: boolean, services: AcquisitionServices): void {
+  const partitions = [...target.partitions.keys()].filter(target.isCurrent)
+  if (partitions.length > 0) services.listener.acquired({ partitions, records, isFirst })
+}
+
+function resolveGapMs (record: GatheredRecord, options: OwnershipSettings): number {
+  return record.completeSinceMs === 0 ? 0 : resolveFreshDateMs(record.completeSinceMs, options.clockBoundMs)
+}
+
+function noteGap (target: AcquisitionTarget, agentId: string, unknownBeforeMs: number): void {
+  for (const partition of target.partitions.values()) {
+    if (unknownBeforeMs === 0) partition.unknownBeforeMsByAgent.delete(agentId)
+    else partition.unknownBeforeMsByAgent.set(agentId, unknownBeforeMs)
+  }
+}
