End the ping-pong of unused credits

Cause: a returned credit was granted to the same entry again at once, because its announced urgency outlived its queue.

--- a/packages/agent/src/queue/credits.ts
+++ b/packages/agent/src/queue/credits.ts
@@ -54,11 +54,19 @@
     this.claims.set(link, claim)
   }
 
-  /** Uses credits for tasks that have arrived, or gives up credits that came back. */
+  /** Uses credits for tasks that have arrived. */
   consume (link: L, count: number): void {
     this.claims.get(link)?.lapsesAtMs.splice(0, count)
   }
 
+  /** Takes back credits from an entry that has no waiting work; it gets no more until its next notice. */
+  giveBack (link: L, count: number): void {
+    const claim = this.claims.get(link)
+    if (claim === undefined) return
+    claim.lapsesAtMs.splice(0, count)
+    claim.urgency = wire.Urgency.URGENCY_IDLE
+  }
+
   /** Forgets an entry whose link has closed. */
   remove (link: L): void {
     this.claims.delete(link)
--- a/packages/agent/src/tasks/executor.ts
+++ b/packages/agent/src/tasks/executor.ts
@@ -87,7 +87,7 @@
 
   /** Takes back credits that an entry does not use. */
   returnCredits (link: EntryLink, count: number): void {
-    this.credits.consume(link, count)
+    this.credits.giveBack(link, count)
     this.startNext()
   }
 
--- a/packages/entry/src/dispatch/agentFleet.ts
+++ b/packages/entry/src/dispatch/agentFleet.ts
@@ -69,7 +69,7 @@
   /** Announces the urgency of the work that waits for a service. */
   announceUrgency (service: string, urgency: protocol.wire.Urgency, waiting: number): void {
     for (const session of this.sessions.values()) {
-      if (session.service === service) session.announceUrgency({ service, urgency, waiting })
+      if (session.service === service) session.announceUrgency(service, urgency, waiting)
     }
   }
 
@@ -77,7 +77,7 @@
   returnCredits (service: string): void {
     for (const view of this.view.viewsOf(service)) {
       const credits = view.takeUnusedCredits()
-      if (credits > 0) this.sessions.get(view.agentId)?.returnCredits({ service, credits })
+      if (credits > 0) this.sessions.get(view.agentId)?.returnCredits(service, credits)
     }
   }
 
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -59,9 +59,6 @@
 
   addAgent (session: AgentSession): void {
     this.fleet.add(session)
-    for (const service of this.services.values()) {
-      if (service.urgency.announced !== wire.Urgency.URGENCY_IDLE) this.fleet.announceUrgency(service.service, service.urgency.announced, service.taskCount)
-    }
     this.schedulePump()
   }
 
@@ -209,9 +206,10 @@
   }
 
   private updateUrgency (service: ServiceQueue, nowWallMs: number): void {
-    const urgency = service.updateUrgency(nowWallMs)
-    if (urgency !== undefined) this.fleet.announceUrgency(service.service, urgency, service.taskCount)
-    if (service.taskCount === 0 && service.urgency.announced !== wire.Urgency.URGENCY_IDLE) this.fleet.returnCredits(service.service)
+    service.updateUrgency(nowWallMs)
+    const { announced } = service.urgency
+    if (service.taskCount > 0 || announced === wire.Urgency.URGENCY_IDLE) this.fleet.announceUrgency(service.service, announced, service.taskCount)
+    if (service.taskCount === 0 && announced !== wire.Urgency.URGENCY_IDLE) this.fleet.returnCredits(service.service)
   }
 
   private observeRun (task: WaitingTask, report: protocol.wire.ITaskReport): void {
--- a/packages/entry/src/links/agentSession.ts
+++ b/packages/entry/src/links/agentSession.ts
@@ -67,6 +67,7 @@
   readonly incarnation: string
   readonly failureDomain: string
   private load: protocol.wire.ILoadReport
+  private announcedUrgency: protocol.wire.Urgency = wire.Urgency.URGENCY_IDLE
   private pendingStarts = new Map<string, protocol.wire.IJobStart>()
 
   constructor (
@@ -112,14 +113,17 @@
     if (this.outstanding.hasJob(job.keyText)) this.outbox.send({ cancel: { key: job.key } })
   }
 
-  /** Announces the urgency of the work that waits at this entry. */
-  announceUrgency (urgency: protocol.wire.IUrgencyNotice): void {
-    this.outbox.send({ urgency })
+  /** Announces the urgency of the work that waits at this entry, unless the agent knows it already. */
+  announceUrgency (service: string, urgency: protocol.wire.Urgency, waiting: number): void {
+    if (urgency === this.announcedUrgency) return
+    this.announcedUrgency = urgency
+    this.outbox.send({ urgency: { service, urgency, waiting } })
   }
 
-  /** Returns credits that this entry does not use. */
-  returnCredits (creditReturn: protocol.wire.ICreditReturn): void {
-    this.outbox.send({ creditReturn })
+  /** Returns credits because nothing waits; the agent grants no more until the next notice. */
+  returnCredits (service: string, credits: number): void {
+    this.announcedUrgency = wire.Urgency.URGENCY_IDLE
+    this.outbox.send({ creditReturn: { service, credits } })
   }
 
   /** Asks what became of tasks sent on an earlier stream. */
