--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -28,8 +28,15 @@
   onJobEnded: (job: Job) => void
 }
 
+/** Counts of starts since the entry began. */
+export interface DispatchCounters {
+  /** Starts that agents refused. */
+  refusedStarts: number
+}
+
 /** Admits submissions and chooses an agent for each waiting task. */
 export class Dispatcher {
+  readonly counters: DispatchCounters = { refusedStarts: 0 }
   private readonly fleet: AgentFleet
   private readonly services = new Map<string, ServiceQueue>()
   private readonly waitingGroups = new Map<Job, WaitingGroup[]>()
@@ -101,6 +108,7 @@
   /** Takes one task's report. `agentId` names the agent that the task was sent to. */
   settle (task: WaitingTask, report: protocol.wire.ITaskReport, agentId: string): void {
     if (!isFinal(report)) return
+    if (report.state === wire.TaskState.TASK_STATE_NOT_RUN) this.counters.refusedStarts++
     this.fleet.noteOutcome(agentId, report)
     if (report.state === wire.TaskState.TASK_STATE_FINISHED) this.observeRun(task, report)
     const next = this.retries.resolveNextAttempt(task, report, agentId, this.options.timers.wallClockMs())
