Measure slopes: costs against agents, entries, task rate, job size and teams

Cause: the target size can't be run on one machine; figures at it have to be worked out from slopes.

--- a/packages/bench/src/command/load.ts
+++ b/packages/bench/src/command/load.ts
@@ -11,6 +11,7 @@
 import { CommandExit, createFactory, createTracePlan, formatJson, readTrace, resolveCommand, resolveFleet, writeOutput } from './common.ts'
 import type { CommandEnvironment, CommandStreams } from './common.ts'
 import { loadDefinition } from './loadSettings.ts'
+import { runSlopes } from './slopes.ts'
 import type { LoadSettings } from './loadSettings.ts'
 
 /** One line for the overview of commands. */
@@ -22,6 +23,7 @@
 export async function runLoad (args: readonly string[], environment: CommandEnvironment, streams: CommandStreams): Promise<number> {
   const values = resolveCommand({ name: 'load', summary: LOAD_SUMMARY, definition: loadDefinition }, args, environment, streams)
   if (values.err) return values.val
+  if (values.val.slopes) return await runSlopes(values.val, streams)
   const plan = await resolvePlan(values.val)
   if (plan.err) {
     streams.error(plan.val.describe())
--- a/packages/bench/src/command/loadSettings.ts
+++ b/packages/bench/src/command/loadSettings.ts
@@ -26,6 +26,8 @@
   saveTrace: string
   json: string
   report: string
+  slopes: boolean
+  windowMs: number
 }
 
 /** Settings of `egretvalve replay`. */
@@ -38,6 +40,7 @@
 const MAX_SERVERS = 300
 const MAX_SLOTS = 1_000
 const MAX_SECONDS = 600
+const MAX_WINDOW_MS = 120_000
 const MAX_TEAMS = 1_000
 const MAX_SEED = 2 ** 31 - 1
 
@@ -67,7 +70,9 @@
   trace: settings.text('JSON Lines file to replay in place of a profile.', 'a path', ''),
   saveTrace: settings.text('File to which the trace is written.', 'a path', ''),
   json: settings.text('File to which the measures are written as JSON.', 'a path', ''),
-  report: settings.text('File to which the report is written as HTML.', 'a path', '')
+  report: settings.text('File to which the report is written as HTML.', 'a path', ''),
+  slopes: settings.flag('Measures costs against sizes in place of a load; starts the processes that it measures.'),
+  windowMs: settings.wholeNumber('Length of each window of --slopes.', 'milliseconds', 500, MAX_WINDOW_MS, '5000')
 }
 
 export const replayDefinition: settings.SettingsDefinition<ReplaySettings> = {
--- /dev/null
+++ b/packages/bench/src/command/slopes.ts
@@ -0,0 +1,40 @@
+/** `egretvalve load --slopes`: measures costs against sizes. */
+import * as settings from '@egretvalve/settings'
+import { drawPlot } from '../plot.ts'
+import type { Plot } from '../plot.ts'
+import { measureSlopes } from '../slopes/runSlopes.ts'
+import type { Series, SlopeReport } from '../slopes/series.ts'
+import { CommandExit, formatJson, writeOutput } from './common.ts'
+import type { CommandStreams } from './common.ts'
+import type { LoadSettings } from './loadSettings.ts'
+
+/** Runs the experiments and writes their JSON and plots. */
+export async function runSlopes (values: LoadSettings, streams: CommandStreams): Promise<number> {
+  const timers = new settings.TimerService()
+  const report = await measureSlopes({ timers, windowMs: values.windowMs }, step => { streams.out(`measuring ${step}`) })
+  for (const series of report.series) streams.out(describeSeries(series))
+  await writeOutput(values.json, formatJson(report))
+  if (values.report !== '') await writeOutput(values.report, formatSlopePlots(report))
+  return CommandExit.Success
+}
+
+function describeSeries (series: Series): string {
+  const { slope, slopeError, intercept } = series.line
+  return `${series.title}: ${intercept.toPrecision(3)} + (${slope.toPrecision(3)} ± ${slopeError.toPrecision(2)}) x ${series.x} [${series.y}]`
+}
+
+function formatSlopePlots (report: SlopeReport): string {
+  const plots = report.series.map(series => drawPlot(createPlot(series)))
+  return ['<!doctype html>', '<html lang="en"><head><meta charset="utf-8"><title>egretvalve load --slopes</title></head><body>', ...plots, '</body></html>', ''].join('\n')
+}
+
+function createPlot (series: Series): Plot {
+  const { intercept, slope } = series.line
+  const line = series.points.map(point => ({ x: point.x, y: intercept + slope * point.x }))
+  return {
+    title: series.title,
+    xLabel: series.x,
+    yLabel: series.y,
+    lines: [{ label: 'measured', points: series.points, isScatter: true }, { label: 'fitted', points: line }]
+  }
+}
--- a/packages/bench/src/localFleet.ts
+++ b/packages/bench/src/localFleet.ts
@@ -44,6 +44,18 @@
     await Promise.all(this.entries.map(running => running.stop()))
   }
 
+  /** Stops one entry as planned and starts its successor. */
+  async replaceEntry (index: number): Promise<void> {
+    await this.entries[index]!.stop()
+    await this.startEntry(index)
+    await waitUntilReady(this.entries[index]!.httpAddress, this.options.timers)
+  }
+
+  /** Stops the entry with the highest number as planned. */
+  async stopLastEntry (): Promise<void> {
+    await this.entries.pop()?.stop()
+  }
+
   private async startEntry (index: number): Promise<void> {
     const running = entry.createEntry(entry.resolveEntryDefaults({
       nodeId: `entry-${index + 1}`,
@@ -54,7 +66,7 @@
       ...this.options.entrySettings
     }), { ...this.createServices(), store: this.store })
     await running.start()
-    this.entries.push(running)
+    this.entries[index] = running
   }
 
   private async startAgent (index: number): Promise<void> {
--- /dev/null
+++ b/packages/bench/src/slopes/lightAgent.ts
@@ -0,0 +1,111 @@
+/** A light agent: a real stream to each entry, and tasks that only take time. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+
+const { wire } = protocol
+
+/** Same period as the real agent's. */
+const HEARTBEAT_PERIOD_MS = 15_000
+const RESULT = Buffer.from('{}')
+const CONNECTIONS = 64
+
+/** What a light agent offers. */
+export interface LightAgentOptions {
+  agentId: string
+  service: string
+  slots: number
+  entryAddresses: readonly string[]
+  timers: settings.Timers
+  /** Run time of each task in milliseconds. */
+  runMs: number
+}
+
+interface OpenLink {
+  outbox: runtime.Outbox<protocol.wire.IAgentToEntry>
+  close: () => void
+  reports: Map<string, protocol.wire.IJobReport>
+  isFlushScheduled: boolean
+}
+
+/** Answers starts after their run time, in batches like the real agent. */
+export class LightAgent {
+  started = 0
+  private running = 0
+  private readonly links: OpenLink[] = []
+  private readonly heartbeats: settings.TimerHandle[] = []
+
+  constructor (private readonly options: LightAgentOptions) {}
+
+  /** Opens a stream to each entry and resolves when all have greeted. */
+  async start (): Promise<void> {
+    await Promise.all(this.options.entryAddresses.map(address => this.open(address)))
+  }
+
+  /** Closes all streams. */
+  stop (): void {
+    for (const heartbeat of this.heartbeats) heartbeat.cancel()
+    for (const link of this.links) link.close()
+  }
+
+  private async open (address: string): Promise<void> {
+    const dialed = runtime.dialLink(address, protocol.agentLink.exchange)
+    const link: OpenLink = { outbox: new runtime.Outbox(dialed.stream), close: dialed.close, reports: new Map(), isFlushScheduled: false }
+    this.links.push(link)
+    const { timers, agentId } = this.options
+    link.outbox.send({ hello: { agentId, incarnation: protocol.createIncarnation(), wallClockMs: timers.wallClockMs(), load: this.createLoad() } })
+    this.heartbeats.push(timers.every(HEARTBEAT_PERIOD_MS, () => { link.outbox.send({ heartbeat: { wallClockMs: timers.wallClockMs() } }) }))
+    await new Promise<void>(resolve => { this.serve(dialed.stream, link, resolve).catch(() => {}) })
+  }
+
+  private async serve (stream: AsyncIterable<protocol.wire.EntryToAgent>, link: OpenLink, onGreeted: () => void): Promise<void> {
+    for await (const message of stream) {
+      if (message.hello != null) onGreeted()
+      for (const job of message.start?.jobs ?? []) this.startJob(job, link)
+    }
+  }
+
+  private startJob (job: protocol.wire.IJobStart, link: OpenLink): void {
+    for (const task of job.tasks ?? []) {
+      this.started++
+      this.running++
+      if (this.options.runMs === 0) this.finish(job, task, link)
+      else this.options.timers.after(this.options.runMs, () => { this.finish(job, task, link) })
+    }
+  }
+
+  private finish (job: protocol.wire.IJobStart, task: protocol.wire.ITaskStart, link: OpenLink): void {
+    this.running--
+    const keyText = protocol.submissionKeyText(job.key!)
+    const report: protocol.wire.ITaskReport = {
+      index: task.index,
+      attempt: task.attempt,
+      state: wire.TaskState.TASK_STATE_FINISHED,
+      statusCode: 200,
+      body: RESULT,
+      contentType: 'application/json',
+      runMs: this.options.runMs
+    }
+    const pending = link.reports.get(keyText)
+    if (pending !== undefined) pending.tasks!.push(report)
+    else link.reports.set(keyText, { key: job.key, taskCount: job.taskCount, partition: job.partition, epoch: job.epoch, tasks: [report] })
+    this.scheduleFlush(link)
+  }
+
+  private scheduleFlush (link: OpenLink): void {
+    if (link.isFlushScheduled) return
+    link.isFlushScheduled = true
+    setImmediate(() => {
+      link.isFlushScheduled = false
+      const jobs = [...link.reports.values()]
+      link.reports = new Map()
+      link.outbox.send({ report: { jobs, load: this.createLoad() } })
+    })
+  }
+
+  private createLoad (): protocol.wire.ILoadReport {
+    const { service, slots } = this.options
+    const capacity = { slots, connections: CONNECTIONS, cores: 30, memoryMb: 128_000, accelerators: 0 }
+    return { service, freeSlots: Math.max(0, slots - this.running), queued: 0, running: this.running, total: capacity, free: capacity, rack: 'rack-1' }
+  }
+}
--- /dev/null
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -0,0 +1,41 @@
+/** Runs all slope experiments, one after the other. */
+import { measureAgentRestSlopes, measureAgentWorkSlopes, measureRecordSlopes } from './agentSlopes.ts'
+import { measureAgentSlopes, measureJobSizes, measureRateSlopes, measureTeamSlopes } from './entrySlopes.ts'
+import type { SlopeOptions } from './entrySlopes.ts'
+import { measureEntrySlopes } from './fleetSlopes.ts'
+import { measureOverheads } from './overhead.ts'
+import { describeMachine } from './series.ts'
+import type { SlopeReport } from './series.ts'
+import { measureStorePhases } from './storePhases.ts'
+
+/** Measures everything. `onStep` hears of each experiment as it starts. */
+export async function measureSlopes (options: SlopeOptions, onStep: (step: string) => void): Promise<SlopeReport> {
+  onStep('overhead of one call')
+  const overheads = await measureOverheads(options)
+  onStep('entry: job sizes')
+  const sizes = await measureJobSizes(options)
+  onStep('entry: task rate')
+  const rates = await measureRateSlopes(options)
+  onStep('entry: teams')
+  const teams = await measureTeamSlopes(options)
+  onStep('entry: agents')
+  const agents = await measureAgentSlopes(options)
+  onStep('agent: task rate')
+  const agentWork = await measureAgentWorkSlopes(options)
+  onStep('agent: entries')
+  const agentRest = await measureAgentRestSlopes(options)
+  onStep('agent: record of starts')
+  const records = await measureRecordSlopes(options)
+  onStep('entries: peers and store')
+  const entries = await measureEntrySlopes(options)
+  onStep('store: phases')
+  const storePhases = await measureStorePhases(options)
+  return {
+    machine: describeMachine(),
+    windowMs: options.windowMs,
+    series: [...sizes.series, ...rates, ...teams, ...agents, ...agentWork, ...agentRest, ...records, ...entries],
+    startRates: sizes.startRates,
+    storePhases,
+    overheads
+  }
+}
--- /dev/null
+++ b/packages/bench/src/slopes/storePhases.ts
@@ -0,0 +1,89 @@
+/** Store calls during the phases of a fleet's life. */
+import type * as settings from '@egretvalve/settings'
+import { LocalFleet } from '../localFleet.ts'
+import type { SlopeOptions } from './entrySlopes.ts'
+import type { StorePhase } from './series.ts'
+
+const FLEET_ENTRIES = 12
+const FLEET_AGENTS = 4
+const SAMPLE_PERIOD_MS = 100
+const SAMPLES_PER_SECOND = 10
+const REST_MS = 10_000
+const OUTAGE_MS = 20_000
+const RETURN_MS = 10_000
+const LOSS_MS = 20_000
+/** One of three failure domains. */
+const LOST_ENTRIES = FLEET_ENTRIES / 3
+
+interface CallSample {
+  reads: number
+  writes: number
+}
+
+/** Samples the store's counters and finds the busiest second. */
+class CallSampler {
+  private readonly samples: CallSample[] = []
+  private readonly refusedBefore: number
+  private readonly handle: settings.TimerHandle
+
+  constructor (private readonly fleet: LocalFleet, timers: settings.Timers) {
+    this.refusedBefore = fleet.store.refusedCalls
+    this.handle = timers.every(SAMPLE_PERIOD_MS, () => { this.samples.push({ ...fleet.store.counts }) })
+  }
+
+  /** Ends the phase. */
+  finish (phase: string): StorePhase {
+    this.handle.cancel()
+    return {
+      phase,
+      entries: FLEET_ENTRIES,
+      peakReads: this.findPeak(sample => sample.reads),
+      peakWrites: this.findPeak(sample => sample.writes),
+      refusedCalls: this.fleet.store.refusedCalls - this.refusedBefore
+    }
+  }
+
+  private findPeak (read: (sample: CallSample) => number): number {
+    let peak = 0
+    for (let index = SAMPLES_PER_SECOND; index < this.samples.length; index++) {
+      peak = Math.max(peak, read(this.samples[index]!) - read(this.samples[index - SAMPLES_PER_SECOND]!))
+    }
+    return peak
+  }
+}
+
+/** Measures a fleet of entries at rest, during replacement, after a loss and after an outage. */
+export async function measureStorePhases (options: SlopeOptions): Promise<StorePhase[]> {
+  const { timers } = options
+  const fleet = new LocalFleet({ entries: FLEET_ENTRIES, agents: FLEET_AGENTS, timers })
+  const measure = async (phase: string, work: () => Promise<void>): Promise<StorePhase> => {
+    const sampler = new CallSampler(fleet, timers)
+    await work()
+    return sampler.finish(phase)
+  }
+  const phases = [
+    await measure('all entries start at once', async () => { await fleet.start(); await timers.sleep(REST_MS) }),
+    await measure('at rest', async () => { await timers.sleep(REST_MS) }),
+    await measure('outage of the store', async () => {
+      fleet.store.faults.down = true
+      await timers.sleep(OUTAGE_MS)
+    }),
+    await measure('all come back after the outage', async () => {
+      fleet.store.faults.down = false
+      await timers.sleep(RETURN_MS)
+    }),
+    await measure('rolling replacement of all entries', async () => { await replaceAll(fleet) }),
+    await measure('a failure domain stops', async () => { await stopSome(fleet, timers) })
+  ]
+  await fleet.stop()
+  return phases
+}
+
+async function replaceAll (fleet: LocalFleet): Promise<void> {
+  for (let index = 0; index < FLEET_ENTRIES; index++) await fleet.replaceEntry(index)
+}
+
+async function stopSome (fleet: LocalFleet, timers: settings.Timers): Promise<void> {
+  await Promise.all(Array.from({ length: LOST_ENTRIES }, () => fleet.stopLastEntry()))
+  await timers.sleep(LOSS_MS)
+}
