--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { createCallerRoutes } from './api/routes.ts'
-import { Dispatcher } from './dispatch/dispatcher.ts'
+import { Dispatcher, type DispatchCounters } from './dispatch/dispatcher.ts'
 import { events } from './events.ts'
 import { createLocalGateway } from './jobs/gateway.ts'
 import { Intake } from './jobs/intake.ts'
@@ -47,7 +47,7 @@
     this.entryId = settings.nodeId
     this.owner = createSoleOwner()
     this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
-    this.dispatcher = new Dispatcher({ timers, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
+    this.dispatcher = new Dispatcher({ timers, log, failureDomain: settings.failureDomain, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
     this.intake = new Intake({ timers, log, metrics, registry: this.registry, dispatcher: this.dispatcher })
     this.agentLinks = new AgentLinks({ timers, log, dispatcher: this.dispatcher, agentGraceMs: settings.agentGraceMs, createHello: () => this.createHello() })
     this.broker = runtime.createBroker(settings.nodeId)
@@ -80,6 +80,16 @@
     this.services.log.event(events.Stopped)
   }
 
+  /** Number of connected agents whose backend server offers the service. */
+  agentCount (service: string): number {
+    return this.agentLinks.sessions.filter(session => session.service === service).length
+  }
+
+  /** Counts of starts since the entry began. */
+  get counters (): Readonly<DispatchCounters> {
+    return this.dispatcher.counters
+  }
+
   /** States what is still in progress. */
   describeRemaining (): string {
     return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
