agent: Keep starts in the record of @egretvalve/ownership and answer fences

Cause: the agent's record knew no epochs and leases and could not be gathered by a new owner. Change: StartRecord replaces the agent's own record; a fence raises the lowest epochs, sends the records of its partitions and turns the reports of tasks in progress to the new owner. A refused start is recorded, so that a copy can't start later. A start that names no submission ends its stream.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -1,4 +1,5 @@
 /** The agent: one small process beside each backend server. */
+import * as ownership from '@egretvalve/ownership'
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
@@ -7,7 +8,6 @@
 import { events } from './events.ts'
 import { EntryLink } from './links/entryLink.ts'
 import type { QueuedTask } from './queue/taskQueue.ts'
-import { StartRecord } from './record/startRecord.ts'
 import type { AgentSettings } from './settings.ts'
 import { Executor } from './tasks/executor.ts'
 
@@ -30,17 +30,19 @@
   readonly incarnation = protocol.createIncarnation()
   announceAddress = ''
   private readonly announcer: Announcer
-  private readonly record: StartRecord
+  private readonly record: ownership.StartRecord
   private readonly executor: Executor
   private readonly links = new Map<string, EntryLink>()
+  private readonly startedAtWallMs: number
   private readonly web: runtime.WebServer
   private readonly broker
   private expiry: settings.TimerHandle | undefined
 
   constructor (private readonly settings: AgentSettings, private readonly services: AgentServices) {
     this.agentId = settings.nodeId
+    this.startedAtWallMs = services.timers.wallClockMs()
     this.announcer = new Announcer(services.timers, services.log, () => { this.announceLoad() })
-    this.record = new StartRecord(services.timers, settings.retentionMs)
+    this.record = new ownership.StartRecord(ownership.resolveStartRecordDefaults({ retentionMs: settings.retentionMs, maxResultBytes: settings.recordMaxBytes }), services.timers)
     this.executor = new Executor({
       timers: services.timers,
       announcer: this.announcer,
@@ -63,7 +65,7 @@
   async start (): Promise<void> {
     this.announceAddress = await this.web.start()
     for (const address of this.settings.entries) this.openLink(address)
-    this.expiry = this.services.timers.every(RECORD_EXPIRY_PERIOD_MS, () => { this.record.expire() })
+    this.expiry = this.services.timers.every(RECORD_EXPIRY_PERIOD_MS, () => { this.record.sweep() })
     this.services.log.event(events.Started, { announceAddress: this.announceAddress, incarnation: this.incarnation })
   }
 
@@ -108,6 +110,8 @@
       for (const job of message.start.jobs ?? []) this.executor.accept(job, link)
     } else if (message.cancel != null) {
       this.executor.cancel(message.cancel.key!)
+    } else if (message.fence != null) {
+      this.answerFence(link, message.fence)
     } else if (message.inquiry != null) {
       this.answerInquiry(link, message.inquiry)
     } else if (message.hello != null) {
@@ -127,13 +131,23 @@
 
   private answerInquiry (link: EntryLink, inquiry: protocol.wire.IInquiry): void {
     for (const job of inquiry.jobs ?? []) {
-      for (const task of job.tasks ?? []) {
-        const known = this.record.inquire(job.key!, task.index ?? 0, task.attempt ?? 0)
-        link.report(job, known)
-      }
+      for (const known of this.record.inquire(job).tasks ?? []) link.report(job, known)
     }
   }
 
+  /** Refuses earlier owners of the partitions from now on and sends the new owner what is recorded of them. */
+  private answerFence (link: EntryLink, fence: protocol.wire.IFence): void {
+    const partitions = fence.partitions ?? []
+    const numbers = partitions.map(each => each.partition ?? 0)
+    this.record.fence(partitions)
+    this.executor.redirect(new Set(numbers), link)
+    const pages = this.record.gather(numbers)
+    pages.forEach((jobs, index) => {
+      link.send({ fenceAnswer: { fenceId: fence.fenceId, jobs, last: index === pages.length - 1, completeSinceMs: this.startedAtWallMs } })
+    })
+    this.services.log.event(events.Fenced, { peer: link.address, partitions: numbers.length, pages: pages.length })
+  }
+
   /** A report goes to the link on which the task came, or after a reconnect to the same entry's new stream. */
   private resolveLink (queued: QueuedTask): EntryLink {
     return queued.origin
--- a/packages/agent/src/events.ts
+++ b/packages/agent/src/events.ts
@@ -12,5 +12,6 @@
   BackendLeaseExpired: { code: 2012, level: Warn, message: 'lease of the backend server expired' },
   LinkOpened: { code: 2020, level: Info, message: 'stream to an entry opened' },
   LinkClosed: { code: 2021, level: Warn, message: 'stream to an entry closed' },
-  ClockOff: { code: 2022, level: Warn, message: 'wall clock differs from an entry by more than the bound' }
+  ClockOff: { code: 2022, level: Warn, message: 'wall clock differs from an entry by more than the bound' },
+  Fenced: { code: 2023, level: Info, message: 'a new owner of partitions fenced the agent' }
 })
--- a/packages/agent/src/tasks/executor.ts
+++ b/packages/agent/src/tasks/executor.ts
@@ -1,4 +1,5 @@
 /** Accepts tasks, runs as many at once as the backend server has slots, and reports their outcomes. */
+import type * as ownership from '@egretvalve/ownership'
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import type { Announcer } from '../announcement/announcer.ts'
@@ -7,7 +8,6 @@
 import { ProtectedSlots } from '../queue/protectedSlots.ts'
 import { isDeclaredLong, isRunningLong, type Occupant, resolveFree, slotsOf } from '../queue/slots.ts'
 import { type QueuedTask, TaskQueue } from '../queue/taskQueue.ts'
-import type { StartRecord } from '../record/startRecord.ts'
 import { BackendClient } from './backendClient.ts'
 
 const { wire } = protocol
@@ -21,7 +21,7 @@
 export interface ExecutorOptions {
   timers: settings.Timers
   announcer: Announcer
-  record: StartRecord
+  record: ownership.StartRecord
   queueDepth: number
   /** Returns the open link that a task's report goes to. */
   resolveLink: (queued: QueuedTask) => EntryLink
@@ -97,8 +97,9 @@
     this.startNext()
   }
 
-  /** Accepts or refuses each task of a start message. */
+  /** Accepts or refuses each task of a start message. Throws when the message names no submission. */
   accept (job: protocol.wire.IJobStart, origin: EntryLink): void {
+    if (job.key == null) throw new protocol.StepError(protocol.ErrorCode.InvalidInput, 'link.start', origin.address, 'a start names no submission')
     this.credits.consume(origin, (job.tasks ?? []).length * slotsOf(job))
     for (const task of job.tasks ?? []) this.acceptTask({ job, task, origin })
     this.startNext()
@@ -114,6 +115,12 @@
     }
   }
 
+  /** Sends the reports of tasks of some partitions to the entry that owns them now. */
+  redirect (partitions: ReadonlySet<number>, link: EntryLink): void {
+    for (const queued of this.queue.all) redirectTask(queued, partitions, link)
+    for (const running of this.running) redirectTask(running.queued, partitions, link)
+  }
+
   /** Refuses new tasks and resolves when all accepted ones have ended. */
   async drain (): Promise<void> {
     this.isDraining = true
@@ -122,17 +129,14 @@
   }
 
   private acceptTask (queued: QueuedTask): void {
-    const refusal = this.findRefusal(queued)
-    if (refusal !== wire.RefusalReason.REFUSAL_REASON_NONE) {
-      this.report(queued, createRefusal(queued.task, refusal))
+    const admitted = this.options.record.admit(queued.job, queued.task)
+    if (admitted.err) {
+      this.report(queued, createRecordedReport(queued, admitted.val))
       return
     }
-    const recorded = this.options.record.admit(queued.job, queued.task)
-    if (recorded !== wire.RefusalReason.REFUSAL_REASON_NONE) {
-      this.report(queued, this.createRecordedReport(queued, recorded))
-      return
-    }
-    this.queue.push(queued)
+    const refusal = this.findRefusal(queued)
+    if (refusal === wire.RefusalReason.REFUSAL_REASON_NONE) this.queue.push(queued)
+    else this.refuse(queued, refusal)
   }
 
   private findRefusal (queued: QueuedTask): protocol.wire.RefusalReason {
@@ -148,12 +152,6 @@
     return deadlineAtMs > 0 && this.options.timers.wallClockMs() > deadlineAtMs
   }
 
-  /** A task that is already known is answered with what became of it. */
-  private createRecordedReport (queued: QueuedTask, refusal: protocol.wire.RefusalReason): protocol.wire.ITaskReport {
-    if (refusal !== wire.RefusalReason.REFUSAL_REASON_ALREADY_STARTED) return createRefusal(queued.task, refusal)
-    return this.options.record.inquire(queued.job.key!, queued.task.index ?? 0, queued.task.attempt ?? 0)
-  }
-
   /** Starts what may start, then grants the slots that are left to entries with waiting work. */
   private startNext (): void {
     for (let queued = this.shiftStartable(); queued !== undefined; queued = this.shiftStartable()) {
@@ -202,7 +200,7 @@
     const running = { queued, job: queued.job, task: queued.task, startedAtMs, abort: new AbortController() }
     this.running.add(running)
     this.usedSlots += slotsOf(queued.job)
-    this.options.record.update(queued.job.key!, { index: queued.task.index, attempt: queued.task.attempt, state: wire.TaskState.TASK_STATE_RUNNING })
+    this.options.record.noteRunning({ key: queued.job.key!, index: queued.task.index ?? 0 })
     const outcome = await this.resolveClient().run(queued.job, queued.task, running.abort.signal)
     this.running.delete(running)
     this.usedSlots -= slotsOf(queued.job)
@@ -214,13 +212,19 @@
   }
 
   private finish (queued: QueuedTask, report: protocol.wire.ITaskReport): void {
-    this.options.record.update(queued.job.key!, report)
+    this.options.record.noteEnd({ key: queued.job.key!, index: queued.task.index ?? 0 }, report)
     this.report(queued, report)
+    this.noteIdle()
+  }
+
+  private noteIdle (): void {
     if (this.running.size + this.queue.size === 0) this.onIdle?.()
   }
 
   private refuse (queued: QueuedTask, refusal: protocol.wire.RefusalReason): void {
-    this.finish(queued, createRefusal(queued.task, refusal))
+    this.options.record.noteNotRun(queued.job, queued.task, refusal)
+    this.report(queued, createRefusal(queued.task, refusal))
+    this.noteIdle()
   }
 
   private report (queued: QueuedTask, report: protocol.wire.ITaskReport): void {
@@ -239,3 +243,13 @@
 function createRefusal (task: protocol.wire.ITaskStart, refusal: protocol.wire.RefusalReason): protocol.wire.ITaskReport {
   return { index: task.index, attempt: task.attempt, state: wire.TaskState.TASK_STATE_NOT_RUN, refusal }
 }
+
+function redirectTask (queued: QueuedTask, partitions: ReadonlySet<number>, link: EntryLink): void {
+  if (partitions.has(queued.job.partition ?? 0)) queued.origin = link
+}
+
+/** A task that is already known is answered with what became of it. */
+function createRecordedReport (queued: QueuedTask, refusal: ownership.Refusal): protocol.wire.ITaskReport {
+  if (refusal.report === undefined) return createRefusal(queued.task, refusal.reason)
+  return { ...refusal.report, attempt: queued.task.attempt }
+}
--- a/packages/ownership/src/startRecord.ts
+++ b/packages/ownership/src/startRecord.ts
@@ -10,6 +10,8 @@
 /** What the record knows about one task. */
 interface TaskEntry {
   report: protocol.wire.ITaskReport
+  /** Epoch at which the report's attempt was sent. */
+  epoch: number
   /** Monotonic time from which the entry may be forgotten; undefined while the task is queued or runs. */
   forgetAtMs: number | undefined
 }
@@ -22,6 +24,9 @@
   tasks: Map<number, TaskEntry>
 }
 
+/** Epoch of an inquiry that names none: no later attempt counts as one of a later owner. */
+const ANY_EPOCH = Number.MAX_SAFE_INTEGER
+
 /** Why a task was not admitted, with what is known of it. */
 export interface Refusal {
   reason: protocol.wire.RefusalReason
@@ -59,7 +64,7 @@
     const key = job.key ?? {}
     const known = this.find({ key, index: task.index ?? 0 })
     // A late copy of an admitted start must not be answered as not run, whatever has become of its lease.
-    if (known !== undefined && !isRepeatableAttempt(known, task)) return results.Err({ reason: RefusalReason.REFUSAL_REASON_ALREADY_STARTED, report: this.withResult(key, known) })
+    if (known !== undefined && !isRepeatableAttempt(known, job, task)) return results.Err({ reason: RefusalReason.REFUSAL_REASON_ALREADY_STARTED, report: this.withResult(key, known) })
     const reason = this.checkOwner(job)
     if (reason !== undefined) return results.Err({ reason })
     if (known === undefined && this.taskCount >= this.options.maxTasks) return results.Err({ reason: RefusalReason.REFUSAL_REASON_RECORD_FULL })
@@ -70,7 +75,8 @@
   /** Notes that an attempt was refused or dropped before its start, for a reason that the record does not know. */
   noteNotRun (job: protocol.wire.IJobStart, task: protocol.wire.ITaskStart, refusal: protocol.wire.RefusalReason): void {
     const leaseRemainingMs = (job.leaseExpiresAtMs ?? 0) - this.timers.wallClockMs()
-    const forgetAtMs = this.timers.nowMs() + Math.max(0, leaseRemainingMs) + this.options.clockBoundMs
+    const keptMs = Math.min(Math.max(0, leaseRemainingMs) + this.options.clockBoundMs, this.options.retentionMs)
+    const forgetAtMs = this.timers.nowMs() + keptMs
     this.put(job, { index: task.index, attempt: task.attempt, state: TaskState.TASK_STATE_NOT_RUN, refusal }, forgetAtMs)
   }
 
@@ -136,6 +142,7 @@
   }
 
   private checkOwner (job: protocol.wire.IJobStart): protocol.wire.RefusalReason | undefined {
+    if (job.owned === false) return undefined
     const partition = job.partition ?? 0
     const epoch = job.epoch ?? 0
     if (epoch < (this.lowestEpochs.get(partition) ?? 0)) return RefusalReason.REFUSAL_REASON_STALE_EPOCH
@@ -160,10 +167,9 @@
       entry = { key, taskCount: job.taskCount ?? 0, partition: job.partition ?? 0, epoch: job.epoch ?? 0, tasks: new Map() }
       this.jobs.set(keyText, entry)
     }
-    entry.epoch = Math.max(entry.epoch, job.epoch ?? 0)
     const index = report.index ?? 0
     if (!entry.tasks.has(index)) this.taskCount += 1
-    entry.tasks.set(index, { report, forgetAtMs })
+    entry.tasks.set(index, { report, epoch: job.epoch ?? 0, forgetAtMs })
   }
 
   private inquireTask (asked: protocol.wire.IJobReport, task: protocol.wire.ITaskReport): protocol.wire.ITaskReport {
@@ -171,7 +177,7 @@
     const known = this.find(identity)
     if (known !== undefined && (known.report.attempt ?? 0) >= (task.attempt ?? 0)) return this.withResult(identity.key, known)
     const missing = { index: task.index, attempt: task.attempt, state: TaskState.TASK_STATE_NOT_RUN, refusal: RefusalReason.REFUSAL_REASON_NOT_RECEIVED }
-    if (known === undefined || known.report.state === TaskState.TASK_STATE_NOT_RUN) this.put(asked, missing, this.timers.nowMs() + this.options.retentionMs)
+    if (known === undefined || known.report.state === TaskState.TASK_STATE_NOT_RUN) this.put({ ...asked, epoch: asked.epoch || ANY_EPOCH }, missing, this.timers.nowMs() + this.options.retentionMs)
     return known === undefined || known.report.state === TaskState.TASK_STATE_NOT_RUN ? missing : this.withResult(identity.key, known)
   }
 
@@ -189,7 +195,12 @@
   }
 }
 
-/** A task that did not run may be sent again, but not by a copy of the same attempt. */
-function isRepeatableAttempt (known: TaskEntry, task: protocol.wire.ITaskStart): boolean {
-  return known.report.state === TaskState.TASK_STATE_NOT_RUN && (task.attempt ?? 0) > (known.report.attempt ?? 0)
+/**
+ * A task that did not run may be sent again, but not by a copy of the same attempt. A later owner counts attempts anew. A
+ * repeatable task may also be sent again once an attempt has ended.
+ */
+function isRepeatableAttempt (known: TaskEntry, job: protocol.wire.IJobStart, task: protocol.wire.ITaskStart): boolean {
+  const isLater = (task.attempt ?? 0) > (known.report.attempt ?? 0) || (job.epoch ?? 0) > known.epoch
+  if (!isLater) return false
+  return known.report.state === TaskState.TASK_STATE_NOT_RUN || (job.repeatable === true && isFinal(known.report))
 }
