admission: teams' shares decide only under lasting contention

Cause: at the market's crest pressing work of teams that were over their share for a moment was put behind everything else and missed its deadline. Change: work goes in order of latest start until the most urgent has waited 200 ms; from then on teams within their share go first.

--- a/packages/admission/src/defaults.ts
+++ b/packages/admission/src/defaults.ts
@@ -4,12 +4,15 @@
 export interface QueueOptions {
   /** Pressing starts in a row after which one ordinary task starts. */
   maxPressingStreak: number
+  /** Wait of the most urgent work from which the teams' shares decide, in milliseconds. */
+  fairAfterMs: number
   /** Time in which a team's past starts count half, in milliseconds. */
   usageHalfLifeMs: number
 }
 
 export const DEFAULT_QUEUE: QueueOptions = {
   maxPressingStreak: 19,
+  fairAfterMs: 200,
   usageHalfLifeMs: 1_000
 }
 
--- a/packages/admission/src/waitingQueue.ts
+++ b/packages/admission/src/waitingQueue.ts
@@ -121,7 +121,10 @@
     this.pressingStreak = delaysOrdinary ? this.pressingStreak + taskCount : 0
   }
 
-  /** The earliest latest start among the teams within their share, or else the head of the team with the least usage. */
+  /**
+   * The earliest latest start of all; under contention that lasts, the earliest among the teams within their share.
+   * Brief queues stay in order of urgency, because usage over a short time says little about a team.
+   */
   private headOf (queue: ClassQueue<T>, nowMs: number): WaitingItem<T> | undefined {
     if (queue.taskCount === 0) {
       queue.heaps.clear()
@@ -129,17 +132,19 @@
     }
     if (queue.heaps.size === 1) return this.onlyHead(queue)
     const fairUsageMs = this.shares.fairUsageMs(queue.heaps.keys(), nowMs)
-    let best: WaitingItem<T> | undefined
+    let earliest: WaitingItem<T> | undefined
+    let fair: WaitingItem<T> | undefined
     for (const [team, heap] of queue.heaps) {
       const first = pruneHead(heap)
       if (first === undefined) {
         queue.heaps.delete(team)
         continue
       }
-      if (this.shares.weightedUsageMs(team, nowMs) > fairUsageMs) continue
-      if (best === undefined || first.latestStartAtMs < best.latestStartAtMs) best = first
+      if (isEarlier(first, earliest)) earliest = first
+      if (isEarlier(first, fair) && this.shares.weightedUsageMs(team, nowMs) <= fairUsageMs) fair = first
     }
-    return best ?? this.onlyHead(queue)
+    const isContended = earliest !== undefined && nowMs - earliest.enqueuedAtMs >= this.options.fairAfterMs
+    return isContended ? fair ?? earliest : earliest
   }
 
   private onlyHead (queue: ClassQueue<T>): WaitingItem<T> | undefined {
@@ -164,6 +169,10 @@
   }
 }
 
+function isEarlier<T> (item: WaitingItem<T>, other: WaitingItem<T> | undefined): boolean {
+  return other === undefined || item.latestStartAtMs < other.latestStartAtMs
+}
+
 function count<T> (queue: ClassQueue<T>, item: WaitingItem<T>, taskCount: number): void {
   const workMs = taskCount * item.expectedRunMs
   queue.taskCount += taskCount
