--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,7 @@
 import type * as settings from '@egretvalve/settings'
 import { createCallerRoutes } from './api/routes.ts'
 import { EntryConfiguration } from './config/entryConfiguration.ts'
-import { Dispatcher } from './dispatch/dispatcher.ts'
+import { Dispatcher, type DispatchCounters } from './dispatch/dispatcher.ts'
 import { events } from './events.ts'
 import { createLocalGateway } from './jobs/gateway.ts'
 import { Intake } from './jobs/intake.ts'
@@ -51,7 +51,7 @@
     this.owner = createSoleOwner()
     this.configuration = new EntryConfiguration(settings, this.incarnation, services)
     this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
-    this.dispatcher = new Dispatcher({ timers, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
+    this.dispatcher = new Dispatcher({ timers, log, failureDomain: settings.failureDomain, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
     this.intake = new Intake({
       timers,
       log,
@@ -105,6 +105,16 @@
     return this.configuration.entryConfig
   }
 
+  /** Number of connected agents whose backend server offers the service. */
+  agentCount (service: string): number {
+    return this.agentLinks.sessions.filter(session => session.service === service).length
+  }
+
+  /** Counts of starts since the entry began. */
+  get counters (): Readonly<DispatchCounters> {
+    return this.dispatcher.counters
+  }
+
   /** States what is still in progress. */
   describeRemaining (): string {
     return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
