--- a/packages/cli/src/commands/configure.ts
+++ b/packages/cli/src/commands/configure.ts
@@ -2,7 +2,8 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import * as config from '@egretvalve/config'
 import * as settings from '@egretvalve/settings'
-import { createSettingsCommand, ExitCode, type Command, type Environment, type Streams } from '../command.ts'
+import { createSettingsCommand, type Command, type Environment, type Streams } from '../command.ts'
+import { ExitCode } from '../exitCode.ts'
 
 interface ConfigureSettings {
   answers: string
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,5 +1,6 @@
 /** `egretvalve status`: the fleet as an operator wants to see it. */
-import { createSettingsCommand, ExitCode, type Command, type Streams } from '../command.ts'
+import { createSettingsCommand, type Command, type Streams } from '../command.ts'
+import { ExitCode } from '../exitCode.ts'
 import { ConfigClient } from './configClient.ts'
 import { formatFailure, formatFleetStatus } from './configFormat.ts'
 import { clientDefinition, type ClientSettings } from './configSettings.ts'
--- a/packages/cli/src/commands/token.ts
+++ b/packages/cli/src/commands/token.ts
@@ -1,7 +1,8 @@
 /** `egretvalve token`: creates an access token of the administration API. */
 import * as entry from '@egretvalve/entry'
 import * as settings from '@egretvalve/settings'
-import { createSettingsCommand, ExitCode, type Command, type Streams } from '../command.ts'
+import { createSettingsCommand, type Command, type Streams } from '../command.ts'
+import { ExitCode } from '../exitCode.ts'
 
 interface TokenSettings {
   name: string
