--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -100,11 +100,6 @@
     this.services.log.event(events.Stopped)
   }
 
-  /** The teams' configuration in force here. */
-  get config (): config.EntryConfig {
-    return this.configuration.entryConfig
-  }
-
   /** Number of connected agents whose backend server offers the service. */
   agentCount (service: string): number {
     return this.agentLinks.sessions.filter(session => session.service === service).length
@@ -115,6 +110,11 @@
     return this.dispatcher.counters
   }
 
+  /** The teams' configuration in force here. */
+  get config (): config.EntryConfig {
+    return this.configuration.entryConfig
+  }
+
   /** States what is still in progress. */
   describeRemaining (): string {
     return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
