--- a/packages/bench/src/capacity/page.ts
+++ b/packages/bench/src/capacity/page.ts
@@ -44,7 +44,7 @@
   const rows = createCapacityRows(report)
   switch (section) {
     case PageSection.Run:
-      return `Node ${report.machine.node} on a machine with ${report.machine.cores} cores; windows of ${report.windowMs} ms. The page plans with ${resolvePlannedEntries(report)} entries.`
+      return `Node ${report.machine.node} on a machine with ${report.machine.cores} cores; windows of ${report.windowMs} ms with work and ${report.restWindowMs} ms at rest. The page plans with ${resolvePlannedEntries(report)} entries.`
     case PageSection.EntryNeeds:
       return formatTableRows(['tasks in a job', 'starts/s for each second of an entry\'s processor time', 'entries for 26000 starts/s'],
         listEntryNeeds(report).map(need => [String(need.tasksPerJob), formatNumber(need.startsPerCoreSecond), String(need.entries)]))
--- a/packages/bench/src/command/loadSettings.ts
+++ b/packages/bench/src/command/loadSettings.ts
@@ -28,6 +28,7 @@
   report: string
   slopes: boolean
   windowMs: number
+  restWindowMs: number
 }
 
 /** Settings of `egretvalve replay`. */
@@ -72,7 +73,8 @@
   json: settings.text('File to which the measures are written as JSON.', 'a path', ''),
   report: settings.text('File to which the report is written as HTML.', 'a path', ''),
   slopes: settings.flag('Measures costs against sizes in place of a load; starts the processes that it measures.'),
-  windowMs: settings.wholeNumber('Length of each window of --slopes.', 'milliseconds', 500, MAX_WINDOW_MS, '5000')
+  windowMs: settings.wholeNumber('Length of each window of --slopes with work.', 'milliseconds', 500, MAX_WINDOW_MS, '5000'),
+  restWindowMs: settings.wholeNumber('Length of each window of --slopes at rest.', 'milliseconds', 500, MAX_WINDOW_MS, '15000')
 }
 
 export const replayDefinition: settings.SettingsDefinition<ReplaySettings> = {
--- a/packages/bench/src/command/slopes.ts
+++ b/packages/bench/src/command/slopes.ts
@@ -11,7 +11,7 @@
 /** Runs the experiments and writes their JSON and plots. */
 export async function runSlopes (values: LoadSettings, streams: CommandStreams): Promise<number> {
   const timers = new settings.TimerService()
-  const report = await measureSlopes({ timers, windowMs: values.windowMs }, step => { streams.out(`measuring ${step}`) })
+  const report = await measureSlopes({ timers, windowMs: values.windowMs, restWindowMs: values.restWindowMs }, step => { streams.out(`measuring ${step}`) })
   for (const series of report.series) streams.out(describeSeries(series))
   await writeOutput(values.json, formatJson(report))
   if (values.report !== '') await writeOutput(values.report, formatSlopePlots(report))
--- a/packages/bench/src/slopes/agentSlopes.ts
+++ b/packages/bench/src/slopes/agentSlopes.ts
@@ -74,7 +74,7 @@
   const memory: MeasuredPoint[] = []
   for (const entries of ENTRY_COUNTS) {
     const rig = await AgentRig.start(entries, options.timers)
-    const window = await rig.measure(options.timers, async () => { await options.timers.sleep(options.windowMs) })
+    const window = await rig.measure(options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
     await rig.stop()
     cpu.push({ x: entries, y: window.cpuMsPerSecond })
     bytes.push({ x: entries, y: window.bytesPerSecond })
--- a/packages/bench/src/slopes/entrySlopes.ts
+++ b/packages/bench/src/slopes/entrySlopes.ts
@@ -16,8 +16,10 @@
 /** How long and how large the experiments are. */
 export interface SlopeOptions {
   timers: settings.Timers
-  /** Length of each measured window in milliseconds. */
+  /** Length of each window with work in milliseconds. */
   windowMs: number
+  /** Length of each window at rest in milliseconds; a multiple of the heartbeat period keeps the byte counts even. */
+  restWindowMs: number
 }
 
 const SERVICE = 'slopes'
@@ -79,7 +81,7 @@
   for (const x of AGENT_COUNTS) {
     const rig = await EntryRig.start(x, WORK_SLOTS, WORK_RUN_MS, options.timers)
     await options.timers.sleep(SETTLE_MS)
-    const window = await measureWindow(rig.target, options.timers, async () => { await options.timers.sleep(options.windowMs) })
+    const window = await measureWindow(rig.target, options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
     await rig.stop()
     costs.push({ x, window })
   }
--- a/packages/bench/src/slopes/fleetSlopes.ts
+++ b/packages/bench/src/slopes/fleetSlopes.ts
@@ -32,7 +32,7 @@
   await options.timers.sleep(SETTLE_MS)
   const before = { ...fleet.store.counts, peerBytes: countPeerBytes() }
   const startedAtMs = options.timers.nowMs()
-  await options.timers.sleep(options.windowMs)
+  await options.timers.sleep(options.restWindowMs)
   const seconds = (options.timers.nowMs() - startedAtMs) / MS_PER_SECOND
   const after = { ...fleet.store.counts, peerBytes: countPeerBytes() }
   await fleet.stop()
--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -33,6 +33,7 @@
   return {
     machine: describeMachine(),
     windowMs: options.windowMs,
+    restWindowMs: options.restWindowMs,
     series: [...sizes.series, ...rates, ...teams, ...agents, ...agentWork, ...agentRest, ...records, ...entries],
     startRates: sizes.startRates,
     storePhases,
--- a/packages/bench/src/slopes/series.ts
+++ b/packages/bench/src/slopes/series.ts
@@ -65,6 +65,7 @@
 export interface SlopeReport {
   machine: { cores: number, node: string }
   windowMs: number
+  restWindowMs: number
   series: Series[]
   startRates: StartRate[]
   storePhases: StorePhase[]
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
 import { agentCommand } from './commands/agent.ts'
 import { devCommand } from './commands/dev.ts'
 import { entryCommand } from './commands/entry.ts'
+import { loadCommand, replayCommand } from './commands/load.ts'
 import { standinBackendCommand } from './commands/standinBackend.ts'
 import { standinStoreCommand } from './commands/standinStore.ts'
 import { submitCommand } from './commands/submit.ts'
@@ -14,7 +15,9 @@
   submitCommand,
   devCommand,
   standinStoreCommand,
-  standinBackendCommand
+  standinBackendCommand,
+  loadCommand,
+  replayCommand
 ]
 
 const NAME_WIDTH = 18
