Run entries and agents as processes of their own under load

Change: without --in-process the tool starts a stand-in store and a process for each entry and agent.

--- a/packages/bench/src/command/common.ts
+++ b/packages/bench/src/command/common.ts
@@ -5,7 +5,10 @@
 import * as results from 'ts-results'
 import type { DispatcherFactory } from '../comparison.ts'
 import { EgretvalveDispatcher, createLocalDispatcher } from '../egretvalve.ts'
+import { createRunningFleet } from '../fleet.ts'
+import type { Fleet } from '../fleet.ts'
 import type { FleetSize, LoadPlan } from '../plan.ts'
+import { ProcessFleet } from '../processFleet.ts'
 import { parseTrace } from '../trace.ts'
 import type { TraceJob } from '../trace.ts'
 import type { FleetSettings } from './loadSettings.ts'
@@ -56,11 +59,16 @@
   return { entries, servers, slots: values.slots }
 }
 
-/** Returns how egretvalve is run: in this process, or by address. */
+/** Returns how egretvalve is run: by address, in this process, or as processes of their own. */
 export function createFactory (values: FleetSettings, timers: settings.Timers): DispatcherFactory {
+  if (values.entryAddresses.length === 0 && values.inProcess) return (servers, plan) => createLocalDispatcher(servers, plan, timers)
+  return (servers, plan) => new EgretvalveDispatcher(servers, plan.fleet.slots, timers, createFleet(values, plan.fleet))
+}
+
+function createFleet (values: FleetSettings, size: FleetSize): Fleet {
   const { entryAddresses, announceAddresses } = values
-  if (entryAddresses.length === 0) return (servers, plan) => createLocalDispatcher(servers, plan, timers)
-  return (servers, plan) => new EgretvalveDispatcher(servers, plan.fleet.slots, timers, { entryAddresses, announceAddresses })
+  if (entryAddresses.length > 0) return createRunningFleet({ entryAddresses, announceAddresses })
+  return new ProcessFleet(size.entries, size.servers)
 }
 
 /** Reads a trace file. */
--- a/packages/bench/src/command/loadSettings.ts
+++ b/packages/bench/src/command/loadSettings.ts
@@ -56,7 +56,7 @@
   entries: settings.wholeNumber('Entries to run.', 'entries', 1, MAX_ENTRIES, '3'),
   servers: settings.wholeNumber('Stand-in backend servers to run, each with an agent.', 'backend servers', 1, MAX_SERVERS, '10'),
   slots: settings.wholeNumber('Slots of each backend server.', 'slots', 1, MAX_SLOTS, '8'),
-  inProcess: settings.flag('Runs entries and agents in this process.'),
+  inProcess: settings.flag('Runs entries and agents in this process; without it each is a process that the tool starts.'),
   entryAddresses: settings.addressList('HTTP addresses of entries that already run, in place of own ones.', ''),
   announceAddresses: settings.addressList('Announcement addresses of agents that already run, one for each server.', '')
 }
--- a/packages/bench/src/dispatcher.ts
+++ b/packages/bench/src/dispatcher.ts
@@ -38,6 +38,6 @@
   submit: (submission: LiveSubmission) => Promise<ReceivedAnswer>
   cancel: (submission: LiveSubmission) => Promise<void>
   changeServer: (event: ServerEvent) => Promise<void>
-  /** Messages since the start. */
-  countMessages: () => DispatcherMessages
+  /** Messages since the start; undefined when the processes that send them are out of sight. */
+  countMessages: () => DispatcherMessages | undefined
 }
--- a/packages/bench/src/egretvalve.ts
+++ b/packages/bench/src/egretvalve.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from './backend.ts'
 import { CallerClient } from './callerClient.ts'
 import type { Dispatcher, DispatcherMessages, LiveSubmission, ReceivedAnswer } from './dispatcher.ts'
+import type { Fleet } from './fleet.ts'
 import { LocalFleet, resolveRack, waitUntilReady } from './localFleet.ts'
 import type { LocalFleetOptions } from './localFleet.ts'
 import { ServerChange } from './plan.ts'
@@ -16,12 +17,6 @@
 /** Time for the announcements to reach all entries, in milliseconds. */
 const SETTLE_MS = 300
 
-/** Addresses of entries and agents that already run, one agent for each stand-in backend server. */
-export interface RunningFleet {
-  entryAddresses: string[]
-  announceAddresses: string[]
-}
-
 /** A dispatcher whose entries and agents are the real ones. */
 export class EgretvalveDispatcher implements Dispatcher {
   readonly policy = PolicyName.Egretvalve
@@ -32,12 +27,11 @@
     private readonly servers: readonly BackendServer[],
     private readonly slots: number,
     private readonly timers: settings.Timers,
-    private readonly fleet: LocalFleet | RunningFleet
+    private readonly fleet: Fleet
   ) {}
 
   async start (): Promise<void> {
-    if (this.fleet instanceof LocalFleet) await this.fleet.start()
-    const addresses = resolveAddresses(this.fleet)
+    const addresses = await this.fleet.start()
     await Promise.all(addresses.entryAddresses.map(address => waitUntilReady(address, this.timers)))
     this.announcers = this.servers.map((server, index) => new ServerAnnouncer(addresses.announceAddresses[index]!,
       { service: BENCH_SERVICE, address: server.address, slots: this.slots, rack: resolveRack(index) }, this.timers))
@@ -49,7 +43,7 @@
   async stop (): Promise<void> {
     await this.caller?.close()
     for (const announcer of this.announcers) announcer.stop()
-    if (this.fleet instanceof LocalFleet) await this.fleet.stop()
+    await this.fleet.stop()
   }
 
   async submit (submission: LiveSubmission): Promise<ReceivedAnswer> {
@@ -66,20 +60,13 @@
     if (event.change === ServerChange.Return) await announcer.announce()
   }
 
-  countMessages (): DispatcherMessages {
+  countMessages (): DispatcherMessages | undefined {
+    if (!(this.fleet instanceof LocalFleet)) return undefined
     const { workMessages, overheadMessages, tasksSent } = summarizeTraffic()
     return { workMessages, overheadMessages, tasksSent }
   }
 }
 
-function resolveAddresses (fleet: LocalFleet | RunningFleet): RunningFleet {
-  if (!(fleet instanceof LocalFleet)) return fleet
-  return {
-    entryAddresses: fleet.entries.map(running => running.httpAddress),
-    announceAddresses: fleet.agents.map(running => running.announceAddress)
-  }
-}
-
 /** Creates a dispatcher over entries and agents in this process. */
 export function createLocalDispatcher (servers: readonly BackendServer[], plan: LoadPlan, timers: settings.Timers, overrides: Partial<LocalFleetOptions> = {}): EgretvalveDispatcher {
   const fleet = new LocalFleet({ entries: plan.fleet.entries, agents: plan.fleet.servers, timers, ...overrides })
--- a/packages/bench/src/generator.ts
+++ b/packages/bench/src/generator.ts
@@ -29,7 +29,8 @@
 /** A start that didn't lead to a first start of its task wasted itself and its report. */
 const MESSAGES_PER_VAIN_START = 2
 
-function resolveCosts (after: DispatcherMessages, before: DispatcherMessages, starts: readonly TaskStart[], cpuMs: number): RunCosts {
+function resolveCosts (after: DispatcherMessages | undefined, before: DispatcherMessages | undefined, starts: readonly TaskStart[], cpuMs: number): RunCosts {
+  if (after === undefined || before === undefined) return { cpuMs }
   const firstStarts = new Set(starts.map(start => `${start.key}#${start.index}`)).size
   const vainStarts = Math.max(0, after.tasksSent - before.tasksSent - firstStarts)
   return {
--- a/packages/bench/src/localFleet.ts
+++ b/packages/bench/src/localFleet.ts
@@ -4,6 +4,7 @@
 import * as settings from '@egretvalve/settings'
 import * as standin from '@egretvalve/standin'
 import * as undici from 'undici'
+import type { Fleet, FleetAddresses } from './fleet.ts'
 
 /** Size and place of a local fleet. */
 export interface LocalFleetOptions {
@@ -21,7 +22,7 @@
 const READY_POLL_MS = 20
 
 /** A fleet without backend servers. */
-export class LocalFleet {
+export class LocalFleet implements Fleet {
   readonly entries: entry.Entry[] = []
   readonly agents: agent.Agent[] = []
   readonly store: standin.MemoryStore
@@ -31,11 +32,15 @@
   }
 
   /** Starts the entries, then the agents. */
-  async start (): Promise<void> {
+  async start (): Promise<FleetAddresses> {
     for (let index = 0; index < this.options.entries; index++) await this.startEntry(index)
     const starts = Array.from({ length: this.options.agents }, (_, index) => this.startAgent(index))
     await Promise.all(starts)
     await Promise.all(this.entries.map(running => waitUntilReady(running.httpAddress, this.options.timers)))
+    return {
+      entryAddresses: this.entries.map(running => running.httpAddress),
+      announceAddresses: this.agents.map(running => running.announceAddress)
+    }
   }
 
   /** Stops the agents, then the entries. */
--- a/packages/bench/src/measures.ts
+++ b/packages/bench/src/measures.ts
@@ -15,7 +15,7 @@
   policy: PolicyName
   slowdownP50?: number
   slowdownP99?: number
-  wastedMessagesPerTask: number
+  wastedMessagesPerTask?: number
   crestOnTimeRatio?: number
   crestGoodputRatio?: number
   /** Time after the crest until the p99 of response times is normal again, in milliseconds. */
@@ -44,7 +44,7 @@
     policy: record.policy,
     slowdownP50: slowdowns.at(50),
     slowdownP99: slowdowns.at(99),
-    wastedMessagesPerTask: record.costs.wastedMessages / Math.max(1, startedTasks),
+    wastedMessagesPerTask: resolvePerTask(record.costs.wastedMessages, startedTasks),
     crestOnTimeRatio: computeCrestOnTime(record),
     crestGoodputRatio: computeCrestGoodput(record),
     crestRecoveryMs: computeCrestRecovery(record),
@@ -61,6 +61,10 @@
   }
 }
 
+function resolvePerTask (count: number | undefined, tasks: number): number | undefined {
+  return count === undefined ? undefined : count / Math.max(1, tasks)
+}
+
 function countKind (record: RunRecord, kind: AnswerKind): number {
   return record.outcomes.filter(outcome => outcome.kind === kind).length
 }
--- a/packages/bench/src/record.ts
+++ b/packages/bench/src/record.ts
@@ -51,10 +51,10 @@
 
 /** Messages and costs of a run, counted by the dispatcher's processes. */
 export interface RunCosts {
-  /** Messages that carried neither a first start nor a task's result. */
-  wastedMessages: number
-  /** Messages that carried starts or results. */
-  workMessages: number
+  /** Messages that carried neither a first start nor a task's result; missing when other processes sent them. */
+  wastedMessages?: number
+  /** Messages that carried starts or results; missing when other processes sent them. */
+  workMessages?: number
   /** Processor time of the process that ran the load, in milliseconds. */
   cpuMs: number
 }
--- a/packages/bench/src/slopes/entrySlopes.ts
+++ b/packages/bench/src/slopes/entrySlopes.ts
@@ -2,7 +2,7 @@
 import type * as settings from '@egretvalve/settings'
 import { CallerClient } from '../callerClient.ts'
 import { waitUntilReady } from '../localFleet.ts'
-import { MeasuredProcess } from './childProcess.ts'
+import { MeasuredProcess } from '../measuredProcess.ts'
 import type { MeasuredPoint } from './fit.ts'
 import { runClosedLoad, runOpenLoad } from './jobLoad.ts'
 import type { JobLoad } from './jobLoad.ts'
--- a/test/unit/bench/replay.test.ts
+++ b/test/unit/bench/replay.test.ts
@@ -14,7 +14,7 @@
 
 describe('runReplay', () => {
   it('gets the stated answers from one entry and starts nothing twice', async () => {
-    const run = await replay(['--trace', 'test/traces/resubmissions.jsonl', '--entries', '1'])
+    const run = await replay(['--trace', 'test/traces/resubmissions.jsonl', '--entries', '1', '--in-process'])
     expect(run).to.deep.equal({ exitCode: 0, lines: ['11 submissions replayed, 0 outcomes differ'] })
   })
 
