--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -5,6 +5,7 @@
   { name: 'lint', command: 'npx', args: ['eslint', '.'] },
   { name: 'types', command: 'npx', args: ['tsc', '--noEmit'] },
   { name: 'build', command: 'node', args: ['scripts/buildExecutable.mjs'] },
+  { name: 'scenarios', command: 'npx', args: ['tsx', 'scripts/runScenarios.ts'] },
   { name: 'tests', command: 'npx', args: ['tsx', 'scripts/runTests.ts'] }
 ]
 
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -1,20 +1,11 @@
 // Runs the mocha suite, passes over the failures recorded in KNOWN-RED.txt and prints the totals.
-import { existsSync, readdirSync, readFileSync } from 'node:fs'
+import { readdirSync } from 'node:fs'
 import * as path from 'node:path'
 import Mocha from 'mocha'
+import { KNOWN_RED_FILE, readKnownRed } from './knownRed.ts'
 
-const KNOWN_RED_FILE = 'KNOWN-RED.txt'
-const KNOWN_RED_PREFIX = 'test: '
 const TEST_TIMEOUT_MS = 120_000
 
-/** Reads the full titles of the tests recorded as known failures. */
-function readKnownRed (): Set<string> {
-  if (!existsSync(KNOWN_RED_FILE)) return new Set()
-  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n')
-  const entries = lines.filter(line => line.startsWith(KNOWN_RED_PREFIX))
-  return new Set(entries.map(line => line.slice(KNOWN_RED_PREFIX.length).trim()))
-}
-
 /** Lists the test files below a folder in a stable order. */
 function listTestFiles (folder: string): string[] {
   const names = readdirSync(folder, { recursive: true, encoding: 'utf8' })
--- /dev/null
+++ b/test/unit/cli/commands.test.ts
@@ -0,0 +1,60 @@
+import * as chai from 'chai'
+import { jestSnapshotPlugin } from 'mocha-chai-jest-snapshot'
+import { runToEnd } from '../../fixtures/process.ts'
+
+chai.use(jestSnapshotPlugin())
+const { expect } = chai
+
+const USAGE_ERROR = 2
+/** A line of the overview, such as `  entry             Runs an entry`. */
+const COMMAND_LINE = /^ {2}([a-z-]+(?: [a-z-]+)?) {2,}/gm
+
+/** A wrong setting, and what the program says about it. */
+interface WrongSetting {
+  args: string[]
+  environment?: Record<string, string>
+  says: string[]
+}
+
+const wrong: readonly WrongSetting[] = [
+  { args: ['entry', '--stop-limit-ms', 'soon'], says: ['--stop-limit-ms', 'soon', 'a whole number of milliseconds from 0 to 3600000'] },
+  { args: ['entry', '--http-listen', 'localhost:80'], says: ['--http-listen', 'localhost:80', 'an IPv4 address and port such as 127.0.0.1:7000'] },
+  { args: ['entry'], environment: { EGRETVALVE_LOG_LEVEL: 'loud' }, says: ['EGRETVALVE_LOG_LEVEL', 'loud', 'one of error, warn, info, debug'] },
+  { args: ['agent', '--entries', '127.0.0.1:1,nowhere'], says: ['--entries', 'nowhere', 'IPv4 addresses and ports separated by commas'] },
+  { args: ['dev', '--servers', '0'], says: ['--servers', '0', 'a whole number of backend servers from 1 to'] },
+  { args: ['dev', '--colour', 'red'], says: ['command line', '--colour', 'one of --'] },
+  { args: ['sing'], says: ['command', 'sing', 'one of '] }
+]
+
+describe('the executable', () => {
+  it('prints its version', async () => {
+    const end = await runToEnd(['--version'])
+    expect(end).to.include({ exitCode: 0, error: '' })
+    expect(end.out).to.match(/^\d+\.\d+\.\d+\n$/)
+  })
+
+  for (const { args, environment, says } of wrong) {
+    it(`names what is wrong with ${[...args, ...Object.keys(environment ?? {})].join(' ')}`, async () => {
+      const end = await runToEnd(args, environment)
+      expect(end.exitCode).to.equal(USAGE_ERROR)
+      for (const words of says) expect(end.error).to.contain(words)
+    })
+  }
+
+  it('explains every subcommand, with defaults and units', async () => {
+    const overview = await runToEnd(['--help'])
+    const names = [...overview.out.matchAll(COMMAND_LINE)].map(match => match[1]!)
+    expect(names).to.include.members(['entry', 'agent', 'submit', 'dev'])
+    const helps = await Promise.all(names.map(async name => await runToEnd([...name.split(' '), '--help'])))
+    for (const [index, help] of helps.entries()) {
+      expect(help, names[index]).to.include({ exitCode: 0, error: '' })
+      expect(help.out).to.match(/^usage: egretvalve/)
+    }
+  })
+
+  for (const name of ['entry', 'agent', 'submit']) {
+    it(`has the help of ${name}`, async () => {
+      expect((await runToEnd([name, '--help'])).out).toMatchSnapshot()
+    })
+  }
+})
