--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -60,7 +60,7 @@
       broker: this.broker,
       name: 'announcement',
       listen: settings.announceListen,
-      routes: createAnnouncementRoutes(this.announcer),
+      routes: createAnnouncementRoutes(this.announcer, () => ({ running: this.executor.runningCount, queued: this.executor.queuedCount })),
       maxBodyBytes: MAX_ANNOUNCEMENT_BYTES,
       requestTimeoutMs: ANNOUNCEMENT_TIMEOUT_MS
     })
--- a/packages/agent/src/announcement/announcer.ts
+++ b/packages/agent/src/announcement/announcer.ts
@@ -15,6 +15,7 @@
   private announcement: Announcement | undefined
   private state = BackendState.Absent
   private expiry: settings.TimerHandle | undefined
+  private isHeld = false
 
   constructor (
     private readonly timers: settings.Timers,
@@ -29,7 +30,15 @@
 
   /** True while new tasks may start. */
   get acceptsTasks (): boolean {
-    return this.state === BackendState.Present
+    return this.state === BackendState.Present && !this.isHeld
+  }
+
+  /** Holds new tasks back, or lets them come again. Renewals of the announcement don't change it. */
+  hold (isHeld: boolean): void {
+    if (this.isHeld === isHeld) return
+    this.isHeld = isHeld
+    this.log.event(isHeld ? events.DrainRequested : events.DrainEnded, { service: this.announcement?.service })
+    this.onChange()
   }
 
   /** Takes or renews an announcement. */
--- a/packages/agent/src/announcement/routes.ts
+++ b/packages/agent/src/announcement/routes.ts
@@ -11,8 +11,14 @@
   return runtime.jsonResponse(200, { leaseMs: parsed.val.leaseMs })
 }
 
-/** Creates the announcement routes. */
-export function createAnnouncementRoutes (announcer: Announcer): runtime.WebRoute[] {
+/** Tasks that the agent holds now. */
+export interface TaskCounts {
+  running: number
+  queued: number
+}
+
+/** Creates the routes of the announcement, of an operator's drain and of the agent's health. */
+export function createAnnouncementRoutes (announcer: Announcer, countTasks: () => TaskCounts): runtime.WebRoute[] {
   return [
     {
       method: 'PUT',
@@ -27,10 +33,30 @@
         return runtime.jsonResponse(200, { leaving: true })
       }
     },
+    {
+      method: 'PUT',
+      path: '/v1/drain',
+      handle: async () => {
+        announcer.hold(true)
+        return runtime.jsonResponse(200, { draining: true, ...countTasks() })
+      }
+    },
+    {
+      method: 'DELETE',
+      path: '/v1/drain',
+      handle: async () => {
+        announcer.hold(false)
+        return runtime.jsonResponse(200, { draining: false, ...countTasks() })
+      }
+    },
     {
       method: 'GET',
       path: '/healthz',
-      handle: async () => runtime.jsonResponse(200, { announced: announcer.current !== undefined, acceptsTasks: announcer.acceptsTasks })
+      handle: async () => runtime.jsonResponse(200, {
+        announced: announcer.current !== undefined,
+        acceptsTasks: announcer.acceptsTasks,
+        ...countTasks()
+      })
     }
   ]
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -18,6 +18,7 @@
   { name: 'config', summary: 'Shows and changes teams\' configuration.', load: async () => (await import('./commands/config.ts')).configCommand },
   { name: 'status', summary: 'Shows the entries and agents of the fleet.', load: async () => (await import('./commands/status.ts')).statusCommand },
   { name: 'token', summary: 'Creates an access token of the administration API.', load: async () => (await import('./commands/token.ts')).tokenCommand },
+  { name: 'drain', summary: 'Takes a backend server out of service.', load: async () => (await import('./commands/drain.ts')).drainCommand },
   { name: 'dev', summary: 'Runs a whole small fleet in one process.', load: async () => (await import('./commands/dev.ts')).devCommand },
   { name: 'load', summary: 'Drives load through a fleet and measures it.', load: async () => (await import('./commands/load.ts')).loadCommand },
   { name: 'replay', summary: 'Replays a trace against its stated outcomes.', load: async () => (await import('./commands/load.ts')).replayCommand },
