entry: Own partitions through the store, forward to owners, take over and hand over

Cause: every entry owned every partition, so a resubmission at another entry started a job again. Change: streams between entries; a gateway that forwards by partition, holds calls while a partition changes its owner and judges first sights by date; adoption of jobs from the agents' records; release of jobs at a planned stop; agents learn all entries and tell since when their starts are known (shared: EntryList.started_at_ms, seen_earlier_life; Forward.wait_ms, ForwardAnswer.conflict, all additive). A task whose partition can't start now waits for its deadline and is not refused.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -8,6 +8,7 @@
 import { createAnnouncementRoutes } from './announcement/routes.ts'
 import { AgentConfig } from './config/agentConfig.ts'
 import { events } from './events.ts'
+import { LifeHistory } from './lifeHistory.ts'
 import { EntryLink } from './links/entryLink.ts'
 import type { QueuedTask } from './queue/taskQueue.ts'
 import type { AgentSettings } from './settings.ts'
@@ -37,14 +38,14 @@
   private readonly record: ownership.StartRecord
   private readonly executor: Executor
   private readonly links = new Map<string, EntryLink>()
-  private readonly startedAtWallMs: number
+  private readonly life: LifeHistory
   private readonly web: runtime.WebServer
   private readonly broker
   private expiry: settings.TimerHandle | undefined
 
   constructor (private readonly settings: AgentSettings, private readonly services: AgentServices) {
     this.agentId = settings.nodeId
-    this.startedAtWallMs = services.timers.wallClockMs()
+    this.life = new LifeHistory(services.timers.wallClockMs())
     this.config = new AgentConfig(this.createIdentity(), services)
     this.announcer = new Announcer(services.timers, services.log, () => { this.announceLoad() })
     this.record = new ownership.StartRecord(ownership.resolveStartRecordDefaults({ retentionMs: settings.retentionMs, maxResultBytes: settings.recordMaxBytes }), services.timers)
@@ -129,6 +130,7 @@
       link.scheduleFlush()
       this.learnEntries(message.hello.entries ?? [])
     } else if (message.entries != null) {
+      this.life.note(message.entries)
       this.learnEntries(message.entries.entries ?? [])
     }
   }
@@ -153,7 +155,7 @@
     this.executor.redirect(new Set(numbers), link)
     const pages = this.record.gather(numbers)
     pages.forEach((jobs, index) => {
-      link.send({ fenceAnswer: { fenceId: fence.fenceId, jobs, last: index === pages.length - 1, completeSinceMs: this.startedAtWallMs } })
+      link.send({ fenceAnswer: { fenceId: fence.fenceId, jobs, last: index === pages.length - 1, completeSinceMs: this.life.completeSinceMs } })
     })
     this.services.log.event(events.Fenced, { peer: link.address, partitions: numbers.length, pages: pages.length })
   }
--- /dev/null
+++ b/packages/entry/src/config/peerExchange.ts
@@ -0,0 +1,32 @@
+/** The exchange of configuration over a stream between two entries. */
+import * as config from '@egretvalve/config'
+import * as protocol from '@egretvalve/protocol'
+
+/** Takes the configuration messages of one entry. */
+export class PeerConfigExchange {
+  private readonly session: config.ConfigSession
+
+  constructor (spreader: config.ConfigSpreader, hello: protocol.wire.IEntryHello, send: (frame: protocol.wire.IPeerFrame) => void) {
+    const identity: config.NodeIdentity = {
+      nodeId: hello.entryId ?? '',
+      incarnation: hello.incarnation ?? '',
+      kind: protocol.wire.NodeKind.NODE_KIND_ENTRY,
+      region: hello.region ?? '',
+      failureDomain: hello.failureDomain ?? ''
+    }
+    this.session = spreader.attach(identity, config.createPeerChannel(send), hello.versions ?? [])
+  }
+
+  /** Handles a frame if it concerns the configuration. */
+  receive (frame: protocol.wire.IPeerFrame): void {
+    if (frame.versions != null) this.session.handleVersions(frame.versions)
+    if (frame.config != null) this.session.handleDelta(frame.config)
+    if (frame.want != null) this.session.handleWant(frame.want)
+    if (frame.fleet != null) this.session.handleFleet(frame.fleet)
+  }
+
+  /** Ends the exchange. */
+  close (): void {
+    this.session.detach(false)
+  }
+}
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -107,7 +107,7 @@
 
   /** Takes one task's report. `agentId` names the agent that the task was sent to. */
   settle (task: WaitingTask, report: protocol.wire.ITaskReport, agentId: string): void {
-    if (!isFinal(report)) return
+    if (!isFinal(report) || task.job.isMoved) return
     if (report.state === wire.TaskState.TASK_STATE_NOT_RUN) this.counters.refusedStarts++
     this.fleet.noteOutcome(agentId, report)
     if (report.state === wire.TaskState.TASK_STATE_FINISHED) this.observeRun(task, report)
@@ -120,6 +120,18 @@
     this.end(task.job, report)
   }
 
+  /** Takes the tasks of a job that wait out of the queues: another entry owns it now. */
+  release (job: Job): void {
+    const groups = this.waitingGroups.get(job) ?? []
+    this.waitingGroups.delete(job)
+    for (const group of groups) this.serviceOf(job).cancel(group)
+  }
+
+  /** Takes what an agent has recorded of a task that an earlier owner sent. */
+  adopt (job: Job, report: protocol.wire.ITaskReport): void {
+    if (isFinal(report)) this.end(job, report)
+  }
+
   /** Cancels a job: what waits won't run, and each agent that has tasks of it gets one message. */
   cancel (job: Job): void {
     job.isCancelled = true
@@ -192,11 +204,8 @@
     const head = lane.queue.peek(nowWallMs)!
     const group = head.payload
     const grant = this.options.guard.checkStart(group.job.partition)
-    if (grant === undefined) {
-      lane.queue.cancel(head)
-      this.refuse(group, wire.RefusalReason.REFUSAL_REASON_LEASE_EXPIRED)
-      return true
-    }
+    // The partition may be on its way to another entry or its lease be renewed soon: its tasks wait, at most until their deadlines.
+    if (grant === undefined) return false
     const count = Math.min(head.taskCount, MAX_PLACED_TOGETHER)
     const request = { service: service.service, wanted: lane.wanted, isLong: lane.isLong, count, excludedAgentIds: group.excludedAgentIds }
     const placements = this.fleet.view.choose(request, this.options.timers.nowMs())
@@ -244,7 +253,7 @@
   }
 
   private end (job: Job, report: protocol.wire.ITaskReport): void {
-    if (!job.settle(report)) return
+    if (job.isMoved || !job.settle(report)) return
     this.waitingGroups.delete(job)
     this.options.onJobEnded(job)
   }
--- a/packages/entry/src/dispatch/retryPolicy.ts
+++ b/packages/entry/src/dispatch/retryPolicy.ts
@@ -18,7 +18,9 @@
   wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL,
   wire.RefusalReason.REFUSAL_REASON_NO_BACKEND,
   wire.RefusalReason.REFUSAL_REASON_NOT_RECEIVED,
-  wire.RefusalReason.REFUSAL_REASON_RECORD_FULL
+  wire.RefusalReason.REFUSAL_REASON_RECORD_FULL,
+  wire.RefusalReason.REFUSAL_REASON_LEASE_EXPIRED,
+  wire.RefusalReason.REFUSAL_REASON_STALE_EPOCH
 ])
 
 /** Returns true for a report of a task that started and that the server failed. */
--- a/packages/entry/src/dispatch/taskGroup.ts
+++ b/packages/entry/src/dispatch/taskGroup.ts
@@ -25,7 +25,7 @@
   const short: TaskGroup = { job, indexes: [], attempt: 0 }
   const long: TaskGroup = { job, indexes: [], attempt: 0 }
   for (let index = job.taskCount - 1; index >= 0; index--) {
-    if (job.hasEnded(index)) continue
+    if (job.hasEnded(index) || job.isHeld(index)) continue
     const group = declaredRunMs(job, index) >= protocol.LONG_RUN_MS ? long : short
     group.indexes.push(index)
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -4,7 +4,7 @@
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
-import { createCallerRoutes } from './api/routes.ts'
+import { type CallerGateway, createCallerRoutes } from './api/routes.ts'
 import { EntryConfiguration } from './config/entryConfiguration.ts'
 import { Dispatcher, type DispatchCounters } from './dispatch/dispatcher.ts'
 import { events } from './events.ts'
@@ -12,7 +12,9 @@
 import { Intake } from './jobs/intake.ts'
 import { JobRegistry } from './jobs/registry.ts'
 import { AgentLinks } from './links/agentLinks.ts'
-import { createSoleOwner, type OwnerRouter } from './owners/router.ts'
+import { AgentRoster } from './owners/agentRoster.ts'
+import { EntryOwnership } from './owners/entryOwnership.ts'
+import { createSoleOwner } from './owners/router.ts'
 import type { EntrySettings } from './settings.ts'
 
 const EXPIRY_PERIOD_MS = 1_000
@@ -41,17 +43,22 @@
   private readonly intake: Intake
   private readonly agentLinks: AgentLinks
   private readonly configuration: EntryConfiguration
-  private readonly owner: OwnerRouter
+  private readonly roster: AgentRoster
+  private readonly localGateway: CallerGateway
+  /** Set after `start` when the entry has a store. */
+  private owned: EntryOwnership | undefined
   private expiry: settings.TimerHandle | undefined
   private isReady = false
 
   constructor (private readonly settings: EntrySettings, private readonly services: EntryServices) {
     const { timers, log, metrics } = services
     this.entryId = settings.nodeId
-    this.owner = createSoleOwner()
+    this.roster = new AgentRoster(settings.retentionMs, timers)
+    const soleOwner = createSoleOwner()
+    const guard = { checkStart: (partition: number) => services.store === undefined ? soleOwner.checkStart(partition) : this.owned?.checkStart(partition) }
     this.configuration = new EntryConfiguration(settings, this.incarnation, services)
     this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
-    this.dispatcher = new Dispatcher({ timers, log, failureDomain: settings.failureDomain, guard: this.owner, onJobEnded: job => { this.intake.finish(job) } })
+    this.dispatcher = new Dispatcher({ timers, log, failureDomain: settings.failureDomain, guard, onJobEnded: job => { this.intake.finish(job) } })
     this.intake = new Intake({
       timers,
       log,
@@ -66,12 +73,17 @@
       dispatcher: this.dispatcher,
       agentGraceMs: settings.agentGraceMs,
       createHello: () => this.createHello(),
-      spreader: this.config.spreader
+      spreader: this.config.spreader,
+      onAgent: (agentId, incarnation) => { this.roster.noteSeen(agentId, incarnation) },
+      createEntryList: agentId => this.createEntryList(agentId),
+      onFenceAnswer: answer => { this.owned?.fences.receive(answer) }
     })
+    this.localGateway = createLocalGateway({ intake: this.intake, registry: this.registry, dispatcher: this.dispatcher, isReady: () => this.isReady && this.configuration.isReady })
     this.broker = runtime.createBroker(settings.nodeId)
     this.web = this.createWebServer()
     this.linkServer = new runtime.LinkServer(settings.linkListen, services.tls)
     this.linkServer.accept('exchange', protocol.agentLink.exchange, async (stream, peer) => { await this.agentLinks.serve(stream, peer) })
+    this.linkServer.accept('exchange', protocol.peerLink.exchange, async (stream, peer) => { await this.owned?.createPeerHandler()(stream, peer) })
   }
 
   /** Listens for agents, entries and callers. */
@@ -79,19 +91,27 @@
     await protocol.loadHash()
     this.linkAddress = await this.linkServer.start()
     this.httpAddress = await this.web.start()
+    if (this.services.store !== undefined) this.startOwnership(this.services.store)
     await this.configuration.start()
     this.expiry = this.services.timers.every(EXPIRY_PERIOD_MS, () => { this.registry.expire() })
     this.isReady = true
     this.services.log.event(events.Started, { httpAddress: this.httpAddress, linkAddress: this.linkAddress, incarnation: this.incarnation })
   }
 
-  /** Refuses new submissions, answers all accepted ones, then closes. */
+  /**
+   * Passes the partitions to the other entries, answers what is still in progress here, then closes. The last entry
+   * refuses new submissions and answers all accepted ones first.
+   */
   async stop (): Promise<void> {
     this.isReady = false
     this.services.log.event(events.Draining, { running: this.registry.running })
+    const hasSuccessor = this.owned?.hasSuccessor === true
+    if (hasSuccessor) await this.owned?.leave()
     this.intake.drain()
     await this.registry.waitUntilIdle()
     await this.web.stop()
+    if (!hasSuccessor) await this.owned?.leave()
+    this.owned?.stop()
     await this.configuration.stop()
     this.linkServer.stop()
     this.dispatcher.stop()
@@ -105,6 +125,11 @@
     return this.agentLinks.sessions.filter(session => session.service === service).length
   }
 
+  /** Number of partitions that this entry owns. */
+  get ownedPartitionCount (): number {
+    return this.owned?.ownership.ownedPartitions().length ?? 0
+  }
+
   /** Counts of starts since the entry began. */
   get counters (): Readonly<DispatchCounters> {
     return this.dispatcher.counters
@@ -120,9 +145,39 @@
     return `${this.registry.running} running submissions, ${this.dispatcher.waitingCount} waiting tasks`
   }
 
+  private get gateway (): CallerGateway {
+    return this.owned?.gateway ?? this.localGateway
+  }
+
+  private startOwnership (store: platform.Store): void {
+    const { settings, services, registry, dispatcher, agentLinks, roster } = this
+    this.owned = new EntryOwnership({
+      store,
+      timers: services.timers,
+      log: services.log,
+      tls: services.tls,
+      identity: { entryId: this.entryId, incarnation: this.incarnation, peerAddress: this.linkAddress, failureDomain: settings.failureDomain },
+      region: settings.region,
+      retentionMs: settings.retentionMs,
+      registry,
+      dispatcher,
+      agentLinks,
+      roster,
+      local: this.localGateway,
+      spreader: this.config.spreader,
+      createHello: () => this.createHello()
+    })
+    this.owned.start()
+  }
+
   private createWebServer (): runtime.WebServer {
     const { settings, services } = this
-    const gateway = createLocalGateway({ intake: this.intake, registry: this.registry, dispatcher: this.dispatcher, isReady: () => this.isReady && this.configuration.isReady })
+    const gateway: CallerGateway = {
+      submit: async (submission, waitMs, signal) => await this.gateway.submit(submission, waitMs, signal),
+      lookUp: async (key, waitMs, signal) => await this.gateway.lookUp(key, waitMs, signal),
+      cancel: async key => await this.gateway.cancel(key),
+      isReady: () => this.gateway.isReady()
+    }
     const routes = createCallerRoutes(gateway, { timers: services.timers, defaultDeadlineMs: settings.defaultDeadlineMs, maxWaitMs: settings.maxWaitMs })
     return new runtime.WebServer({
       broker: this.broker,
@@ -134,6 +189,14 @@
     })
   }
 
+  private createEntryList (agentId: string): protocol.wire.IEntryList {
+    return {
+      entries: this.owned?.entryAddresses ?? [],
+      startedAtMs: this.roster.startedAtWallMs,
+      seenEarlierLife: this.roster.hasEarlierLife(agentId)
+    }
+  }
+
   private createHello (): protocol.wire.IEntryHello {
     return {
       entryId: this.entryId,
@@ -141,7 +204,7 @@
       region: this.settings.region,
       failureDomain: this.settings.failureDomain,
       wallClockMs: this.services.timers.wallClockMs(),
-      entries: [],
+      entries: this.owned?.entryAddresses ?? [],
       versions: this.config.registry.versions()
     }
   }
--- a/packages/entry/src/jobs/job.ts
+++ b/packages/entry/src/jobs/job.ts
@@ -15,6 +15,13 @@
   return FINAL_STATES.has(state ?? wire.TaskState.TASK_STATE_UNKNOWN)
 }
 
+/** Code of the interim answer to those who wait for a job that another entry owns now. It never reaches a caller. */
+export const MOVED_CODE = 'moved'
+
+function createMovedAnswer (key: protocol.wire.ISubmissionKey): protocol.wire.IAnswer {
+  return { key, kind: wire.AnswerKind.ANSWER_KIND_PENDING, code: MOVED_CODE, tasks: [] }
+}
+
 /** The state of a submission that has been accepted. */
 export class Job {
   readonly keyText: string
@@ -22,11 +29,16 @@
   /** Set when the job has ended. */
   answer: protocol.wire.IAnswer | undefined
   isCancelled = false
+  /** True once another entry owns the job; reports that still arrive here change nothing. */
+  isMoved = false
+  /** True while only the records of agents are known, and not the work itself. */
+  needsSubmission = false
+  private readonly heldByAgents = new Set<number>()
   private readonly reports: Array<protocol.wire.ITaskReport | undefined>
   private remaining: number
   private readonly waiters = new Set<(answer: protocol.wire.IAnswer) => void>()
 
-  constructor (readonly submission: protocol.wire.ISubmission, readonly acceptedAtMs: number) {
+  constructor (public submission: protocol.wire.ISubmission, readonly acceptedAtMs: number) {
     this.keyText = protocol.submissionKeyText(submission.key!)
     this.partition = protocol.resolvePartition(submission.key!)
     this.remaining = submission.tasks!.length
@@ -45,6 +57,28 @@
     return this.remaining
   }
 
+  /** Notes that an agent has a task, which an earlier owner sent. */
+  hold (index: number): void {
+    this.heldByAgents.add(index)
+  }
+
+  /** Returns true for a task that an earlier owner sent to an agent. */
+  isHeld (index: number): boolean {
+    return this.heldByAgents.has(index)
+  }
+
+  /** Returns the tasks that have neither ended nor were sent by an earlier owner. */
+  missingIndexes (): number[] {
+    return [...this.reports.keys()].filter(index => !this.hasEnded(index) && !this.isHeld(index))
+  }
+
+  /** Leaves the job to the entry that owns its partition now; those who wait ask there. */
+  moveAway (): void {
+    this.isMoved = true
+    for (const waiter of this.waiters) waiter(createMovedAnswer(this.key))
+    this.waiters.clear()
+  }
+
   /** Returns true when the task has ended. */
   hasEnded (index: number): boolean {
     return this.reports[index] !== undefined
--- a/packages/entry/src/jobs/registry.ts
+++ b/packages/entry/src/jobs/registry.ts
@@ -79,7 +79,17 @@
     return { kind: JoinKind.Created, job }
   }
 
-  /** Removes a job of which nothing has started. */
+  /** Creates the job of a submission of which only an agent's record is known. */
+  adopt (report: protocol.wire.IJobReport): Job {
+    const tasks = Array.from({ length: report.taskCount ?? 0 }, () => ({}))
+    const job = new Job({ key: report.key, tasks }, this.options.timers.nowMs())
+    job.needsSubmission = true
+    this.jobs.set(job.keyText, job)
+    this.runningCount++
+    return job
+  }
+
+  /** Removes a job of which nothing has started, or that another entry owns now. */
   discard (job: Job): void {
     if (!this.jobs.delete(job.keyText)) return
     this.noteEnd()
--- a/packages/entry/src/links/agentLinks.ts
+++ b/packages/entry/src/links/agentLinks.ts
@@ -5,7 +5,9 @@
 import type * as settings from '@egretvalve/settings'
 import { createAgentExchange, type AgentConfigExchange } from '../config/agentExchange.ts'
 import type { Dispatcher } from '../dispatch/dispatcher.ts'
+import type { WaitingTask } from '../dispatch/taskGroup.ts'
 import { events } from '../events.ts'
+import type { Job } from '../jobs/job.ts'
 import { AgentSession, OutstandingTasks } from './agentSession.ts'
 
 const { wire } = protocol
@@ -31,6 +33,12 @@
   createHello: () => protocol.wire.IEntryHello
   /** Passes configuration on to the agents. */
   spreader: config.ConfigSpreader
+  /** Called for every stream of an agent. */
+  onAgent: (agentId: string, incarnation: string) => void
+  /** Creates the list of entries for an agent. */
+  createEntryList: (agentId: string) => protocol.wire.IEntryList
+  /** Called for each page of an agent's record of starts. */
+  onFenceAnswer: (answer: protocol.wire.IFenceAnswer) => void
 }
 
 /** Keeps the sessions of all agents. */
@@ -44,6 +52,29 @@
     return [...this.agents.values()].flatMap(agent => agent.session ?? [])
   }
 
+  /** Expects reports of a task that an earlier owner sent; false when that life of the agent is not known here. */
+  adopt (agentId: string, incarnation: string, task: WaitingTask): boolean {
+    const agent = this.agents.get(agentId)
+    if (agent === undefined || agent.incarnation !== incarnation) return false
+    agent.outstanding.add(task)
+    return true
+  }
+
+  /** Tells the agents which entries there are. */
+  sendEntries (): void {
+    for (const session of this.sessions) session.sendEntries(this.options.createEntryList(session.agentId))
+  }
+
+  /** Asks the agents what became of the tasks that they have. */
+  inquire (): void {
+    for (const session of this.sessions) session.inquire()
+  }
+
+  /** Forgets the tasks of a job that another entry owns now. */
+  dropJob (job: Job): void {
+    for (const agent of this.agents.values()) agent.outstanding.dropJob(job.keyText)
+  }
+
   /** Handles one stream until it ends. */
   async serve (stream: AgentStream, peer: string): Promise<void> {
     const outbox = new runtime.Outbox<protocol.wire.IEntryToAgent>(stream)
@@ -62,6 +93,7 @@
         }
         exchange?.receive(message)
         if (message.report != null && session !== undefined) this.receive(session, message.report)
+        if (message.fenceAnswer != null) this.options.onFenceAnswer(message.fenceAnswer)
         if (message.goodbye != null) hasLeft = true
       }
     } catch {
@@ -76,12 +108,14 @@
   private connect (hello: protocol.wire.IAgentHello, outbox: runtime.Outbox<protocol.wire.IEntryToAgent>, peer: string): AgentSession {
     const agent = this.resolveAgent(hello)
     const agentId = hello.agentId ?? ''
+    this.options.onAgent(agentId, hello.incarnation ?? '')
     const session = new AgentSession(hello, agent.outstanding, outbox, (task, report) => { this.options.dispatcher.settle(task, report, agentId) })
     if (agent.session !== undefined) this.options.dispatcher.removeAgent(agent.session)
     agent.session = session
     agent.lossTimer?.cancel()
     this.options.log.event(events.AgentConnected, { agentId: session.agentId, peer, failureDomain: session.failureDomain })
     this.checkClock(hello, peer)
+    session.sendEntries(this.options.createEntryList(agentId))
     session.inquire()
     this.options.dispatcher.addAgent(session)
     return session
--- a/packages/entry/src/links/agentSession.ts
+++ b/packages/entry/src/links/agentSession.ts
@@ -39,6 +39,12 @@
     return task
   }
 
+  /** Forgets the tasks of a job that another entry owns now. */
+  dropJob (keyText: string): void {
+    this.count -= this.tasks.get(keyText)?.size ?? 0
+    this.tasks.delete(keyText)
+  }
+
   hasJob (keyText: string): boolean {
     return this.tasks.has(keyText)
   }
@@ -126,6 +132,15 @@
     this.outbox.send({ creditReturn: { service, credits } })
   }
 
+  /** Raises the lowest epochs that the agent accepts and asks for its record of starts. */
+  fence (fence: protocol.wire.IFence): void {
+    this.outbox.send({ fence })
+  }
+
+  sendEntries (entries: protocol.wire.IEntryList): void {
+    this.outbox.send({ entries })
+  }
+
   /** Asks what became of tasks sent on an earlier stream. */
   inquire (): void {
     if (this.outstanding.size > 0) this.outbox.send({ inquiry: this.outstanding.createInquiry() })
--- /dev/null
+++ b/packages/entry/src/owners/entryOwnership.ts
@@ -0,0 +1,154 @@
+/** Brings ownership into an entry that has a store: streams to the other entries, fences, adoption, routing. */
+import * as ownership from '@egretvalve/ownership'
+import type * as config from '@egretvalve/config'
+import type * as platform from '@egretvalve/platform'
+import * as protocol from '@egretvalve/protocol'
+import type * as runtime from '@egretvalve/runtime'
+import type * as settings from '@egretvalve/settings'
+import type { CallerGateway } from '../api/routes.ts'
+import { PeerConfigExchange } from '../config/peerExchange.ts'
+import type { Dispatcher } from '../dispatch/dispatcher.ts'
+import type { Job } from '../jobs/job.ts'
+import type { JobRegistry } from '../jobs/registry.ts'
+import { RoutedGateway } from '../jobs/routedGateway.ts'
+import type { AgentLinks } from '../links/agentLinks.ts'
+import { PeerLinks } from '../peers/peerLinks.ts'
+import { createPeerServer } from '../peers/peerServer.ts'
+import type { PeerServices, SendFrame } from '../peers/services.ts'
+import { Adoption } from './adoption.ts'
+import type { AgentRoster } from './agentRoster.ts'
+import { Fences } from './fences.ts'
+import type { StartGrant } from './router.ts'
+
+/** What ownership needs of its entry. */
+export interface EntryOwnershipOptions {
+  store: platform.Store
+  timers: settings.Timers
+  log: settings.Log
+  tls: runtime.LinkTls | undefined
+  identity: ownership.EntryIdentity
+  region: string
+  retentionMs: number
+  registry: JobRegistry
+  dispatcher: Dispatcher
+  agentLinks: AgentLinks
+  roster: AgentRoster
+  local: CallerGateway
+  spreader: config.ConfigSpreader
+  createHello: () => protocol.wire.IEntryHello
+}
+
+/** The ownership of partitions by one entry. */
+export class EntryOwnership {
+  readonly gateway: RoutedGateway
+  readonly fences: Fences
+  readonly ownership: ownership.Ownership
+  private readonly peers: PeerLinks
+  private readonly adoption: Adoption
+  private readonly exchanges = new Map<string, PeerConfigExchange>()
+
+  constructor (private readonly options: EntryOwnershipOptions) {
+    const { timers, log, store, registry, dispatcher, agentLinks } = options
+    this.peers = new PeerLinks(this.createPeerServices(true))
+    this.fences = new Fences({
+      timers,
+      roster: options.roster,
+      retentionMs: options.retentionMs,
+      sessions: () => agentLinks.sessions,
+      assignmentCreatedAtMs: () => this.ownership.assignment.createdAtMs
+    })
+    this.adoption = new Adoption({ timers, registry, dispatcher, agentLinks, judge: job => this.ownership.judgeFirstSight(job.partition, job.key.submissionId ?? '') })
+    const ownershipSettings = ownership.resolveOwnershipDefaults({ region: options.region, retentionMs: options.retentionMs })
+    this.ownership = new ownership.Ownership(options.identity, ownershipSettings, {
+      store,
+      timers,
+      log,
+      fences: this.fences,
+      promises: this.peers,
+      listener: {
+        acquired: acquisition => { this.adoption.adopt(acquisition) },
+        lost: partitions => { this.passOn(this.adoption.release(partitions)) },
+        assignmentChanged: () => { this.updatePeers() }
+      }
+    })
+    this.gateway = new RoutedGateway({ timers, local: options.local, registry, ownership: this.ownership, peers: this.peers, adoption: this.adoption })
+  }
+
+  start (): void {
+    this.ownership.start()
+  }
+
+  /** True when another member can take the partitions. */
+  get hasSuccessor (): boolean {
+    return this.otherMembers().some(member => this.peers.isConnected(member))
+  }
+
+  /** The addresses of all members, for agents. */
+  get entryAddresses (): protocol.wire.IEntryAddress[] {
+    return this.ownership.assignment.members.map(({ entryId, incarnation, peerAddress, failureDomain }) => ({ entryId, incarnation, peerAddress, failureDomain }))
+  }
+
+  /** Passes the partitions to the other entries. Streams to them stay open for calls that are still forwarded. */
+  async leave (): Promise<void> {
+    await this.ownership.leave()
+  }
+
+  stop (): void {
+    this.peers.stop()
+  }
+
+  /** Checks that tasks of a partition may be started now. */
+  checkStart (partition: number): StartGrant | undefined {
+    const checked = this.ownership.checkStart(partition)
+    return checked.ok ? checked.val : undefined
+  }
+
+  /** Handles the streams that other entries open. */
+  createPeerHandler (): runtime.LinkHandler<protocol.wire.PeerFrame, protocol.wire.IPeerFrame> {
+    return createPeerServer({
+      handleForward: async (forward, signal) => await this.gateway.handleForward(forward, signal),
+      handlePromiseRequest: (incarnation, request) => this.ownership.answerPromise(incarnation, request)
+    }, this.createPeerServices(false))
+  }
+
+  /** Submits the jobs of partitions that went to another entry there, for callers who look later. */
+  private passOn (jobs: readonly Job[]): void {
+    for (const job of jobs) {
+      if (!job.needsSubmission) this.gateway.submit(job.submission, 0, new AbortController().signal).catch(() => {})
+    }
+  }
+
+  private updatePeers (): void {
+    const others = this.otherMembers()
+    const isMember = others.length < this.ownership.assignment.members.length
+    if (isMember) this.peers.update(others)
+    this.options.agentLinks.sendEntries()
+  }
+
+  private otherMembers (): ownership.Member[] {
+    return this.ownership.assignment.members.filter(member => member.incarnation !== this.options.identity.incarnation)
+  }
+
+  /** Of the two streams between a pair of entries, the one that the lower incarnation opened carries the configuration. */
+  private createPeerServices (isDialer: boolean): PeerServices {
+    const { timers, log, tls, createHello, spreader, identity } = this.options
+    const carriesConfig = (hello: protocol.wire.IEntryHello): boolean => (identity.incarnation < (hello.incarnation ?? '')) === isDialer
+    return {
+      timers,
+      log,
+      tls,
+      createHello,
+      onOpen: (hello: protocol.wire.IEntryHello, send: SendFrame) => {
+        if (!carriesConfig(hello)) return
+        this.exchanges.get(hello.incarnation ?? '')?.close()
+        this.exchanges.set(hello.incarnation ?? '', new PeerConfigExchange(spreader, hello, send))
+      },
+      onFrame: (hello, frame) => { if (hello !== undefined && carriesConfig(hello)) this.exchanges.get(hello.incarnation ?? '')?.receive(frame) },
+      onClosed: hello => {
+        if (!carriesConfig(hello)) return
+        this.exchanges.get(hello.incarnation ?? '')?.close()
+        this.exchanges.delete(hello.incarnation ?? '')
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/peerServer.ts
@@ -0,0 +1,51 @@
+/** Serves the streams that other entries open: forwarded work and requests for promises. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type { PeerServices, SendFrame } from './services.ts'
+
+type PeerStream = runtime.LinkStream<protocol.wire.PeerFrame, protocol.wire.IPeerFrame>
+
+/** What answers other entries. */
+export interface PeerHandlers {
+  /** Handles forwarded work as the owner of its partition. */
+  handleForward: (forward: protocol.wire.IForward, signal: AbortSignal) => Promise<protocol.wire.IForwardAnswer>
+  handlePromiseRequest: (fromIncarnation: string, request: protocol.wire.IPromiseRequest) => protocol.wire.IStorePromise
+}
+
+/** Creates the handler of accepted streams. */
+export function createPeerServer (handlers: PeerHandlers, services: PeerServices): runtime.LinkHandler<protocol.wire.PeerFrame, protocol.wire.IPeerFrame> {
+  async function serve (stream: PeerStream): Promise<void> {
+    const outbox = new runtime.Outbox<protocol.wire.IPeerFrame>(stream)
+    const send: SendFrame = frame => { outbox.send(frame) }
+    const closed = new AbortController()
+    let hello: protocol.wire.IEntryHello | undefined
+    send({ hello: services.createHello() })
+    try {
+      for await (const frame of stream) {
+        if (frame.hello != null) {
+          hello = frame.hello
+          services.onOpen(hello, send)
+        }
+        if (hello === undefined) continue
+        services.onFrame(hello, frame)
+        if (frame.promiseRequest != null) send({ promise: handlers.handlePromiseRequest(hello.incarnation ?? '', frame.promiseRequest) })
+        if (frame.forward != null) answerForward(frame.forward, send, closed.signal)
+      }
+    } finally {
+      closed.abort()
+      outbox.close()
+      if (hello !== undefined) services.onClosed(hello)
+    }
+  }
+
+  /** Answers when the work has ended; other frames are served meanwhile. */
+  function answerForward (forward: protocol.wire.IForward, send: SendFrame, signal: AbortSignal): void {
+    handlers.handleForward(forward, signal).then(answer => {
+      send({ forwardAnswer: { ...answer, requestId: forward.requestId } })
+    }, () => {
+      send({ forwardAnswer: { requestId: forward.requestId, notOwner: true } })
+    })
+  }
+
+  return serve
+}
--- a/packages/ownership/src/assignment.ts
+++ b/packages/ownership/src/assignment.ts
@@ -21,6 +21,8 @@
 
 const assignmentSchema = zod.object({
   version: zod.number(),
+  /** Wall-clock time of the first change: no task can have started before. */
+  createdAtMs: zod.number(),
   members: zod.array(memberSchema),
   grants: zod.array(grantSchema),
   /** Ids of the latest changes, the newest last. Their writers settle lost answers by them. */
@@ -37,7 +39,7 @@
 /** Returns the assignment of a region without members. */
 export function createAssignment (partitionCount: number): Assignment {
   const grants = Array.from({ length: partitionCount }, () => ({ owner: '', epoch: 0 }))
-  return { version: 0, members: [], grants, changeIds: [] }
+  return { version: 0, createdAtMs: 0, members: [], grants, changeIds: [] }
 }
 
 /** Decodes a stored assignment. Throws when the value has another form. */
--- a/packages/ownership/src/membership.ts
+++ b/packages/ownership/src/membership.ts
@@ -132,7 +132,8 @@
       const known = findMember(snapshot.assignment, identity.incarnation)
       if (known?.leaseCount === leaseCount) return undefined
       const joinedVersion = known?.joinedVersion ?? snapshot.assignment.version + 1
-      return putMember(snapshot.assignment, { ...identity, joinedVersion, leaseCount })
+      const createdAtMs = snapshot.assignment.createdAtMs === 0 ? services.timers.wallClockMs() : snapshot.assignment.createdAtMs
+      return putMember({ ...snapshot.assignment, createdAtMs }, { ...identity, joinedVersion, leaseCount })
     })
     if (outcome.err) return
     authority.assertedLeaseCount = leaseCount
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,4 +1,5 @@
 /** One entry's part in the ownership of partitions: joining, authority, takeover and handover. */
+import { setMaxListeners } from 'node:events'
 import type * as platform from '@egretvalve/platform'
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
@@ -77,6 +78,8 @@
     private readonly services: OwnershipServices
   ) {
     const { store, timers, log } = services
+    // Every sleep of every task listens for the stop.
+    setMaxListeners(0, this.stopping.signal)
     this.snapshot = { assignment: createAssignment(options.partitionCount), revision: 0, storeRevision: 0, liveIncarnations: new Set() }
     this.assignments = new AssignmentStore(store, options.region, options.partitionCount, log)
     this.given = new GivenPromises(options, timers)
