Send each accepted document once to each linked node

Cause: two entries are linked by a stream in each direction, so a document would travel twice, and the loss of one stream would list the other entry as lost. An accepting entry whose own watch was faster sent no document at all to entries that are cut off from the store; they waited for the 200 ms of a request. Change: one session for each linked life of a node; the accepting entry always sends to entries that lack the version. Conclusion: a document goes once to each entry.

--- a/packages/config/src/entryConfig.ts
+++ b/packages/config/src/entryConfig.ts
@@ -117,7 +117,9 @@
   }
 
   private putInForce (outcome: ChangeOutcome): ChangeOutcome {
-    if (outcome.kind === ChangeOutcomeKind.Accepted) this.registry.offer(outcome.config, ConfigSource.Operator)
+    if (outcome.kind !== ChangeOutcomeKind.Accepted) return outcome
+    this.registry.offer(outcome.config, ConfigSource.Operator)
+    this.spreader.pushToEntries(outcome.config)
     return outcome
   }
 }
--- a/packages/config/src/fleet.ts
+++ b/packages/config/src/fleet.ts
@@ -38,6 +38,11 @@
   join (identity: NodeIdentity, versions: readonly protocol.wire.ITeamVersion[]): void {
     const known = this.nodes.get(identity.nodeId)
     if (known !== undefined && known.identity.incarnation > identity.incarnation) return
+    if (known?.identity.incarnation === identity.incarnation) {
+      this.setState(identity, NodeState.NODE_STATE_JOINED)
+      raiseVersions(known.versions, versions)
+      return
+    }
     const record: NodeRecord = {
       identity,
       state: NodeState.NODE_STATE_JOINED,
--- a/packages/config/src/spreader.ts
+++ b/packages/config/src/spreader.ts
@@ -27,8 +27,8 @@
 }
 
 /**
- * Runs on entries and agents. An entry pushes each new version to its agents, and to the other entries if the operator's
- * change was accepted here; otherwise nodes tell each other versions and ask for the documents that they lack.
+ * Runs on entries and agents. An entry sends each new version to its agents, and to the other entries if it accepted the
+ * operator's change itself; otherwise nodes tell each other versions and ask for the documents that they lack.
  */
 export class ConfigSpreader {
   readonly fleet: FleetView
@@ -39,13 +39,13 @@
   private readonly unsubscribe: () => void
 
   constructor (
-    private readonly self: NodeIdentity,
+    self: NodeIdentity,
     private readonly registry: ConfigRegistry,
     private readonly services: SpreaderServices
   ) {
     this.fleet = new FleetView(services.timers)
     this.reporter = new FleetReporter(self, registry, this.fleet, services.timers)
-    this.unsubscribe = registry.subscribe((config, source) => { this.spread(config, source) })
+    this.unsubscribe = registry.subscribe(config => { this.spread(config) })
   }
 
   /** Ends the spreading; sessions are left to their links. */
@@ -66,9 +66,17 @@
     return session
   }
 
+  /** Sends a version that was accepted here to the entries that may lack it, without waiting until they ask. */
+  pushToEntries (config: AcceptedConfig): void {
+    for (const session of this.listRemotes()) {
+      const isEntry = session.remote.kind === NodeKind.NODE_KIND_ENTRY
+      if (isEntry && !session.holds(config.team, config.version)) session.sendConfigs([config])
+    }
+  }
+
   /** Gathers the reports of all entries that answer within the time given. */
   async collectFleet (timeoutMs: number): Promise<protocol.wire.IFleetVersions[]> {
-    const peers = [...this.sessions].filter(session => session.remote.kind === NodeKind.NODE_KIND_ENTRY)
+    const peers = this.listRemotes().filter(session => session.remote.kind === NodeKind.NODE_KIND_ENTRY)
     return await this.reporter.collect(peers, timeoutMs)
   }
 
@@ -77,11 +85,6 @@
     return this.listMissing().length > 0
   }
 
-  /** Number of links to entries. */
-  get entryCount (): number {
-    return [...this.sessions].filter(session => session.remote.kind === NodeKind.NODE_KIND_ENTRY).length
-  }
-
   private createHandlers (): SessionHandlers {
     return {
       handleVersions: (session, versions) => {
@@ -92,7 +95,8 @@
       handleFleet: (session, fleet) => { this.reporter.handle(session, fleet) },
       handleDetach: (session, planned) => {
         this.sessions.delete(session)
-        this.fleet.setState(session.remote, planned ? NodeState.NODE_STATE_LEFT : NodeState.NODE_STATE_LOST)
+        const isStillLinked = this.listRemotes().some(other => other.remote.incarnation === session.remote.incarnation)
+        if (!isStillLinked) this.fleet.setState(session.remote, planned ? NodeState.NODE_STATE_LEFT : NodeState.NODE_STATE_LOST)
         this.planWants()
       }
     }
@@ -107,25 +111,27 @@
     this.planWants()
   }
 
+  /** Lists one session for each linked node: two entries may be linked by a stream in each direction. */
+  private listRemotes (): ConfigSession[] {
+    const remotes = new Map<string, ConfigSession>()
+    for (const session of this.sessions) remotes.set(session.remote.incarnation, session)
+    return [...remotes.values()]
+  }
+
   private versionsOf (versions: readonly protocol.wire.ITeamVersion[]): protocol.wire.ITeamVersion[] {
     return versions.map(({ team }) => ({ team, version: this.registry.versionOf(team ?? '') }))
   }
 
   /** Passes a version that came into force here on to the linked nodes that may lack it. */
-  private spread (config: AcceptedConfig, source: ConfigSource): void {
+  private spread (config: AcceptedConfig): void {
     this.wants.delete(config.team)
     const notice: protocol.wire.IConfigVersions = { versions: [{ team: config.team, version: config.version }] }
-    for (const session of this.sessions) {
-      if (this.pushes(session, source) && !session.holds(config.team, config.version)) session.sendConfigs([config])
-      else session.sendVersions(notice)
+    for (const session of this.listRemotes()) {
+      if (session.remote.kind === NodeKind.NODE_KIND_ENTRY) session.sendVersions(notice)
+      else if (!session.holds(config.team, config.version)) session.sendConfigs([config])
     }
   }
 
-  private pushes (session: ConfigSession, source: ConfigSource): boolean {
-    if (this.self.kind !== NodeKind.NODE_KIND_ENTRY) return false
-    return session.remote.kind === NodeKind.NODE_KIND_AGENT || source === ConfigSource.Operator
-  }
-
   /** Agents get the documents that they lack; entries get the versions, which may have changed since this node's hello. */
   private tellMissing (session: ConfigSession): void {
     const missing = this.registry.list().filter(config => !session.holds(config.team, config.version))
--- a/test/failure/configSpread.test.ts
+++ b/test/failure/configSpread.test.ts
@@ -283,3 +283,24 @@
     await fleet.stop()
   })
 })
+
+describe('two streams between two entries', () => {
+  it('carry each document once and outlive the loss of one', async () => {
+    const fleet = new Fleet()
+    const left = fleet.addEntry('entry-0')
+    const right = fleet.addEntry('entry-1', createPath(fleet.store, { down: true }, fleet.timers))
+    const second = linkNodes(right, left, fleet.timers, LINK_DELAY_MS)
+    await fleet.pass(100)
+    const beforeBytes = left.traffic.bytes
+    await fleet.apply(left, 2)
+    await fleet.pass(1_000)
+    const documentBytes = JSON.stringify(left.registry.get(TEAM)!.document).length
+    expect(right.registry.versionOf(TEAM)).to.equal(1)
+    expect(left.traffic.bytes - beforeBytes).to.be.within(documentBytes, 2 * documentBytes)
+    second.close(false)
+    await fleet.pass(100)
+    const status = (await awaitWithTime(fleet.timers, left.entryConfig!.collectStatus())).unwrap()
+    expect(status.nodes.map(node => [node.nodeId, node.condition])).to.deep.equal([['entry-0', 'joined'], ['entry-1', 'joined']])
+    await fleet.stop()
+  })
+})
