--- a/packages/bench/src/slopes/lightAgent.ts
+++ b/packages/bench/src/slopes/lightAgent.ts
@@ -25,6 +25,7 @@
   outbox: runtime.Outbox<protocol.wire.IAgentToEntry>
   close: () => void
   reports: Map<string, protocol.wire.IJobReport>
+  receivedTasks: number
   isFlushScheduled: boolean
 }
 
@@ -50,10 +51,10 @@
 
   private async open (address: string): Promise<void> {
     const dialed = runtime.dialLink(address, protocol.agentLink.exchange)
-    const link: OpenLink = { outbox: new runtime.Outbox(dialed.stream), close: dialed.close, reports: new Map(), isFlushScheduled: false }
+    const link: OpenLink = { outbox: new runtime.Outbox(dialed.stream), close: dialed.close, reports: new Map(), receivedTasks: 0, isFlushScheduled: false }
     this.links.push(link)
     const { timers, agentId } = this.options
-    link.outbox.send({ hello: { agentId, incarnation: protocol.createIncarnation(), wallClockMs: timers.wallClockMs(), load: this.createLoad() } })
+    link.outbox.send({ hello: { agentId, incarnation: protocol.createIncarnation(), wallClockMs: timers.wallClockMs(), load: this.createLoad(link) } })
     this.heartbeats.push(timers.every(HEARTBEAT_PERIOD_MS, () => { link.outbox.send({ heartbeat: { wallClockMs: timers.wallClockMs() } }) }))
     await new Promise<void>(resolve => { this.serve(dialed.stream, link, resolve).catch(() => {}) })
   }
@@ -61,6 +62,7 @@
   private async serve (stream: AsyncIterable<protocol.wire.EntryToAgent>, link: OpenLink, onGreeted: () => void): Promise<void> {
     for await (const message of stream) {
       if (message.hello != null) onGreeted()
+      if (message.fence != null) link.outbox.send({ fenceAnswer: { fenceId: message.fence.fenceId, jobs: [], last: true } })
       for (const job of message.start?.jobs ?? []) this.startJob(job, link)
     }
   }
@@ -68,6 +70,7 @@
   private startJob (job: protocol.wire.IJobStart, link: OpenLink): void {
     for (const task of job.tasks ?? []) {
       this.started++
+      link.receivedTasks++
       this.running++
       if (this.options.runMs === 0) this.finish(job, task, link)
       else this.options.timers.after(this.options.runMs, () => { this.finish(job, task, link) })
@@ -99,13 +102,24 @@
       link.isFlushScheduled = false
       const jobs = [...link.reports.values()]
       link.reports = new Map()
-      link.outbox.send({ report: { jobs, load: this.createLoad() } })
+      link.outbox.send({ report: { jobs, load: this.createLoad(link) } })
     })
   }
 
-  private createLoad (): protocol.wire.ILoadReport {
+  private createLoad (link: OpenLink): protocol.wire.ILoadReport {
     const { service, slots } = this.options
     const capacity = { slots, connections: CONNECTIONS, cores: 30, memoryMb: 128_000, accelerators: 0 }
-    return { service, freeSlots: Math.max(0, slots - this.running), queued: 0, running: this.running, total: capacity, free: capacity, rack: 'rack-1' }
+    const freeSlots = Math.max(0, slots - this.running)
+    return {
+      service,
+      freeSlots,
+      freeLongSlots: freeSlots,
+      queued: 0,
+      running: this.running,
+      receivedTasks: link.receivedTasks,
+      total: capacity,
+      free: capacity,
+      rack: 'rack-1'
+    }
   }
 }
