--- a/test/unit/cli/commands.test.ts
+++ b/test/unit/cli/commands.test.ts
@@ -1,5 +1,8 @@
 import * as chai from 'chai'
 import { jestSnapshotPlugin } from 'mocha-chai-jest-snapshot'
+import * as agent from '@egretvalve/agent'
+import * as entry from '@egretvalve/entry'
+import * as settings from '@egretvalve/settings'
 import { runToEnd } from '../../fixtures/process.ts'
 
 chai.use(jestSnapshotPlugin())
@@ -9,6 +12,14 @@
 /** A line of the overview, such as `  entry             Runs an entry`. */
 const COMMAND_LINE = /^ {2}([a-z-]+(?: [a-z-]+)?) {2,}/gm
 
+/** A line that names a setting, such as `  --lease-ms  (EGRETVALVE_LEASE_MS)`. */
+const SETTING_LINE = /^ {2}--([a-z-]+) {2}\(EGRETVALVE_/gm
+
+const definitions: ReadonlyArray<[string, Record<string, settings.SettingDefinition<unknown>>]> = [
+  ['entry', entry.entryDefinition],
+  ['agent', agent.agentDefinition]
+]
+
 /** A wrong setting, and what the program says about it. */
 interface WrongSetting {
   args: string[]
@@ -52,9 +63,18 @@
     }
   })
 
-  for (const name of ['entry', 'agent', 'submit']) {
-    it(`has the help of ${name}`, async () => {
-      expect((await runToEnd([name, '--help'])).out).toMatchSnapshot()
+  it('has the help of submit', async () => {
+    expect((await runToEnd(['submit', '--help'])).out).toMatchSnapshot()
+  })
+
+  for (const [name, definition] of definitions) {
+    it(`explains each setting of ${name} with its variable, default and unit`, async () => {
+      const { out } = await runToEnd([name, '--help'])
+      for (const [key, setting] of Object.entries(definition)) {
+        expect(out).to.contain(`  --${settings.flagName(key)}  (${settings.environmentName(key)})\n      ${setting.help} Expects ${setting.expects}; `)
+      }
+      const listed = [...out.matchAll(SETTING_LINE)].map(match => match[1]!)
+      expect(listed).to.deep.equal(Object.keys(definition).map(settings.flagName))
     })
   }
 })
