--- a/packages/cli/src/dev/fleet.ts
+++ b/packages/cli/src/dev/fleet.ts
@@ -1,5 +1,6 @@
 /** A whole small fleet in one process: stand-in store, entries, agents and stand-in backend servers. */
 import * as agent from '@egretvalve/agent'
+import * as config from '@egretvalve/config'
 import * as entry from '@egretvalve/entry'
 import * as settings from '@egretvalve/settings'
 import * as standin from '@egretvalve/standin'
@@ -40,6 +41,7 @@
   async start (): Promise<void> {
     await this.store.start()
     for (let index = 0; index < this.options.entries; index++) await this.startEntry(index)
+    await this.applyExamples()
     for (let index = 0; index < this.options.servers; index++) await this.startServer(index)
     await this.waitUntilReady()
   }
@@ -56,6 +58,16 @@
     return this.entries.map(running => running.describeRemaining()).join('; ')
   }
 
+  /** Puts the example configuration of both deployments into force, so that operators' commands have something to show. */
+  private async applyExamples (): Promise<void> {
+    for (const name of Object.values(config.ExampleName)) {
+      const document = config.createExampleDocument(name)
+      const order = { team: document.team, changeId: `dev-${name}`, seenVersion: 0, operator: 'dev' }
+      const outcome = await this.entries[0]!.config.apply(order, document)
+      if (outcome.kind !== config.ChangeOutcomeKind.Accepted) throw new Error(`the example ${name} was not accepted: ${outcome.kind}`)
+    }
+  }
+
   private async startEntry (index: number): Promise<void> {
     const { httpPort, region, timers, log } = this.options
     const values = entry.resolveEntryDefaults({
@@ -64,6 +76,7 @@
       failureDomain: this.failureDomain(index),
       httpListen: `127.0.0.1:${httpPort === 0 ? 0 : httpPort + index}`,
       linkListen: ANY_PORT,
+      openAdmin: true,
       plainText: true
     })
     const created = entry.createEntry(values, { timers, log, metrics: settings.createSilentMetrics(), store: this.store.store })
