--- a/packages/entry/src/owners/adoption.ts
+++ b/packages/entry/src/owners/adoption.ts
@@ -42,13 +42,11 @@
   /** Supplies the work of an adopted job, so that the tasks that have not started can start. */
   complete (job: Job, submission: protocol.wire.ISubmission): void {
     if (!job.needsSubmission || (submission.tasks ?? []).length !== job.taskCount) return
-    if (this.services.judge(job) !== ownership.FirstSight.Fresh) {
-      this.settleMissing(job)
-      return
-    }
+    const isFresh = this.services.judge(job) === ownership.FirstSight.Fresh
+    if (!isFresh) this.settleMissing(job)
     job.needsSubmission = false
     job.submission = submission
-    this.services.dispatcher.enqueue(job)
+    if (isFresh) this.services.dispatcher.enqueue(job)
   }
 
   /** Lets go of the jobs of partitions that went to another entry; returns those that had not ended. */
