Refuse what finds no slot; estimate the others' use of each server

Cause: a start that met a full server waited there while slots elsewhere were free, and an entry's own, certain knowledge aged like the rest. Change: an agent without a free slot refuses (queue depth 0 by default) and its refusal carries the load; an entry knows its own use of each server and lets only the share used by others move to the fleet's mean, half within 100 ms; credits are certain. Pressing work is ordered by latest start, ordinary work by deadline. Ordinary work is announced after 50 ms of waiting, critical means 20 ms of slack.

--- a/packages/admission/src/defaults.ts
+++ b/packages/admission/src/defaults.ts
@@ -62,12 +62,14 @@
 
 /** Options of the urgency notices. */
 export interface UrgencyOptions {
-  /** Work waits this long before it is announced, in milliseconds. */
-  raiseAfterMs: number
+  /** Pressing work waits this long before it is announced, in milliseconds. */
+  raisePressingAfterMs: number
+  /** Ordinary work waits this long before it is announced, in milliseconds. */
+  raiseOrdinaryAfterMs: number
   /** A lower urgency is announced after it has lasted this long, in milliseconds. */
   lowerAfterMs: number
   /** Pressing work with less time than this left before its latest start is critical, in milliseconds. */
   criticalSlackMs: number
 }
 
-export const DEFAULT_URGENCY: UrgencyOptions = { raiseAfterMs: 5, lowerAfterMs: 150, criticalSlackMs: 100 }
+export const DEFAULT_URGENCY: UrgencyOptions = { raisePressingAfterMs: 5, raiseOrdinaryAfterMs: 50, lowerAfterMs: 150, criticalSlackMs: 20 }
--- a/packages/admission/src/deadlineHeap.ts
+++ b/packages/admission/src/dueHeap.ts
@@ -1,13 +1,13 @@
-/** Binary heap of waiting items, earliest latest start first; among equals the one that came first. */
+/** Binary heap of waiting items, earliest due time first; among equals the one that came first. */
 import type { WaitingItem } from './waitingQueue.ts'
 
 function precedes<T> (left: WaitingItem<T>, right: WaitingItem<T>): boolean {
-  if (left.latestStartAtMs !== right.latestStartAtMs) return left.latestStartAtMs < right.latestStartAtMs
+  if (left.dueAtMs !== right.dueAtMs) return left.dueAtMs < right.dueAtMs
   return left.sequence < right.sequence
 }
 
 /** Items of one class and team. */
-export class DeadlineHeap<T> {
+export class DueHeap<T> {
   /** Expected work of the items that still wait, in milliseconds of run time; kept by the queue. */
   workMs = 0
   private readonly items: Array<WaitingItem<T>> = []
--- a/packages/admission/src/urgency.ts
+++ b/packages/admission/src/urgency.ts
@@ -7,8 +7,12 @@
 
 /** Returns the urgency of the head of a queue. */
 export function resolveUrgency (head: WaitingItem<unknown> | undefined, nowMs: number, options: UrgencyOptions): protocol.wire.Urgency {
-  if (head === undefined || nowMs - head.enqueuedAtMs < options.raiseAfterMs) return wire.Urgency.URGENCY_IDLE
-  if (head.requestClass !== wire.RequestClass.REQUEST_CLASS_PRESSING) return wire.Urgency.URGENCY_ORDINARY
+  if (head === undefined) return wire.Urgency.URGENCY_IDLE
+  const waitedMs = nowMs - head.enqueuedAtMs
+  if (head.requestClass !== wire.RequestClass.REQUEST_CLASS_PRESSING) {
+    return waitedMs < options.raiseOrdinaryAfterMs ? wire.Urgency.URGENCY_IDLE : wire.Urgency.URGENCY_ORDINARY
+  }
+  if (waitedMs < options.raisePressingAfterMs) return wire.Urgency.URGENCY_IDLE
   const slackMs = head.latestStartAtMs - nowMs
   return slackMs < options.criticalSlackMs ? wire.Urgency.URGENCY_CRITICAL : wire.Urgency.URGENCY_PRESSING
 }
--- a/packages/admission/src/waitingQueue.ts
+++ b/packages/admission/src/waitingQueue.ts
@@ -1,6 +1,6 @@
 /** Work that waits at an entry for a free slot. */
 import * as protocol from '@egretvalve/protocol'
-import { DeadlineHeap } from './deadlineHeap.ts'
+import { DueHeap } from './dueHeap.ts'
 import type { QueueOptions } from './defaults.ts'
 import { TeamShares } from './teamShares.ts'
 
@@ -10,6 +10,8 @@
 export interface WaitingWork<T> {
   team: string
   requestClass: protocol.wire.RequestClass
+  /** Time that decides the order within a class: the earlier goes first. */
+  dueAtMs: number
   /** Time after which a task of it is not worth a start any more; positive infinity for none. */
   latestStartAtMs: number
   enqueuedAtMs: number
@@ -29,7 +31,7 @@
 
 /** Waiting work of one class. */
 interface ClassQueue<T> {
-  heaps: Map<string, DeadlineHeap<T>>
+  heaps: Map<string, DueHeap<T>>
   taskCount: number
   workMs: number
 }
@@ -38,7 +40,7 @@
   return { heaps: new Map(), taskCount: 0, workMs: 0 }
 }
 
-/** Orders waiting work by class, then by the teams' shares, then by latest start. */
+/** Orders waiting work by class, then by the teams' shares, then by due time. */
 export class WaitingQueue<T> {
   private readonly pressing = createClassQueue<T>()
   private readonly ordinary = createClassQueue<T>()
@@ -58,7 +60,7 @@
     const queue = this.queueOf(item.requestClass)
     let heap = queue.heaps.get(item.team)
     if (heap === undefined) {
-      heap = new DeadlineHeap()
+      heap = new DueHeap()
       queue.heaps.set(item.team, heap)
     }
     heap.push(item)
@@ -88,7 +90,7 @@
     item.taskCount = 0
   }
 
-  /** Removes and returns the items whose latest start has passed, each with the tasks it still had. */
+  /** Removes and returns the most urgent items whose latest start has passed, each with the tasks it still had. */
   dropExpired (nowMs: number): Array<WaitingItem<T>> {
     return [...this.dropExpiredOf(this.pressing, nowMs), ...this.dropExpiredOf(this.ordinary, nowMs)]
   }
@@ -122,7 +124,7 @@
   }
 
   /**
-   * The earliest latest start of all; under contention that lasts, the earliest among the teams within their share.
+   * The earliest due time of all; under contention that lasts, the earliest among the teams within their share.
    * Brief queues stay in order of urgency, because usage over a short time says little about a team.
    */
   private headOf (queue: ClassQueue<T>, nowMs: number): WaitingItem<T> | undefined {
@@ -170,7 +172,7 @@
 }
 
 function isEarlier<T> (item: WaitingItem<T>, other: WaitingItem<T> | undefined): boolean {
-  return other === undefined || item.latestStartAtMs < other.latestStartAtMs
+  return other === undefined || item.dueAtMs < other.dueAtMs
 }
 
 function count<T> (queue: ClassQueue<T>, item: WaitingItem<T>, taskCount: number): void {
@@ -182,7 +184,7 @@
 }
 
 /** Drops items that have left the queue from the head of a heap. */
-function pruneHead<T> (heap: DeadlineHeap<T>): WaitingItem<T> | undefined {
+function pruneHead<T> (heap: DueHeap<T>): WaitingItem<T> | undefined {
   while (heap.first !== undefined && heap.first.taskCount === 0) heap.shift()
   return heap.first
 }
--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -12,7 +12,7 @@
   announceListen: string
   /** Link addresses of some entries; the rest is learned from them. */
   entries: string[]
-  /** Tasks that wait at the agent, to hide the round trip. */
+  /** Tasks that may wait at the agent beyond its free slots; more are refused and go elsewhere. */
   queueDepth: number
   retentionMs: number
   recordMaxBytes: number
@@ -36,7 +36,7 @@
   rack: settings.text('Rack of this worker.', 'a name such as rack-1', 'rack-1'),
   announceListen: settings.address('Loopback address for the backend server\'s announcement.', '127.0.0.1:7200'),
   entries: settings.addressList('Link addresses of some entries.', '127.0.0.1:7100'),
-  queueDepth: settings.wholeNumber('Tasks that may wait at the agent.', 'tasks', 0, 1_000, '4'),
+  queueDepth: settings.wholeNumber('Tasks that may wait at the agent beyond its free slots.', 'tasks', 0, 1_000, '0'),
   retentionMs: settings.wholeNumber('Time for which starts and results are kept.', 'milliseconds', 1_000, MAX_STOP_LIMIT_MS, String(protocol.RETENTION_MS)),
   recordMaxBytes: settings.wholeNumber('Memory for the record of starts and results.', 'bytes', 1_000_000, MAX_RECORD_BYTES, '100000000'),
   stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_STOP_LIMIT_MS, '60000'),
--- a/packages/agent/src/tasks/executor.ts
+++ b/packages/agent/src/tasks/executor.ts
@@ -139,7 +139,7 @@
     if (this.isDraining) return wire.RefusalReason.REFUSAL_REASON_DRAINING
     if (!this.options.announcer.acceptsTasks) return wire.RefusalReason.REFUSAL_REASON_NO_BACKEND
     if (this.hasPassedDeadline(queued)) return wire.RefusalReason.REFUSAL_REASON_DEADLINE_PASSED
-    if (this.usedSlots + this.queuedSlots() + slotsOf(queued.job) > this.slots + this.options.queueDepth) return wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL
+    if (this.committedSlots(queued) + slotsOf(queued.job) > this.slots + this.options.queueDepth) return wire.RefusalReason.REFUSAL_REASON_QUEUE_FULL
     return wire.RefusalReason.REFUSAL_REASON_NONE
   }
 
@@ -170,13 +170,20 @@
 
   /** Ordinary tasks leave alone the slots that are reserved for other entries. */
   private mayStart (queued: QueuedTask): boolean {
-    const isPressing = queued.job.requestClass === wire.RequestClass.REQUEST_CLASS_PRESSING
-    const reserved = isPressing ? 0 : this.credits.outstanding
     const slots = slotsOf(queued.job)
-    if (this.usedSlots + reserved + slots > this.slots) return false
+    if (this.usedSlots + this.reservedSlots(queued) + slots > this.slots) return false
     return !isDeclaredLong(queued.task) || this.freeLongSlots(this.options.timers.nowMs()) >= slots
   }
 
+  private reservedSlots (queued: QueuedTask): number {
+    const isPressing = queued.job.requestClass === wire.RequestClass.REQUEST_CLASS_PRESSING
+    return isPressing ? 0 : this.credits.outstanding
+  }
+
+  private committedSlots (queued: QueuedTask): number {
+    return this.usedSlots + this.queuedSlots() + this.reservedSlots(queued)
+  }
+
   private unreservedSlots (): number {
     return Math.max(0, this.slots - this.usedSlots - this.queuedSlots() - this.credits.outstanding)
   }
--- a/packages/entry/src/dispatch/agentFleet.ts
+++ b/packages/entry/src/dispatch/agentFleet.ts
@@ -41,7 +41,7 @@
 
   /** Takes over the newest load report of an agent. */
   applyLoad (session: AgentSession): void {
-    this.view.get(session.agentId)?.applyLoad(session.currentLoad, this.timers.nowMs())
+    this.view.get(session.agentId)?.applyLoad(session.currentLoad, this.timers.nowMs(), session.outstanding.size)
   }
 
   knowsService (service: string): boolean {
--- a/packages/entry/src/dispatch/serviceQueue.ts
+++ b/packages/entry/src/dispatch/serviceQueue.ts
@@ -55,10 +55,12 @@
     if (first === undefined) return undefined
     const { submission } = group.job
     const expectedRunMs = this.runTimes.expectedRunMs(declaredRunMs(group.job, first))
+    const latestStartAtMs = resolveLatestStartMs(resolveDeadlineMs(submission), expectedRunMs, nowMs)
     return this.laneOf(group.job, first).queue.push({
       team: submission.key!.team ?? '',
       requestClass: submission.requestClass ?? wire.RequestClass.REQUEST_CLASS_ORDINARY,
-      latestStartAtMs: resolveLatestStartMs(resolveDeadlineMs(submission), expectedRunMs, nowMs),
+      dueAtMs: resolveDueMs(submission, latestStartAtMs),
+      latestStartAtMs,
       enqueuedAtMs: nowMs,
       expectedRunMs,
       taskCount: group.indexes.length,
@@ -112,7 +114,7 @@
 
 function isMoreUrgent (left: WaitingGroup, right: WaitingGroup): boolean {
   if (left.requestClass !== right.requestClass) return left.requestClass > right.requestClass
-  return left.latestStartAtMs < right.latestStartAtMs
+  return left.dueAtMs < right.dueAtMs
 }
 
 /** A task that could never meet its deadline by its declared run time may start until the deadline itself. */
@@ -120,3 +122,12 @@
   const latestStartAtMs = deadlineAtMs - expectedRunMs - ANSWER_MARGIN_MS
   return latestStartAtMs > nowMs ? latestStartAtMs : deadlineAtMs
 }
+
+/**
+ * Pressing work goes by its latest start, which meets the most deadlines. Ordinary work goes by its deadline,
+ * so that short tasks do not wait behind long ones that came later.
+ */
+function resolveDueMs (submission: protocol.wire.ISubmission, latestStartAtMs: number): number {
+  const isPressing = submission.requestClass === wire.RequestClass.REQUEST_CLASS_PRESSING
+  return isPressing ? latestStartAtMs : resolveDeadlineMs(submission)
+}
--- a/packages/placement/src/agentView.ts
+++ b/packages/placement/src/agentView.ts
@@ -27,6 +27,7 @@
   credits = 0
   reportedAtMs: number
   private free = capacity.resolveCapacity(undefined)
+  private ownSlots = 0
   private received = 0
   private inTransit: SentGroup[] = []
 
@@ -34,8 +35,18 @@
     this.reportedAtMs = nowMs
   }
 
-  /** Takes over a load report. */
-  applyLoad (load: protocol.wire.ILoadReport, nowMs: number): void {
+  /** Slots in use by other entries, or reserved for them, at the last report. */
+  get otherSlots (): number {
+    return Math.max(0, this.total.slots - this.freeSlots - this.credits - this.ownSlots)
+  }
+
+  /** Slots that this entry does not use itself, at the last report. */
+  get sharedSlots (): number {
+    return Math.max(0, this.total.slots - this.ownSlots)
+  }
+
+  /** Takes over a load report. `ownTasks` are this entry's tasks that were sent to the agent and have not ended. */
+  applyLoad (load: protocol.wire.ILoadReport, nowMs: number, ownTasks = 0): void {
     this.service = load.service ?? this.service
     this.rack = load.rack ?? this.rack
     this.draining = load.draining ?? false
@@ -49,6 +60,7 @@
     this.total = capacity.resolveCapacity(load.total)
     this.reportedAtMs = nowMs
     this.dropReceived(load.receivedTasks ?? 0)
+    this.ownSlots = Math.max(0, ownTasks - this.transitSlots())
   }
 
   /** Counts tasks that this entry has just sent. */
@@ -78,14 +90,14 @@
   }
 
   /**
-   * Slots expected to be free. An old report moves towards the fleet's mean, because other entries have
-   * used the server since; credits do not age.
+   * Slots expected to be free. What this entry uses is known; the part of the rest that others use moves from the
+   * last report towards the fleet's mean as the report ages. Credits are certain.
    */
-  expectedFreeSlots (nowMs: number, meanFreeSlots: number, reportHalfLifeMs: number): number {
+  expectedFreeSlots (nowMs: number, meanOtherShare: number, reportHalfLifeMs: number): number {
     const ageMs = nowMs - this.reportedAtMs
     const ageShare = ageMs / (ageMs + reportHalfLifeMs)
-    const reported = this.freeSlots + (meanFreeSlots - this.freeSlots) * ageShare
-    return reported + this.credits - this.transitSlots()
+    const expected = this.knownFreeSlots() + (this.otherSlots - meanOtherShare * this.sharedSlots) * ageShare
+    return Math.max(expected, this.credits - this.transitSlots())
   }
 
   /** How many tasks of a size beyond one slot the server's other resources hold. */
--- a/packages/placement/src/defaults.ts
+++ b/packages/placement/src/defaults.ts
@@ -9,7 +9,7 @@
 }
 
 export const DEFAULT_PLACEMENT: PlacementOptions = {
-  reportHalfLifeMs: 300,
+  reportHalfLifeMs: 100,
   seed: 1
 }
 
--- a/packages/placement/src/fleet.ts
+++ b/packages/placement/src/fleet.ts
@@ -44,6 +44,9 @@
 /** Steps into which the free share of a server is divided; servers on the same step count as equally loaded. */
 const LOAD_LEVELS = 16
 
+/** An expected free slot counts as one from this far below one. */
+const SLOT_TOLERANCE = 0.2
+
 /** Views of all agents that are linked to this entry. */
 export class FleetView {
   readonly ejection: Ejection
@@ -131,14 +134,14 @@
   }
 
   private findCandidates (request: PlacementRequest, nowMs: number): Candidate[] {
-    const meanFreeSlots = this.meanFreeSlots(request.service)
+    const meanOtherShare = this.meanOtherShare(request.service)
     const isOneSlot = capacity.isOneSlot(request.wanted)
     const candidates: Candidate[] = []
     for (const view of this.agents.values()) {
       if (!this.isEligible(view, request, nowMs)) continue
-      const expectedFreeSlots = view.expectedFreeSlots(nowMs, meanFreeSlots, this.options.reportHalfLifeMs)
+      const expectedFreeSlots = view.expectedFreeSlots(nowMs, meanOtherShare, this.options.reportHalfLifeMs)
       const usableSlots = request.isLong === true ? Math.min(expectedFreeSlots, view.knownFreeLongSlots()) : expectedFreeSlots
-      const slotRoom = Math.floor(usableSlots / request.wanted.slots)
+      const slotRoom = Math.floor((usableSlots + SLOT_TOLERANCE) / request.wanted.slots)
       const room = isOneSlot ? slotRoom : Math.min(slotRoom, view.countFittingResources(request.wanted))
       if (room >= 1) candidates.push({ view, room: this.limitTrial(view, room, nowMs), expectedFreeSlots, chosen: 0 })
     }
@@ -159,7 +162,7 @@
     let best: Candidate | undefined
     let ties = 0
     for (const candidate of candidates) {
-      if (candidate.room < 1 || candidate.expectedFreeSlots < slots) continue
+      if (candidate.room < 1 || candidate.expectedFreeSlots + SLOT_TOLERANCE < slots) continue
       const order = best === undefined ? -1 : this.compare(candidate, best)
       if (order < 0) {
         best = candidate
@@ -197,15 +200,16 @@
     return placements
   }
 
-  private meanFreeSlots (service: string): number {
-    let servers = 0
-    let freeSlots = 0
+  /** The part of the slots which this entry does not use itself that others use. */
+  private meanOtherShare (service: string): number {
+    let sharedSlots = 0
+    let otherSlots = 0
     for (const view of this.agents.values()) {
       if (view.service !== service || view.draining) continue
-      servers++
-      freeSlots += view.freeSlots
+      sharedSlots += view.sharedSlots
+      otherSlots += view.otherSlots
     }
-    return servers === 0 ? 0 : freeSlots / servers
+    return sharedSlots === 0 ? 0 : otherSlots / sharedSlots
   }
 }
 
