--- a/packages/bench/src/slopes/agentSlopes.ts
+++ b/packages/bench/src/slopes/agentSlopes.ts
@@ -4,7 +4,7 @@
 import { BackendServer } from '../backend.ts'
 import { CallerClient } from '../callerClient.ts'
 import { LocalFleet } from '../localFleet.ts'
-import { MeasuredProcess } from './childProcess.ts'
+import { MeasuredProcess } from '../measuredProcess.ts'
 import type { SlopeOptions } from './entrySlopes.ts'
 import type { MeasuredPoint } from './fit.ts'
 import { runClosedLoad, runOpenLoad } from './jobLoad.ts'
@@ -74,7 +74,7 @@
   const memory: MeasuredPoint[] = []
   for (const entries of ENTRY_COUNTS) {
     const rig = await AgentRig.start(entries, options.timers)
-    const window = await rig.measure(options.timers, async () => { await options.timers.sleep(options.windowMs) })
+    const window = await rig.measure(options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
     await rig.stop()
     cpu.push({ x: entries, y: window.cpuMsPerSecond })
     bytes.push({ x: entries, y: window.bytesPerSecond })
