--- a/packages/config/src/spreader.ts
+++ b/packages/config/src/spreader.ts
@@ -1,6 +1,7 @@
 /** Spreads accepted configuration between nodes and gathers which node holds which version. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
+import { digestText } from './canonical.ts'
 import type { ConfigChannel } from './channel.ts'
 import { FleetReporter } from './fleetReport.ts'
 import { FleetView, type NodeIdentity } from './fleet.ts'
@@ -13,6 +14,12 @@
 const WANT_DELAY_MS = 200
 /** Time after which another node is asked for a version that did not come, in milliseconds. */
 const WANT_RETRY_MS = 1_000
+/** Time over which the entries of one agent spread their sending, so that one sends and the others see its report; milliseconds. */
+const PUSH_SPREAD_MS = 200
+/** Number of moments within that time. */
+const PUSH_SLOTS = 20
+/** Hexadecimal digits of a digest that choose the moment. */
+const SLOT_DIGITS = 8
 
 /** What the spreader needs. */
 export interface SpreaderServices {
@@ -37,9 +44,10 @@
   private readonly reporter: FleetReporter
   private wantTimer: settings.TimerHandle | undefined
   private readonly unsubscribe: () => void
+  private readonly pushes = new Set<settings.TimerHandle>()
 
   constructor (
-    self: NodeIdentity,
+    private readonly self: NodeIdentity,
     private readonly registry: ConfigRegistry,
     private readonly services: SpreaderServices
   ) {
@@ -53,6 +61,8 @@
     this.unsubscribe()
     this.wantTimer?.cancel()
     this.wantTimer = undefined
+    for (const push of this.pushes) push.cancel()
+    this.pushes.clear()
   }
 
   /** Begins the exchange with a node whose hello carried the versions given. */
@@ -126,10 +136,24 @@
   private spread (config: AcceptedConfig): void {
     this.wants.delete(config.team)
     const notice: protocol.wire.IConfigVersions = { versions: [{ team: config.team, version: config.version }] }
+    const slots = new Map<number, ConfigSession[]>()
     for (const session of this.listRemotes()) {
       if (session.remote.kind === NodeKind.NODE_KIND_ENTRY) session.sendVersions(notice)
-      else if (!session.holds(config.team, config.version)) session.sendConfigs([config])
+      else addToSlot(slots, resolveSlot(this.self, session.remote, config), session)
     }
+    for (const [slot, sessions] of slots) this.planPush(slot, sessions, config)
+  }
+
+  /** Sends a document to agents at a moment of its own, unless another entry was faster or a later version came. */
+  private planPush (slot: number, sessions: readonly ConfigSession[], config: AcceptedConfig): void {
+    const push = this.services.timers.after(slot * PUSH_SPREAD_MS / PUSH_SLOTS, () => {
+      this.pushes.delete(push)
+      if (this.registry.versionOf(config.team) !== config.version) return
+      for (const session of sessions) {
+        if (!session.holds(config.team, config.version)) session.sendConfigs([config])
+      }
+    })
+    this.pushes.add(push)
   }
 
   /** Agents get the documents that they lack; entries get the versions, which may have changed since this node's hello. */
@@ -181,3 +205,15 @@
     return holder
   }
 }
+
+/** Chooses the moment at which an entry sends a version to an agent; it differs between the agent's entries. */
+function resolveSlot (self: NodeIdentity, remote: NodeIdentity, config: AcceptedConfig): number {
+  const digest = digestText(`${self.nodeId} ${remote.nodeId} ${config.team} ${config.version}`)
+  return Number.parseInt(digest.slice(0, SLOT_DIGITS), 16) % PUSH_SLOTS
+}
+
+function addToSlot (slots: Map<number, ConfigSession[]>, slot: number, session: ConfigSession): void {
+  const sessions = slots.get(slot)
+  if (sessions === undefined) slots.set(slot, [session])
+  else sessions.push(session)
+}
