Let an entry start from the entries that its settings name

Cause: an entry that starts while the store is down knows no assignment and so finds no other entry. An entry is ready only once it also knows the assignment, so the test of starting from an agent now checks the document in force while the store is down and readiness when the store is back; it checked readiness during the outage, which was right before ownership. Conclusion: configuration is known during an outage from entries and agents; taking submissions waits for the store.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -159,6 +159,7 @@
       identity: { entryId: this.entryId, incarnation: this.incarnation, peerAddress: this.linkAddress, failureDomain: settings.failureDomain },
       region: settings.region,
       retentionMs: settings.retentionMs,
+      peerAddresses: settings.peers,
       registry,
       dispatcher,
       agentLinks,
--- a/packages/entry/src/owners/entryOwnership.ts
+++ b/packages/entry/src/owners/entryOwnership.ts
@@ -12,6 +12,7 @@
 import type { JobRegistry } from '../jobs/registry.ts'
 import { RoutedGateway } from '../jobs/routedGateway.ts'
 import type { AgentLinks } from '../links/agentLinks.ts'
+import { PeerLink } from '../peers/peerLink.ts'
 import { PeerLinks } from '../peers/peerLinks.ts'
 import { createPeerServer } from '../peers/peerServer.ts'
 import type { PeerServices, SendFrame } from '../peers/services.ts'
@@ -29,6 +30,8 @@
   identity: ownership.EntryIdentity
   region: string
   retentionMs: number
+  /** Link addresses of other entries from the settings. */
+  peerAddresses: readonly string[]
   registry: JobRegistry
   dispatcher: Dispatcher
   agentLinks: AgentLinks
@@ -45,11 +48,13 @@
   readonly ownership: ownership.Ownership
   private readonly peers: PeerLinks
   private readonly adoption: Adoption
-  private readonly exchanges = new Map<string, PeerConfigExchange>()
+  /** Streams to the entries that the settings name, so that an entry that starts while the store is down finds others. */
+  private readonly startLinks: PeerLink[]
 
   constructor (private readonly options: EntryOwnershipOptions) {
     const { timers, log, store, registry, dispatcher, agentLinks } = options
-    this.peers = new PeerLinks(this.createPeerServices(true))
+    this.peers = new PeerLinks(this.createPeerServices(new Map()))
+    this.startLinks = options.peerAddresses.map(address => new PeerLink(address, this.createPeerServices(new Map())))
     this.fences = new Fences({
       timers,
       roster: options.roster,
@@ -76,6 +81,7 @@
 
   start (): void {
     this.ownership.start()
+    for (const link of this.startLinks) link.run().catch(() => {})
   }
 
   /** True when another member can take the partitions. */
@@ -95,6 +101,7 @@
 
   stop (): void {
     this.peers.stop()
+    for (const link of this.startLinks) link.stop()
   }
 
   /** Checks that tasks of a partition may be started now. */
@@ -103,12 +110,12 @@
     return checked.ok ? checked.val : undefined
   }
 
-  /** Handles the streams that other entries open. */
+  /** Creates the handler of one stream that another entry opened. */
   createPeerHandler (): runtime.LinkHandler<protocol.wire.PeerFrame, protocol.wire.IPeerFrame> {
     return createPeerServer({
       handleForward: async (forward, signal) => await this.gateway.handleForward(forward, signal),
       handlePromiseRequest: (incarnation, request) => this.ownership.answerPromise(incarnation, request)
-    }, this.createPeerServices(false))
+    }, this.createPeerServices(new Map()))
   }
 
   /** Submits the jobs of partitions that went to another entry there, for callers who look later. */
@@ -129,25 +136,22 @@
     return this.ownership.assignment.members.filter(member => member.incarnation !== this.options.identity.incarnation)
   }
 
-  /** Of the two streams between a pair of entries, the one that the lower incarnation opened carries the configuration. */
-  private createPeerServices (isDialer: boolean): PeerServices {
-    const { timers, log, tls, createHello, spreader, identity } = this.options
-    const carriesConfig = (hello: protocol.wire.IEntryHello): boolean => (identity.incarnation < (hello.incarnation ?? '')) === isDialer
+  /** `exchanges` holds those of the caller's streams. Each stream exchanges configuration; the spreader sends over one of those that lead to the same entry. */
+  private createPeerServices (exchanges: Map<string, PeerConfigExchange>): PeerServices {
+    const { timers, log, tls, createHello, spreader } = this.options
     return {
       timers,
       log,
       tls,
       createHello,
       onOpen: (hello: protocol.wire.IEntryHello, send: SendFrame) => {
-        if (!carriesConfig(hello)) return
-        this.exchanges.get(hello.incarnation ?? '')?.close()
-        this.exchanges.set(hello.incarnation ?? '', new PeerConfigExchange(spreader, hello, send))
+        exchanges.get(hello.incarnation ?? '')?.close()
+        exchanges.set(hello.incarnation ?? '', new PeerConfigExchange(spreader, hello, send))
       },
-      onFrame: (hello, frame) => { if (hello !== undefined && carriesConfig(hello)) this.exchanges.get(hello.incarnation ?? '')?.receive(frame) },
+      onFrame: (hello, frame) => { exchanges.get(hello?.incarnation ?? '')?.receive(frame) },
       onClosed: hello => {
-        if (!carriesConfig(hello)) return
-        this.exchanges.get(hello.incarnation ?? '')?.close()
-        this.exchanges.delete(hello.incarnation ?? '')
+        exchanges.get(hello.incarnation ?? '')?.close()
+        exchanges.delete(hello.incarnation ?? '')
       }
     }
   }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -15,6 +15,8 @@
   linkListen: string
   /** Address of the platform's store; empty runs alone, without a store. */
   storeAddress: string
+  /** Link addresses of some other entries, from which it learns the configuration while the store is down. */
+  peers: string[]
   /** Longest time a caller's request may wait for its answer, in milliseconds. */
   maxWaitMs: number
   requestTimeoutMs: number
@@ -56,6 +58,7 @@
   httpListen: settings.address('Address for callers and administrators.', '127.0.0.1:7000'),
   linkListen: settings.address('Address for agents and other entries.', '127.0.0.1:7100'),
   storeAddress: settings.text('Address of the platform\'s store; empty runs alone.', 'an IPv4 address and port', ''),
+  peers: settings.addressList('Link addresses of some other entries; needed only to start while the store is down.', ''),
   maxWaitMs: settings.wholeNumber('Longest wait for an answer in one call.', 'milliseconds', 0, MAX_DURATION_MS, '120000'),
   requestTimeoutMs: settings.wholeNumber('Longest time for a request to arrive.', 'milliseconds', 100, MAX_DURATION_MS, '10000'),
   defaultDeadlineMs: settings.wholeNumber('Deadline of submissions that state none.', 'milliseconds', 1, MAX_DURATION_MS, '60000'),
--- a/test/failure/configMounted.test.ts
+++ b/test/failure/configMounted.test.ts
@@ -116,9 +116,23 @@
     const second = agent.createAgent(values, services)
     await second.start()
     await waitFor('the configuration', () => running.config.registry.versionOf(TEAM) === 2)
-    await waitFor('readiness', async () => (await call(running, 'GET', '/readyz')).statusCode === 200)
+    expect((await call(running, 'GET', `/admin/v1/config/${TEAM}`)).body).to.include({ version: 2 })
     await second.stop()
     store.faults = standin.createNoFaults()
+    await waitFor('readiness', async () => (await call(running, 'GET', '/readyz')).statusCode === 200)
+    expect(running.config.registry.versionOf(TEAM)).to.equal(2)
+  })
+
+  it('starts an entry from the entries that its settings name while the store is down', async () => {
+    store.faults = { ...store.faults, down: true }
+    const running = await startEntry('entry-5', 'attica-b', { peers: [entries[0]!.linkAddress] })
+    await waitFor('the configuration', () => running.config.registry.versionOf(TEAM) === 2)
+    await waitFor('the report', async () => {
+      const status = await call(entries[0]!, 'GET', '/admin/v1/config-status')
+      const nodes = status.body.nodes as Array<{ nodeId: string, versions: Record<string, number> }>
+      return nodes.some(node => node.nodeId === 'entry-5' && node.versions[TEAM] === 2)
+    })
+    store.faults = standin.createNoFaults()
   })
 
   it('refuses administration without a token when access is not open', async () => {
