--- a/test/failure/configMounted.test.ts
+++ b/test/failure/configMounted.test.ts
@@ -118,19 +118,14 @@
     const second = agent.createAgent(values, services)
     await second.start()
     await waitFor('the configuration', () => running.config.registry.versionOf(TEAM) === 2)
-<<<<<<< HEAD
     await waitFor('the configuration to count', async () => (await call(running, 'GET', '/readyz')).body.hasConfiguration === true)
     const during = await call(running, 'GET', '/readyz')
     expect(during.statusCode, 'without the store it can not learn the owners').to.equal(503)
     expect(during.body).to.include({ ready: false, hasConfiguration: true, hasAssignment: false })
-    store.faults = standin.createNoFaults()
-    await waitFor('readiness', async () => (await call(running, 'GET', '/readyz')).statusCode === 200)
-    await second.stop()
-=======
     expect((await call(running, 'GET', `/admin/v1/config/${TEAM}`)).body).to.include({ version: 2 })
-    await second.stop()
     store.faults = standin.createNoFaults()
     await waitFor('readiness', async () => (await call(running, 'GET', '/readyz')).statusCode === 200)
+    await second.stop()
     expect(running.config.registry.versionOf(TEAM)).to.equal(2)
   })
 
@@ -144,7 +139,6 @@
       return nodes.some(node => node.nodeId === 'entry-5' && node.versions[TEAM] === 2)
     })
     store.faults = standin.createNoFaults()
->>>>>>> config
   })
 
   it('refuses administration without a token when access is not open', async () => {
