--- a/packages/agent/src/links/entryLink.ts
+++ b/packages/agent/src/links/entryLink.ts
@@ -6,8 +6,8 @@
 
 const MIN_BACKOFF_MS = 100
 const MAX_BACKOFF_MS = 2_000
-/** An idle stream carries one heartbeat in this time. */
-const HEARTBEAT_PERIOD_MS = 15_000
+/** A stream carries one heartbeat in this time. */
+const HEARTBEAT_PERIOD_MS = 60_000
 
 /** What a link needs of its agent. */
 export interface EntryLinkHandler {
--- a/packages/bench/src/capacity/model.ts
+++ b/packages/bench/src/capacity/model.ts
@@ -87,8 +87,8 @@
   const role = CapacityRole.Entry
   const singleJobRate = TARGET.startsPerSecond / entries
   return [
-    { role, cost: 'control: processor time', formula: `intercept + slope x ${agents} agents`, slope: formatSlope(cpu), figure: evaluate(cpu, agents), unit: 'ms/s', limit: LIMITS.controlCpuMsPerSecond, mechanism: 'one stream an agent; heartbeats only on idle streams, each 15 s' },
-    { role, cost: 'control: agent links', formula: `intercept + slope x ${agents} agents`, slope: formatSlope(bytes), figure: evaluate(bytes, agents), unit: 'B/s', limit: LIMITS.controlBytesPerSecond, mechanism: 'load rides on reports; heartbeats each 15 s both ways' },
+    { role, cost: 'control: processor time', formula: `intercept + slope x ${agents} agents`, slope: formatSlope(cpu), figure: evaluate(cpu, agents), unit: 'ms/s', limit: LIMITS.controlCpuMsPerSecond, mechanism: 'one stream an agent; keepalive each 20 s, heartbeats each 60 s' },
+    { role, cost: 'control: agent links', formula: `intercept + slope x ${agents} agents`, slope: formatSlope(bytes), figure: evaluate(bytes, agents), unit: 'B/s', limit: LIMITS.controlBytesPerSecond, mechanism: 'load rides on reports; keepalive each 20 s, heartbeats each 60 s both ways' },
     { role, cost: 'control: peers', formula: `intercept + slope x ${entries} entries`, slope: formatSlope(peers), figure: evaluate(peers, entries), unit: 'B/s', limit: LIMITS.controlBytesPerSecond, mechanism: 'heartbeats and promises between entries, versions as deltas' },
     { role, cost: 'memory at rest', formula: `intercept + slope x ${agents} agents`, slope: formatSlope(memory), figure: evaluate(memory, agents), unit: 'MB', limit: LIMITS.memoryMb, mechanism: 'one session an agent; answers kept within recordMaxBytes (64 MB) come on top' },
     { role, cost: 'work: processor time, jobs of 1', formula: `(intercept + slope) x ${formatNumber(singleJobRate)} jobs/s`, slope: formatSlope(job), figure: evaluate(job, 1) * singleJobRate, unit: 'ms/s', limit: CORE_MS_PER_SECOND, mechanism: 'starts and reports in batches for each agent' },
@@ -108,8 +108,8 @@
   const records = rate * TARGET.retentionSeconds
   const role = CapacityRole.Agent
   return [
-    { role, cost: 'control: processor time', formula: `intercept + slope x ${entries} entries`, slope: formatSlope(cpu), figure: evaluate(cpu, entries), unit: 'ms/s', limit: LIMITS.controlCpuMsPerSecond, mechanism: 'one stream an entry; heartbeats only on idle streams' },
-    { role, cost: 'control: links', formula: `intercept + slope x ${entries} entries`, slope: formatSlope(bytes), figure: evaluate(bytes, entries), unit: 'B/s', limit: LIMITS.controlBytesPerSecond, mechanism: 'heartbeats each 15 s both ways' },
+    { role, cost: 'control: processor time', formula: `intercept + slope x ${entries} entries`, slope: formatSlope(cpu), figure: evaluate(cpu, entries), unit: 'ms/s', limit: LIMITS.controlCpuMsPerSecond, mechanism: 'one stream an entry' },
+    { role, cost: 'control: links', formula: `intercept + slope x ${entries} entries`, slope: formatSlope(bytes), figure: evaluate(bytes, entries), unit: 'B/s', limit: LIMITS.controlBytesPerSecond, mechanism: 'keepalive each 20 s, heartbeats each 60 s both ways' },
     { role, cost: 'memory at rest', formula: `intercept + slope x ${entries} entries`, slope: formatSlope(memory), figure: evaluate(memory, entries), unit: 'MB', limit: LIMITS.memoryMb, mechanism: 'the runtime and its libraries, then one stream an entry' },
     { role, cost: 'record of starts: memory', formula: `slope x ${formatNumber(records)} starts (${formatNumber(rate)}/s kept for ${TARGET.retentionSeconds} s)`, slope: formatSlope(record), figure: record.line.slope * records, unit: 'MB', limit: LIMITS.memoryMb, mechanism: 'kept for the retention time, bounded by recordMaxBytes' },
     { role, cost: 'work: processor time', formula: `intercept + slope x ${formatNumber(rate)} starts/s`, slope: formatSlope(work), figure: evaluate(work, rate), unit: 'ms/s', mechanism: 'one HTTP call a task to the backend server, reports in batches' }
--- a/packages/bench/src/command/load.ts
+++ b/packages/bench/src/command/load.ts
@@ -49,6 +49,7 @@
   const policyResults = await comparePolicies(plan, values.policy, createFactory(values, timers), timers)
   const measures = policyResults.map(result => result.measures)
   streams.out(formatTable(measures))
+  for (const { policy, answers } of measures) streams.out(`${policy}: ${answers.map(answer => `${answer.count} ${answer.kind} ${answer.code}`.trimEnd()).join(', ')}`)
   const summary = { profile: plan.name, seed: plan.seed, fleet, durationMs: plan.durationMs, submissions: jobs.length, policies: measures }
   await writeOutput(values.saveTrace, formatTrace(jobs))
   await writeOutput(values.json, formatJson(summary))
--- a/packages/bench/src/command/loadSettings.ts
+++ b/packages/bench/src/command/loadSettings.ts
@@ -74,7 +74,7 @@
   report: settings.text('File to which the report is written as HTML.', 'a path', ''),
   slopes: settings.flag('Measures costs against sizes in place of a load; starts the processes that it measures.'),
   windowMs: settings.wholeNumber('Length of each window of --slopes with work.', 'milliseconds', 500, MAX_WINDOW_MS, '5000'),
-  restWindowMs: settings.wholeNumber('Length of each window of --slopes at rest.', 'milliseconds', 500, MAX_WINDOW_MS, '15000')
+  restWindowMs: settings.wholeNumber('Length of each window of --slopes at rest.', 'milliseconds', 500, MAX_WINDOW_MS, '60000')
 }
 
 export const replayDefinition: settings.SettingsDefinition<ReplaySettings> = {
--- a/packages/bench/src/measures.ts
+++ b/packages/bench/src/measures.ts
@@ -31,10 +31,31 @@
   /** Processor time for each started task in milliseconds. */
   cpuMsPerTask: number
   networkMs: number
+  answers: AnswerCount[]
   /** How late the generator handed over submissions at the 99th percentile, in milliseconds. */
   generatorLagP99Ms?: number
 }
 
+/** How often answers of one kind and code came. */
+export interface AnswerCount {
+  /** `none` when no answer came; the code then says why. */
+  kind: AnswerKind | 'none'
+  code: string
+  count: number
+}
+
+/** Counts the answers of a run by kind and code, the most frequent first. */
+export function countAnswers (record: RunRecord): AnswerCount[] {
+  const counts = new Map<string, AnswerCount>()
+  for (const { kind = 'none', code } of record.outcomes) {
+    const key = `${kind} ${code}`
+    const count = counts.get(key) ?? { kind, code, count: 0 }
+    count.count++
+    counts.set(key, count)
+  }
+  return [...counts.values()].sort((a, b) => b.count - a.count)
+}
+
 /** Computes the measures of a run; `withoutLong` is the same run without its long work. */
 export function computeMeasures (record: RunRecord, withoutLong?: RunRecord): Measures {
   const slowdowns = createDistribution(listSlowdowns(record))
@@ -57,6 +78,7 @@
     startsPerTask: record.starts.length / Math.max(1, startedTasks),
     cpuMsPerTask: record.costs.cpuMs / Math.max(1, startedTasks),
     networkMs: record.networkMs,
+    answers: countAnswers(record),
     generatorLagP99Ms: createDistribution(record.outcomes.map(outcome => outcome.submittedAtMs - outcome.job.atMs)).at(99)
   }
 }
--- a/packages/bench/src/slopes/agentSlopes.ts
+++ b/packages/bench/src/slopes/agentSlopes.ts
@@ -67,26 +67,24 @@
   }
 }
 
-/** Measures the agent at rest against the number of entries. */
+/** Measures agents at rest against the number of entries, one agent process for each number, all at the same time. */
 export async function measureAgentRestSlopes (options: SlopeOptions): Promise<Series[]> {
-  const cpu: MeasuredPoint[] = []
-  const bytes: MeasuredPoint[] = []
-  const memory: MeasuredPoint[] = []
-  for (const entries of ENTRY_COUNTS) {
-    const rig = await AgentRig.start(entries, options.timers)
-    const window = await rig.measure(options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
-    await rig.stop()
-    cpu.push({ x: entries, y: window.cpuMsPerSecond })
-    bytes.push({ x: entries, y: window.bytesPerSecond })
-    memory.push({ x: entries, y: window.memoryMb })
-  }
+  const costs = await Promise.all(ENTRY_COUNTS.map(async x => ({ x, window: await measureAgentAtRest(x, options) })))
+  const pick = (read: (window: WindowCosts) => number): MeasuredPoint[] => costs.map(cost => ({ x: cost.x, y: read(cost.window) }))
   return [
-    createSeries(SeriesName.AgentControlCpu, 'Agent at rest: processor time against entries', 'entries', 'ms/s', cpu),
-    createSeries(SeriesName.AgentControlBytes, 'Agent at rest: bytes on links against entries', 'entries', 'B/s', bytes),
-    createSeries(SeriesName.AgentMemory, 'Agent at rest: memory against entries', 'entries', 'MB', memory)
+    createSeries(SeriesName.AgentControlCpu, 'Agent at rest: processor time against entries', 'entries', 'ms/s', pick(window => window.cpuMsPerSecond)),
+    createSeries(SeriesName.AgentControlBytes, 'Agent at rest: bytes on links against entries', 'entries', 'B/s', pick(window => window.bytesPerSecond)),
+    createSeries(SeriesName.AgentMemory, 'Agent at rest: memory against entries', 'entries', 'MB', pick(window => window.memoryMb))
   ]
 }
 
+async function measureAgentAtRest (entries: number, options: SlopeOptions): Promise<WindowCosts> {
+  const rig = await AgentRig.start(entries, options.timers)
+  const window = await rig.measure(options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
+  await rig.stop()
+  return window
+}
+
 /** Measures the agent at work against its task rate. */
 export async function measureAgentWorkSlopes (options: SlopeOptions): Promise<Series[]> {
   const rig = await AgentRig.start(1, options.timers)
--- a/packages/bench/src/slopes/entrySlopes.ts
+++ b/packages/bench/src/slopes/entrySlopes.ts
@@ -18,7 +18,7 @@
   timers: settings.Timers
   /** Length of each window with work in milliseconds. */
   windowMs: number
-  /** Length of each window at rest in milliseconds; a multiple of the heartbeat period keeps the byte counts even. */
+  /** Length of each window at rest in milliseconds; a multiple of the heartbeat and keepalive periods keeps the byte counts even. */
   restWindowMs: number
 }
 
@@ -75,16 +75,9 @@
   }
 }
 
-/** Measures the entry at rest against the number of agents. */
+/** Measures entries at rest against the number of agents, one entry process for each number, all at the same time. */
 export async function measureAgentSlopes (options: SlopeOptions): Promise<Series[]> {
-  const costs: Array<{ x: number, window: WindowCosts }> = []
-  for (const x of AGENT_COUNTS) {
-    const rig = await EntryRig.start(x, WORK_SLOTS, WORK_RUN_MS, options.timers)
-    await options.timers.sleep(SETTLE_MS)
-    const window = await measureWindow(rig.target, options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
-    await rig.stop()
-    costs.push({ x, window })
-  }
+  const costs = await Promise.all(AGENT_COUNTS.map(async x => ({ x, window: await measureEntryAtRest(x, options) })))
   const pick = (read: (window: WindowCosts) => number): MeasuredPoint[] => costs.map(cost => ({ x: cost.x, y: read(cost.window) }))
   return [
     createSeries(SeriesName.EntryControlCpu, 'Entry at rest: processor time against agents', 'agents', 'ms/s', pick(window => window.cpuMsPerSecond)),
@@ -93,6 +86,14 @@
   ]
 }
 
+async function measureEntryAtRest (agentCount: number, options: SlopeOptions): Promise<WindowCosts> {
+  const rig = await EntryRig.start(agentCount, WORK_SLOTS, WORK_RUN_MS, options.timers)
+  await options.timers.sleep(SETTLE_MS)
+  const window = await measureWindow(rig.target, options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
+  await rig.stop()
+  return window
+}
+
 /** Measures the entry at work against the task rate. */
 export async function measureRateSlopes (options: SlopeOptions): Promise<Series[]> {
   const load: JobLoad = { tasksPerJob: RATE_TASKS_PER_JOB, teams: 1, runMs: WORK_RUN_MS }
--- a/packages/bench/src/slopes/fleetSlopes.ts
+++ b/packages/bench/src/slopes/fleetSlopes.ts
@@ -1,62 +1,60 @@
 /** Costs between entries, and calls to the store, against the number of entries. */
-import * as protocol from '@egretvalve/protocol'
 import { LocalFleet } from '../localFleet.ts'
 import type { SlopeOptions } from './entrySlopes.ts'
 import type { MeasuredPoint } from './fit.ts'
 import { SeriesName, createSeries } from './series.ts'
 import type { Series } from './series.ts'
+import { SocketByteCounter, SocketSide } from './socketBytes.ts'
 
 const ENTRY_COUNTS = [1, 2, 3, 6, 12]
-const FLEET_AGENTS = 4
 const SETTLE_MS = 8_000
 const MS_PER_SECOND = 1_000
-const PEER_KIND_PREFIX = 'peer.'
-
-function countPeerBytes (): number {
-  let bytes = 0
-  for (const [kind, count] of protocol.linkTraffic.read()) {
-    if (kind.startsWith(PEER_KIND_PREFIX)) bytes += count.bytes
-  }
-  return bytes
-}
+/** Each byte between two entries costs both of them. */
+const ENDS_PER_BYTE = 2
 
 interface RestCosts {
+  x: number
   peerBytesPerSecond: number
   readsPerSecond: number
   writesPerSecond: number
 }
 
 async function measureRest (entries: number, options: SlopeOptions): Promise<RestCosts> {
-  const fleet = new LocalFleet({ entries, agents: FLEET_AGENTS, timers: options.timers })
+  const counter = new SocketByteCounter(SocketSide.Client)
+  counter.start()
+  const fleet = new LocalFleet({ entries, agents: 0, timers: options.timers })
   await fleet.start()
   await options.timers.sleep(SETTLE_MS)
-  const before = { ...fleet.store.counts, peerBytes: countPeerBytes() }
+  const addresses = fleet.entries.map(entry => entry.linkAddress)
+  const before = { ...fleet.store.counts, bytes: sumBytes(counter, addresses) }
   const startedAtMs = options.timers.nowMs()
   await options.timers.sleep(options.restWindowMs)
   const seconds = (options.timers.nowMs() - startedAtMs) / MS_PER_SECOND
-  const after = { ...fleet.store.counts, peerBytes: countPeerBytes() }
+  const after = { ...fleet.store.counts, bytes: sumBytes(counter, addresses) }
   await fleet.stop()
+  counter.stop()
   return {
-    peerBytesPerSecond: (after.peerBytes - before.peerBytes) / seconds,
+    x: entries,
+    peerBytesPerSecond: ENDS_PER_BYTE * (after.bytes - before.bytes) / seconds / entries,
     readsPerSecond: (after.reads - before.reads) / seconds,
     writesPerSecond: (after.writes - before.writes) / seconds
   }
 }
 
-/** Measures fleets of entries at rest. */
+function sumBytes (counter: SocketByteCounter, addresses: readonly string[]): number {
+  return addresses.reduce((sum, address) => {
+    const bytes = counter.read(address)
+    return sum + bytes.written + bytes.read
+  }, 0)
+}
+
+/** Measures fleets of entries at rest, all at the same time. */
 export async function measureEntrySlopes (options: SlopeOptions): Promise<Series[]> {
-  const peerBytes: MeasuredPoint[] = []
-  const reads: MeasuredPoint[] = []
-  const writes: MeasuredPoint[] = []
-  for (const entries of ENTRY_COUNTS) {
-    const costs = await measureRest(entries, options)
-    peerBytes.push({ x: entries, y: costs.peerBytesPerSecond / entries })
-    reads.push({ x: entries, y: costs.readsPerSecond })
-    writes.push({ x: entries, y: costs.writesPerSecond })
-  }
+  const costs = await Promise.all(ENTRY_COUNTS.map(entries => measureRest(entries, options)))
+  const pick = (read: (cost: RestCosts) => number): MeasuredPoint[] => costs.map(cost => ({ x: cost.x, y: read(cost) }))
   return [
-    createSeries(SeriesName.EntryPeerBytes, 'Entries at rest: message bytes that each entry sends to the others', 'entries', 'B/s', peerBytes),
-    createSeries(SeriesName.StoreReads, 'Store at rest: reads against entries', 'entries', 'reads/s', reads),
-    createSeries(SeriesName.StoreWrites, 'Store at rest: writes against entries', 'entries', 'writes/s', writes)
+    createSeries(SeriesName.EntryPeerBytes, 'Entries at rest: bytes of one entry on links to the others', 'entries', 'B/s', pick(cost => cost.peerBytesPerSecond)),
+    createSeries(SeriesName.StoreReads, 'Store at rest: reads against entries', 'entries', 'reads/s', pick(cost => cost.readsPerSecond)),
+    createSeries(SeriesName.StoreWrites, 'Store at rest: writes against entries', 'entries', 'writes/s', pick(cost => cost.writesPerSecond))
   ]
 }
--- a/packages/bench/src/slopes/lightAgent.ts
+++ b/packages/bench/src/slopes/lightAgent.ts
@@ -6,7 +6,7 @@
 const { wire } = protocol
 
 /** Same period as the real agent's. */
-const HEARTBEAT_PERIOD_MS = 15_000
+const HEARTBEAT_PERIOD_MS = 60_000
 const RESULT = Buffer.from('{}')
 const CONNECTIONS = 64
 
--- a/packages/entry/src/links/agentLinks.ts
+++ b/packages/entry/src/links/agentLinks.ts
@@ -10,8 +10,8 @@
 
 const { wire } = protocol
 
-/** An idle stream carries one heartbeat in this time. */
-const HEARTBEAT_PERIOD_MS = 15_000
+/** A stream carries one heartbeat in this time. */
+const HEARTBEAT_PERIOD_MS = 60_000
 
 type AgentStream = runtime.LinkStream<protocol.wire.AgentToEntry, protocol.wire.IEntryToAgent>
 
