--- a/packages/bench/src/capacity/target.ts
+++ b/packages/bench/src/capacity/target.ts
@@ -19,6 +19,8 @@
   /** 2.5% of a core. */
   controlCpuMsPerSecond: 25,
   memoryMb: 256,
+  /** Default of the entry's recordMaxBytes. */
+  answerMemoryMb: 64,
   controlBytesPerSecond: 3_000,
   storeWritesPerSecond: 300,
   storeReadsPerSecond: 2_000
--- a/packages/bench/src/slopes/entrySlopes.ts
+++ b/packages/bench/src/slopes/entrySlopes.ts
@@ -33,6 +33,8 @@
 const WARM_UP_TASKS = 2_000
 const TEAM_COUNTS = [2, 10, 50, 130]
 const TEAM_TASKS_PER_JOB = 10
+const RECORD_STEPS = 5
+const RECORD_STEP_TASKS = 20_000
 const WORK_AGENTS = 20
 const WORK_SLOTS = 100
 const WORK_RUN_MS = 20
@@ -146,6 +148,21 @@
   return [createSeries(SeriesName.EntryTeamCpu, `Entry: processor time of a task against teams, jobs of ${TEAM_TASKS_PER_JOB}`, 'teams', 'us/task', cpu)]
 }
 
+/** Measures the entry's memory against the tasks whose answers it keeps. */
+export async function measureEntryRecords (options: SlopeOptions): Promise<Series[]> {
+  const load: JobLoad = { tasksPerJob: RATE_TASKS_PER_JOB, teams: 1, runMs: 0 }
+  const rig = await EntryRig.start(WORK_AGENTS, WORK_SLOTS, 0, options.timers)
+  const memory: MeasuredPoint[] = []
+  for (let step = 1; step <= RECORD_STEPS; step++) {
+    const window = await measureWindow(rig.target, options.timers, async () => {
+      await runClosedLoad(rig.caller, load, RECORD_STEP_TASKS / RATE_TASKS_PER_JOB, LANES)
+    })
+    memory.push({ x: step * RECORD_STEP_TASKS, y: window.memoryMb })
+  }
+  await rig.stop()
+  return [createSeries(SeriesName.EntryRecordMemory, `Entry: memory against answered tasks, jobs of ${RATE_TASKS_PER_JOB}`, 'tasks', 'MB', memory)]
+}
+
 interface ClosedResult {
   window: WindowCosts
   tasks: number
--- a/packages/bench/src/slopes/runSlopes.ts
+++ b/packages/bench/src/slopes/runSlopes.ts
@@ -1,6 +1,7 @@
 /** Runs all slope experiments, one after the other. */
 import { measureAgentRestSlopes, measureAgentWorkSlopes, measureRecordSlopes } from './agentSlopes.ts'
-import { measureAgentSlopes, measureJobSizes, measureRateSlopes, measureTeamSlopes } from './entrySlopes.ts'
+import { measureChanges } from './changeSlopes.ts'
+import { measureAgentSlopes, measureEntryRecords, measureJobSizes, measureRateSlopes, measureTeamSlopes } from './entrySlopes.ts'
 import type { SlopeOptions } from './entrySlopes.ts'
 import { measureEntrySlopes } from './fleetSlopes.ts'
 import { measureOverheads } from './overhead.ts'
@@ -18,6 +19,8 @@
   const rates = await measureRateSlopes(options)
   onStep('entry: teams')
   const teams = await measureTeamSlopes(options)
+  onStep('entry: answers kept')
+  const answers = await measureEntryRecords(options)
   onStep('entry: agents')
   const agents = await measureAgentSlopes(options)
   onStep('agent: task rate')
@@ -28,15 +31,18 @@
   const records = await measureRecordSlopes(options)
   onStep('entries: peers and store')
   const entries = await measureEntrySlopes(options)
+  onStep('changes of configuration')
+  const changes = await measureChanges(options)
   onStep('store: phases')
   const storePhases = await measureStorePhases(options)
   return {
     machine: describeMachine(),
     windowMs: options.windowMs,
     restWindowMs: options.restWindowMs,
-    series: [...sizes.series, ...rates, ...teams, ...agents, ...agentWork, ...agentRest, ...records, ...entries],
+    series: [...sizes.series, ...rates, ...teams, ...agents, ...agentWork, ...agentRest, ...records, ...answers, ...entries, ...changes.series],
     startRates: sizes.startRates,
     storePhases,
-    overheads
+    overheads,
+    changeSpeed: changes.speed
   }
 }
--- a/packages/bench/src/slopes/series.ts
+++ b/packages/bench/src/slopes/series.ts
@@ -17,6 +17,9 @@
   AgentControlBytes = 'agentControlBytes',
   AgentMemory = 'agentMemory',
   AgentWorkCpu = 'agentWorkCpu',
+  EntryRecordMemory = 'entryRecordMemory',
+  ChangeReads = 'changeReads',
+  ChangeWrites = 'changeWrites',
   AgentRecordMemory = 'agentRecordMemory',
   StoreReads = 'storeReads',
   StoreWrites = 'storeWrites'
@@ -61,6 +64,14 @@
   throughP99Ms: number
 }
 
+/** Time from a change's request until all entries have it. */
+export interface ChangeSpeed {
+  entries: number
+  changes: number
+  inForceP50Ms: number
+  inForceP99Ms: number
+}
+
 /** All that a run measured. */
 export interface SlopeReport {
   machine: { cores: number, node: string }
@@ -70,6 +81,7 @@
   startRates: StartRate[]
   storePhases: StorePhase[]
   overheads: Overhead[]
+  changeSpeed: ChangeSpeed
 }
 
 /** Creates a series and fits its line. */
--- a/packages/runtime/src/links.ts
+++ b/packages/runtime/src/links.ts
@@ -13,7 +13,7 @@
 /** Largest message on a link in bytes. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 /** A connection without traffic for this long is probed, so that a silent peer is noticed. */
-const KEEPALIVE_PERIOD_MS = 20_000
+const KEEPALIVE_PERIOD_MS = 30_000
 const KEEPALIVE_TIMEOUT_MS = 5_000
 
 /** Channel options of both sides. Connections are not shared between clients of one process. */
