--- a/packages/bench/src/slopes/entrySlopes.ts
+++ b/packages/bench/src/slopes/entrySlopes.ts
@@ -18,7 +18,7 @@
   timers: settings.Timers
   /** Length of each window with work in milliseconds. */
   windowMs: number
-  /** Length of each window at rest in milliseconds; a multiple of the heartbeat period keeps the byte counts even. */
+  /** Length of each window at rest in milliseconds; a multiple of the heartbeat and keepalive periods keeps the byte counts even. */
   restWindowMs: number
 }
 
@@ -33,6 +33,8 @@
 const WARM_UP_TASKS = 2_000
 const TEAM_COUNTS = [2, 10, 50, 130]
 const TEAM_TASKS_PER_JOB = 10
+const RECORD_STEPS = 5
+const RECORD_STEP_TASKS = 20_000
 const WORK_AGENTS = 20
 const WORK_SLOTS = 100
 const WORK_RUN_MS = 20
@@ -75,16 +77,9 @@
   }
 }
 
-/** Measures the entry at rest against the number of agents. */
+/** Measures entries at rest against the number of agents, one entry process for each number, all at the same time. */
 export async function measureAgentSlopes (options: SlopeOptions): Promise<Series[]> {
-  const costs: Array<{ x: number, window: WindowCosts }> = []
-  for (const x of AGENT_COUNTS) {
-    const rig = await EntryRig.start(x, WORK_SLOTS, WORK_RUN_MS, options.timers)
-    await options.timers.sleep(SETTLE_MS)
-    const window = await measureWindow(rig.target, options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
-    await rig.stop()
-    costs.push({ x, window })
-  }
+  const costs = await Promise.all(AGENT_COUNTS.map(async x => ({ x, window: await measureEntryAtRest(x, options) })))
   const pick = (read: (window: WindowCosts) => number): MeasuredPoint[] => costs.map(cost => ({ x: cost.x, y: read(cost.window) }))
   return [
     createSeries(SeriesName.EntryControlCpu, 'Entry at rest: processor time against agents', 'agents', 'ms/s', pick(window => window.cpuMsPerSecond)),
@@ -93,6 +88,14 @@
   ]
 }
 
+async function measureEntryAtRest (agentCount: number, options: SlopeOptions): Promise<WindowCosts> {
+  const rig = await EntryRig.start(agentCount, WORK_SLOTS, WORK_RUN_MS, options.timers)
+  await options.timers.sleep(SETTLE_MS)
+  const window = await measureWindow(rig.target, options.timers, async () => { await options.timers.sleep(options.restWindowMs) })
+  await rig.stop()
+  return window
+}
+
 /** Measures the entry at work against the task rate. */
 export async function measureRateSlopes (options: SlopeOptions): Promise<Series[]> {
   const load: JobLoad = { tasksPerJob: RATE_TASKS_PER_JOB, teams: 1, runMs: WORK_RUN_MS }
@@ -145,6 +148,21 @@
   return [createSeries(SeriesName.EntryTeamCpu, `Entry: processor time of a task against teams, jobs of ${TEAM_TASKS_PER_JOB}`, 'teams', 'us/task', cpu)]
 }
 
+/** Measures the entry's memory against the tasks whose answers it keeps. */
+export async function measureEntryRecords (options: SlopeOptions): Promise<Series[]> {
+  const load: JobLoad = { tasksPerJob: RATE_TASKS_PER_JOB, teams: 1, runMs: 0 }
+  const rig = await EntryRig.start(WORK_AGENTS, WORK_SLOTS, 0, options.timers)
+  const memory: MeasuredPoint[] = []
+  for (let step = 1; step <= RECORD_STEPS; step++) {
+    const window = await measureWindow(rig.target, options.timers, async () => {
+      await runClosedLoad(rig.caller, load, RECORD_STEP_TASKS / RATE_TASKS_PER_JOB, LANES)
+    })
+    memory.push({ x: step * RECORD_STEP_TASKS, y: window.memoryMb })
+  }
+  await rig.stop()
+  return [createSeries(SeriesName.EntryRecordMemory, `Entry: memory against answered tasks, jobs of ${RATE_TASKS_PER_JOB}`, 'tasks', 'MB', memory)]
+}
+
 interface ClosedResult {
   window: WindowCosts
   tasks: number
