runtime, agent: cut no answer and no report at a planned stop

Cause: an entry closed a connection whose answer was written but not yet read; an agent gave its last reports 100 ms and then cancelled its streams. Change: a request counts as in progress until its answer has left the process; an agent ends its streams and waits until the entries have read them.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -80,7 +80,7 @@
     const drained = this.executor.drain()
     this.announceLoad()
     await drained
-    for (const link of this.links.values()) link.stop('planned stop')
+    await Promise.all([...this.links.values()].map(async link => await link.stop('planned stop')))
     this.expiry?.cancel()
     this.config.stop()
     this.announcer.stop()
--- a/packages/agent/src/links/entryLink.ts
+++ b/packages/agent/src/links/entryLink.ts
@@ -37,6 +37,7 @@
   private reports = new Map<string, protocol.wire.IJobReport>()
   private isFlushScheduled = false
   private backoffMs = MIN_BACKOFF_MS
+  private ended = Promise.resolve()
 
   constructor (
     readonly address: string,
@@ -55,7 +56,11 @@
   }
 
   /** Keeps the stream open until `stop`. */
-  async run (): Promise<void> {
+  run (): void {
+    this.ended = this.exchangeUntilStopped()
+  }
+
+  private async exchangeUntilStopped (): Promise<void> {
     while (!this.abort.signal.aborted) {
       await this.exchange()
       if (this.abort.signal.aborted) return
@@ -95,12 +100,14 @@
     this.send({ report: { jobs, load: this.handler.createLoad(this) } })
   }
 
-  /** Closes the stream for good. */
-  stop (reason: string): void {
+  /** Sends what waits and closes the stream for good; resolves when the entry has read everything or the stream broke. */
+  async stop (reason: string): Promise<void> {
     this.flush()
     this.send({ goodbye: { reason } })
     this.abort.abort()
-    this.services.timers.after(MIN_BACKOFF_MS, () => this.dialed?.close())
+    if (!this.isOpen) this.dialed?.close()
+    this.outbox?.end()
+    await this.ended
   }
 
   private async exchange (): Promise<void> {
--- a/packages/runtime/src/outbox.ts
+++ b/packages/runtime/src/outbox.ts
@@ -6,6 +6,7 @@
   private readonly waiting: Out[] = []
   private isBlocked = false
   private isClosed = false
+  private isEnding = false
 
   constructor (private readonly stream: LinkStream<unknown, Out>) {
     stream.once('close', () => { this.isClosed = true })
@@ -18,12 +19,18 @@
 
   /** Sends a message, or returns false when the stream has ended. */
   send (message: Out): boolean {
-    if (this.isClosed) return false
+    if (this.isClosed || this.isEnding) return false
     if (this.isBlocked) this.waiting.push(message)
     else this.write(message)
     return true
   }
 
+  /** Ends the stream once everything sent so far has been written. */
+  end (): void {
+    this.isEnding = true
+    if (!this.isBlocked && !this.isClosed) this.stream.end()
+  }
+
   /** Marks the stream as ended; later messages are refused. */
   close (): void {
     this.isClosed = true
@@ -40,8 +47,9 @@
     this.isBlocked = false
     while (!this.isBlocked && !this.isClosed) {
       const next = this.waiting.shift()
-      if (next === undefined) return
+      if (next === undefined) break
       this.write(next)
     }
+    if (this.isEnding && !this.isBlocked && !this.isClosed) this.stream.end()
   }
 }
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -84,15 +84,15 @@
     return formatAddress(host, bound.port)
   }
 
-  /** Stops accepting connections, waits for the requests in progress, then closes. */
+  /** Waits until each request in progress has its whole answer, then closes. */
   async stop (): Promise<void> {
     if (this.service === undefined || this.isStopping) return
     this.isStopping = true
     const server = this.server()
-    server.closeIdleConnections()
+    // Closing idle connections any sooner would cut answers that are written but not yet read.
     if (this.inProgress > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
-    server.closeIdleConnections()
-    setImmediate(() => server.closeAllConnections())
+    server.close()
+    server.closeAllConnections()
     await this.options.broker.destroyService(this.service)
   }
 
@@ -128,6 +128,7 @@
     try {
       const answer = await this.answer(route, request, response)
       writeResponse(response, answer, this.isStopping)
+      await waitForClose(response)
     } finally {
       this.inProgress--
       if (this.inProgress === 0) this.onIdle?.()
@@ -193,6 +194,12 @@
   writeResponse(response, errorResponse(404, protocol.ErrorCode.NotFound, `no route for ${request.method} ${request.url}`), true)
 }
 
+/** A response is in progress until its last byte has been handed to the connection, or the connection is gone. */
+async function waitForClose (response: http.ServerResponse): Promise<void> {
+  if (response.closed) return
+  await new Promise<void>(resolve => { response.once('close', resolve) })
+}
+
 function writeResponse (response: http.ServerResponse, answer: WebResponse, closeAfter: boolean): void {
   if (response.destroyed || response.headersSent) return
   const headers: Record<string, string | number> = {
