--- a/packages/entry/src/peers/peerServer.ts
+++ b/packages/entry/src/peers/peerServer.ts
@@ -1,6 +1,5 @@
 /** Serves the streams that other entries open: forwarded work and requests for promises. */
 import { setMaxListeners } from 'node:events'
-import { setMaxListeners } from 'node:events'
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type { PeerServices, SendFrame } from './services.ts'
@@ -20,8 +19,6 @@
     const outbox = new runtime.Outbox<protocol.wire.IPeerFrame>(stream)
     const send: SendFrame = frame => { outbox.send(frame) }
     const closed = new AbortController()
-    // Every call that waits for its answer listens for the end of the stream.
-    setMaxListeners(0, closed.signal)
     // Each forwarded call that waits listens once, and there is no bound on them here.
     setMaxListeners(0, closed.signal)
     let hello: protocol.wire.IEntryHello | undefined
