entry: tasks of a partition without a grant do not hold up the others

Cause: the head of the queue blocked its whole lane while its partition was on its way to another entry or its lease was being renewed. Change: such tasks are set aside and tried again every 50 ms, until their deadlines.

--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -1,20 +1,21 @@
 /** Sends waiting tasks to agents with free slots and takes their reports. */
-import * as admission from '@egretvalve/admission'
-import * as placement from '@egretvalve/placement'
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import type { Job } from '../jobs/job.ts'
 import type { AgentSession } from '../links/agentSession.ts'
 import type { StartGuard } from '../owners/router.ts'
+import { findRefusal } from './admissionCheck.ts'
 import { AgentFleet } from './agentFleet.ts'
 import { RetryPolicy } from './retryPolicy.ts'
 import { type Lane, ServiceQueue, type WaitingGroup } from './serviceQueue.ts'
-import { createTaskGroups, declaredRunMs, resolveDeadlineMs, type TaskGroup, type WaitingTask } from './taskGroup.ts'
+import { createTaskGroups, declaredRunMs, type TaskGroup, type WaitingTask } from './taskGroup.ts'
 
 const { wire } = protocol
 
 /** Period in which deadlines and urgencies are looked at while nothing else happens, in milliseconds. */
 const TICK_PERIOD_MS = 10
+/** Period in which tasks of partitions without a grant are tried again, in milliseconds. */
+const UNPARK_PERIOD_MS = 50
 /** Most tasks of one job that are placed before the order of the queue is looked at again. */
 const MAX_PLACED_TOGETHER = 64
 
@@ -41,22 +42,27 @@
   private readonly services = new Map<string, ServiceQueue>()
   private readonly waitingGroups = new Map<Job, WaitingGroup[]>()
   private readonly retries = new RetryPolicy()
+  private readonly parked: TaskGroup[] = []
   private isPumpScheduled = false
   private readonly tick: settings.TimerHandle
+  private readonly unparkTick: settings.TimerHandle
 
   constructor (private readonly options: DispatcherOptions) {
     this.fleet = new AgentFleet(options.failureDomain, options.timers, options.log)
     this.tick = options.timers.every(TICK_PERIOD_MS, () => { this.pump() })
+    this.unparkTick = options.timers.every(UNPARK_PERIOD_MS, () => { this.unpark() })
   }
 
   get waitingCount (): number {
     let count = 0
+    for (const group of this.parked) count += group.indexes.length
     for (const service of this.services.values()) count += service.taskCount
     return count
   }
 
   stop (): void {
     this.tick.cancel()
+    this.unparkTick.cancel()
   }
 
   /** Returns true when an agent has announced the service. */
@@ -81,19 +87,7 @@
 
   /** Returns the refusal of a submission that can't run, or not in time; nothing of it has started. */
   findRefusal (submission: protocol.wire.ISubmission): protocol.wire.IAnswer | undefined {
-    const service = submission.service ?? ''
-    const wanted = placement.resolveWanted(submission.wanted)
-    const unplaceable = this.fleet.view.explainUnplaceable(service, wanted)
-    if (unplaceable !== undefined) return protocol.createRefusal(submission.key!, protocol.AnswerCode.Unplaceable, unplaceable)
-    const decision = this.decide(submission, wanted)
-    switch (decision.kind) {
-      case admission.AdmissionKind.Admitted:
-        return undefined
-      case admission.AdmissionKind.Refused:
-        return protocol.createRefusal(submission.key!, decision.code, decision.message, decision.retryAfterMs)
-      default:
-        return protocol.assertNever(decision)
-    }
+    return findRefusal(submission, this.resolveService(submission.service ?? ''), this.fleet, this.options.timers.wallClockMs())
   }
 
   /** Queues all tasks of a job that have not ended. */
@@ -154,26 +148,6 @@
     })
   }
 
-  private decide (submission: protocol.wire.ISubmission, wanted: placement.Capacity): admission.AdmissionDecision {
-    const service = this.resolveService(submission.service ?? '')
-    const tasks = submission.tasks ?? []
-    let expectedMs = 0
-    let longestMs = 0
-    for (const task of tasks) {
-      expectedMs += service.runTimes.expectedRunMs(task.declaredRunMs ?? 0)
-      longestMs = Math.max(longestMs, task.declaredRunMs ?? 0)
-    }
-    const lane = service.resolveLane(wanted, longestMs >= protocol.LONG_RUN_MS)
-    const request = {
-      team: submission.key!.team ?? '',
-      requestClass: submission.requestClass ?? wire.RequestClass.REQUEST_CLASS_ORDINARY,
-      taskCount: tasks.length,
-      expectedRunMs: expectedMs / Math.max(1, tasks.length),
-      deadlineAtMs: resolveDeadlineMs(submission)
-    }
-    return lane.admission.decide(request, this.fleet.capacityOf(service.service), this.options.timers.wallClockMs())
-  }
-
   private push (group: TaskGroup): void {
     const item = this.serviceOf(group.job).push(group, this.options.timers.wallClockMs())
     if (item === undefined) return
@@ -204,8 +178,10 @@
     const head = lane.queue.peek(nowWallMs)!
     const group = head.payload
     const grant = this.options.guard.checkStart(group.job.partition)
-    // The partition may be on its way to another entry or its lease be renewed soon: its tasks wait, at most until their deadlines.
-    if (grant === undefined) return false
+    if (grant === undefined) {
+      this.park(lane, head)
+      return true
+    }
     const count = Math.min(head.taskCount, MAX_PLACED_TOGETHER)
     const request = { service: service.service, wanted: lane.wanted, isLong: lane.isLong, count, excludedAgentIds: group.excludedAgentIds }
     const placements = this.fleet.view.choose(request, this.options.timers.nowMs())
@@ -222,6 +198,22 @@
     return placed > 0
   }
 
+  /**
+   * Sets aside tasks whose partition this entry may not start now: it may be on its way to another entry, or its
+   * lease be renewed soon. They wait, at most until their deadlines, without holding up other partitions.
+   */
+  private park (lane: Lane, item: WaitingGroup): void {
+    lane.queue.cancel(item)
+    this.parked.push(item.payload)
+  }
+
+  private unpark (): void {
+    for (const group of this.parked.splice(0)) {
+      if (!group.job.isMoved) this.push(group)
+    }
+    this.schedulePump()
+  }
+
   private updateUrgency (service: ServiceQueue, nowWallMs: number): void {
     service.updateUrgency(nowWallMs)
     const { announced } = service.urgency
