Act on changes of team weights without a restart; drop listeners of answered waits

Cause: the quota weights of the configuration reached no queue; every forwarded submission left a listener on the signal of its stream, and Node.js warned of a leak. Change: a queue takes a team's weight in force with each submission; a wait removes its listener when it ends. Conclusion: weights act at once; reservedShare is not acted upon yet.

--- a/packages/entry/src/config/entryConfiguration.ts
+++ b/packages/entry/src/config/entryConfiguration.ts
@@ -18,6 +18,9 @@
 /** Time after which a caller may submit again to an entry that does not know the configuration yet, in milliseconds. */
 const NOT_KNOWN_RETRY_MS = 1_000
 
+/** Weight of a team without a configuration. */
+const UNCONFIGURED_WEIGHT = 1
+
 /** Services that the configuration of an entry takes from its process. */
 export interface EntryConfigurationServices {
   timers: settings.Timers
@@ -67,6 +70,11 @@
     return results.Err(protocol.createRefusal(submission.key ?? {}, protocol.AnswerCode.OwnerUnavailable, message, NOT_KNOWN_RETRY_MS))
   }
 
+  /** Returns the weight of a team's share in force now. */
+  weightOf (team: string): number {
+    return this.entryConfig.registry.get(team)?.document.quota.weight ?? UNCONFIGURED_WEIGHT
+  }
+
   async stop (): Promise<void> {
     this.stopping.abort()
     await this.entryConfig.stop()
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -24,6 +24,8 @@
   log: settings.Log
   failureDomain: string
   guard: StartGuard
+  /** Weight of a team's share in force now. */
+  weightOf: (team: string) => number
   /** Called when the last task of a job has ended. */
   onJobEnded: (job: Job) => void
 }
@@ -240,7 +242,7 @@
   private resolveService (name: string): ServiceQueue {
     let service = this.services.get(name)
     if (service === undefined) {
-      service = new ServiceQueue(name)
+      service = new ServiceQueue(name, this.options.weightOf)
       this.services.set(name, service)
     }
     return service
--- a/packages/entry/src/dispatch/serviceQueue.ts
+++ b/packages/entry/src/dispatch/serviceQueue.ts
@@ -28,7 +28,7 @@
   private readonly lanes = new Map<string, Lane>()
   private readonly shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs)
 
-  constructor (readonly service: string) {}
+  constructor (readonly service: string, private readonly weightOf: (team: string) => number) {}
 
   /** Number of tasks that wait. */
   get taskCount (): number {
@@ -55,8 +55,10 @@
     if (first === undefined) return undefined
     const { submission } = group.job
     const expectedRunMs = this.runTimes.expectedRunMs(declaredRunMs(group.job, first))
+    const team = submission.key!.team ?? ''
+    this.shares.setWeight(team, this.weightOf(team))
     return this.laneOf(group.job, first).queue.push({
-      team: submission.key!.team ?? '',
+      team,
       requestClass: submission.requestClass ?? wire.RequestClass.REQUEST_CLASS_ORDINARY,
       latestStartAtMs: resolveLatestStartMs(resolveDeadlineMs(submission), expectedRunMs, nowMs),
       enqueuedAtMs: nowMs,
--- a/packages/entry/src/jobs/intake.ts
+++ b/packages/entry/src/jobs/intake.ts
@@ -75,10 +75,12 @@
     return await new Promise(resolve => {
       const withdraw = job.onAnswer(answer => {
         timer.cancel()
+        signal.removeEventListener('abort', giveUp)
         resolve(answer)
       })
       const giveUp = (): void => {
         timer.cancel()
+        signal.removeEventListener('abort', giveUp)
         withdraw()
         resolve(job.createProgress())
       }
