--- a/test/unit/entry/dispatcher.test.ts
+++ b/test/unit/entry/dispatcher.test.ts
@@ -27,6 +27,7 @@
     timers,
     log: settings.createSilentLog(),
     failureDomain: 'marmara-a',
+    weightOf: () => 1,
     guard: { checkStart: partition => granted.has(partition) ? { epoch: 1, leaseExpiresAtMs: Number.MAX_SAFE_INTEGER } : undefined },
     onJobEnded: job => { ended.push(job) }
   })
