ownership: Learn the assignment from other members when the store can't be reached

Cause: an entry that alone could not reach the store held calls for partitions that others had taken over, until they ended as unknown. Change: shared: StorePromise carries the assignment to a member that asks with an older version (additive); the member takes it into use.

--- a/packages/ownership/src/membership.ts
+++ b/packages/ownership/src/membership.ts
@@ -1,6 +1,6 @@
 /** The tasks that keep an entry in the assignment: watching it, joining, taking over, rebalancing and asking for promises. */
 import * as protocol from '@egretvalve/protocol'
-import { findMember, grantTo, partitionsOf, planRebalance, putMember, removeMember } from './assignment.ts'
+import { decodeAssignment, findMember, grantTo, partitionsOf, planRebalance, putMember, removeMember } from './assignment.ts'
 import type { Assignment, Member, Transfer } from './assignment.ts'
 import type { AssignmentStore, Snapshot } from './assignmentStore.ts'
 import type { Authority } from './authority.ts'
@@ -238,8 +238,14 @@
     const answer = await services.promises.ask(member, request, options.promiseMs)
     if (answer.err) return
     this.context.noteVersion(member.incarnation, answer.val.assignmentVersion ?? 0)
+    if (answer.val.assignmentJson) this.learnAssignment(answer.val.assignmentJson, answer.val.assignmentRevision ?? 0)
     if (authority.assertedLeaseCount === request.leaseCount) authority.received.note(member.incarnation, requestedAtMs, answer.val.holdsForMs ?? 0)
   }
+
+  /** Takes an assignment that another member has read from the store. */
+  private learnAssignment (assignmentJson: string, revision: number): void {
+    this.context.apply({ ...this.context.snapshot(), assignment: decodeAssignment(assignmentJson), revision })
+  }
 }
 
 function applyTransfer (snapshot: Snapshot, fromIncarnation: string, transfer: Transfer): Assignment | undefined {
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -5,7 +5,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as results from 'ts-results'
 import { acquirePartitions } from './acquisition.ts'
-import { createAssignment, findMember } from './assignment.ts'
+import { createAssignment, encodeAssignment, findMember } from './assignment.ts'
 import type { Assignment, Member } from './assignment.ts'
 import { AssignmentStore, memberPrefix } from './assignmentStore.ts'
 import type { Snapshot } from './assignmentStore.ts'
@@ -164,13 +164,21 @@
   /** Answers another member's request for a promise or a release. */
   answerPromise (fromIncarnation: string, request: protocol.wire.IPromiseRequest): protocol.wire.IStorePromise {
     this.noteVersion(fromIncarnation, request.assignmentVersion ?? 0)
-    const answer: protocol.wire.IStorePromise = { sequence: request.sequence, assignmentVersion: this.snapshot.assignment.version, holdsForMs: 0 }
+    const answer = this.createPromiseAnswer(request)
     if (request.releaseIncarnation) return { ...answer, released: this.release(request.releaseIncarnation, request.releaseLeaseCount ?? 0) }
     const lease = { incarnation: fromIncarnation, leaseCount: request.leaseCount ?? 0 }
     const isLeaseHeld = this.snapshot.liveIncarnations.has(fromIncarnation)
     return { ...answer, holdsForMs: this.given.give(lease, isLeaseHeld, this.lease.reachableSinceMs) }
   }
 
+  /** A member that can't reach the store learns the assignment from the others. */
+  private createPromiseAnswer (request: protocol.wire.IPromiseRequest): protocol.wire.IStorePromise {
+    const { assignment, revision } = this.snapshot
+    const answer = { sequence: request.sequence, assignmentVersion: assignment.version, holdsForMs: 0 }
+    if ((request.assignmentVersion ?? 0) >= assignment.version) return answer
+    return { ...answer, assignmentJson: encodeAssignment(assignment), assignmentRevision: revision }
+  }
+
   private release (incarnation: string, leaseCount: number): boolean {
     const own = findMember(this.snapshot.assignment, this.identity.incarnation)
     const suspect = findMember(this.snapshot.assignment, incarnation)
