--- a/packages/admission/src/teamShares.ts
+++ b/packages/admission/src/teamShares.ts
@@ -3,8 +3,10 @@
 /** Weight of a team of which the configuration says nothing. */
 const DEFAULT_WEIGHT = 1
 
+/** Returns the weight of a team's share, or undefined when none is stated. */
+export type WeightResolver = (team: string) => number | undefined
+
 interface TeamUsage {
-  weight: number
   /** Decayed sum of started work, in milliseconds of run time. */
   usedMs: number
   updatedAtMs: number
@@ -14,15 +16,12 @@
 export class TeamShares {
   private readonly teams = new Map<string, TeamUsage>()
 
-  constructor (private readonly halfLifeMs: number) {}
-
-  /** Sets a team's weight; shares are proportional to the weights. */
-  setWeight (team: string, weight: number): void {
-    this.usageOf(team).weight = weight
-  }
+  /** `resolveWeight` returns the weight in force for a team, if its configuration states one. */
+  constructor (private readonly halfLifeMs: number, private readonly resolveWeight: WeightResolver = () => undefined) {}
 
+  /** Returns a team's weight; shares are proportional to the weights. */
   weightOf (team: string): number {
-    return this.teams.get(team)?.weight ?? DEFAULT_WEIGHT
+    return this.resolveWeight(team) ?? DEFAULT_WEIGHT
   }
 
   /** Counts work that has started. */
@@ -36,7 +35,7 @@
   weightedUsageMs (team: string, nowMs: number): number {
     const usage = this.usageOf(team)
     this.decay(usage, nowMs)
-    return usage.usedMs / usage.weight
+    return usage.usedMs / this.weightOf(team)
   }
 
   /** Returns the part of the capacity that a team may claim among teams with work, from 0 to 1. */
@@ -59,7 +58,7 @@
       const usage = this.usageOf(team)
       this.decay(usage, nowMs)
       usedMs += usage.usedMs
-      weights += usage.weight
+      weights += this.weightOf(team)
     }
     return weights === 0 ? 0 : usedMs / weights
   }
@@ -67,7 +66,7 @@
   private usageOf (team: string): TeamUsage {
     let usage = this.teams.get(team)
     if (usage === undefined) {
-      usage = { weight: DEFAULT_WEIGHT, usedMs: 0, updatedAtMs: 0 }
+      usage = { usedMs: 0, updatedAtMs: 0 }
       this.teams.set(team, usage)
     }
     return usage
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -25,6 +25,8 @@
   log: settings.Log
   failureDomain: string
   guard: StartGuard
+  /** Returns the weight of a team's share, if its configuration states one. */
+  resolveTeamWeight?: (team: string) => number | undefined
   /** Called when the last task of a job has ended. */
   onJobEnded: (job: Job) => void
 }
@@ -232,7 +234,7 @@
   private resolveService (name: string): ServiceQueue {
     let service = this.services.get(name)
     if (service === undefined) {
-      service = new ServiceQueue(name)
+      service = new ServiceQueue(name, this.options.resolveTeamWeight)
       this.services.set(name, service)
     }
     return service
--- a/packages/entry/src/dispatch/serviceQueue.ts
+++ b/packages/entry/src/dispatch/serviceQueue.ts
@@ -26,9 +26,11 @@
   readonly runTimes = new admission.RunTimeEstimate()
   readonly urgency = new admission.UrgencyTracker(admission.DEFAULT_URGENCY)
   private readonly lanes = new Map<string, Lane>()
-  private readonly shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs)
+  private readonly shares: admission.TeamShares
 
-  constructor (readonly service: string) {}
+  constructor (readonly service: string, resolveWeight?: admission.WeightResolver) {
+    this.shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs, resolveWeight)
+  }
 
   /** Number of tasks that wait. */
   get taskCount (): number {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -58,7 +58,14 @@
     const guard = { checkStart: (partition: number) => services.store === undefined ? soleOwner.checkStart(partition) : this.owned?.checkStart(partition) }
     this.configuration = new EntryConfiguration(settings, this.incarnation, services)
     this.registry = new JobRegistry({ timers, log, retentionMs: settings.retentionMs, maxBytes: settings.recordMaxBytes })
-    this.dispatcher = new Dispatcher({ timers, log, failureDomain: settings.failureDomain, guard, onJobEnded: job => { this.intake.finish(job) } })
+    this.dispatcher = new Dispatcher({
+      timers,
+      log,
+      failureDomain: settings.failureDomain,
+      guard,
+      resolveTeamWeight: team => this.config.registry.get(team)?.document.quota.weight,
+      onJobEnded: job => { this.intake.finish(job) }
+    })
     this.intake = new Intake({
       timers,
       log,
--- a/test/unit/admission/waitingQueue.test.ts
+++ b/test/unit/admission/waitingQueue.test.ts
@@ -63,9 +63,9 @@
   })
 
   it('divides the starts of 130 teams under lasting contention by weight and lends the share of idle ones', () => {
-    const queue = createQueue()
+    const shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs, team => team === 'team-0' ? 3 : undefined)
+    const queue = new admission.WaitingQueue<string>(admission.DEFAULT_QUEUE, shares)
     const started = new Map<string, number>()
-    queue.shares.setWeight('team-0', 3)
     for (let team = 0; team < 130; team++) push(queue, `team-${team}`, ORDINARY, team, `team-${team}`, team < 4 ? 20_000 : 1)
     for (let start = 0; start < 6_126; start++) {
       const team = takeNext(queue, admission.DEFAULT_QUEUE.fairAfterMs + start / 10)!
