placement: halve the others' use in 60 ms, announce ordinary work after 100 ms

Change: reports count half after 60 ms instead of 100, ordinary work is announced after 100 ms instead of 50.

--- a/packages/admission/src/defaults.ts
+++ b/packages/admission/src/defaults.ts
@@ -72,4 +72,4 @@
   criticalSlackMs: number
 }
 
-export const DEFAULT_URGENCY: UrgencyOptions = { raisePressingAfterMs: 5, raiseOrdinaryAfterMs: 50, lowerAfterMs: 150, criticalSlackMs: 20 }
+export const DEFAULT_URGENCY: UrgencyOptions = { raisePressingAfterMs: 5, raiseOrdinaryAfterMs: 100, lowerAfterMs: 150, criticalSlackMs: 20 }
--- a/packages/placement/src/defaults.ts
+++ b/packages/placement/src/defaults.ts
@@ -9,7 +9,7 @@
 }
 
 export const DEFAULT_PLACEMENT: PlacementOptions = {
-  reportHalfLifeMs: 100,
+  reportHalfLifeMs: 60,
   seed: 1
 }
 
