--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -25,8 +25,8 @@
   log: settings.Log
   failureDomain: string
   guard: StartGuard
-  /** Returns the weight of a team's share, if its configuration states one. */
-  resolveTeamWeight?: (team: string) => number | undefined
+  /** Weight of a team's share in force now. */
+  weightOf: (team: string) => number
   /** Called when the last task of a job has ended. */
   onJobEnded: (job: Job) => void
 }
@@ -234,7 +234,7 @@
   private resolveService (name: string): ServiceQueue {
     let service = this.services.get(name)
     if (service === undefined) {
-      service = new ServiceQueue(name, this.options.resolveTeamWeight)
+      service = new ServiceQueue(name, this.options.weightOf)
       this.services.set(name, service)
     }
     return service
--- a/packages/entry/src/dispatch/serviceQueue.ts
+++ b/packages/entry/src/dispatch/serviceQueue.ts
@@ -28,7 +28,7 @@
   private readonly lanes = new Map<string, Lane>()
   private readonly shares: admission.TeamShares
 
-  constructor (readonly service: string, resolveWeight?: admission.WeightResolver) {
+  constructor (readonly service: string, resolveWeight: admission.WeightResolver) {
     this.shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs, resolveWeight)
   }
 
@@ -57,9 +57,10 @@
     if (first === undefined) return undefined
     const { submission } = group.job
     const expectedRunMs = this.runTimes.expectedRunMs(declaredRunMs(group.job, first))
+    const team = submission.key!.team ?? ''
     const latestStartAtMs = resolveLatestStartMs(resolveDeadlineMs(submission), expectedRunMs, nowMs)
     return this.laneOf(group.job, first).queue.push({
-      team: submission.key!.team ?? '',
+      team,
       requestClass: submission.requestClass ?? wire.RequestClass.REQUEST_CLASS_ORDINARY,
       dueAtMs: resolveDueMs(submission, latestStartAtMs),
       latestStartAtMs,
