--- a/packages/entry/src/dispatch/serviceQueue.ts
+++ b/packages/entry/src/dispatch/serviceQueue.ts
@@ -26,9 +26,11 @@
   readonly runTimes = new admission.RunTimeEstimate()
   readonly urgency = new admission.UrgencyTracker(admission.DEFAULT_URGENCY)
   private readonly lanes = new Map<string, Lane>()
-  private readonly shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs)
+  private readonly shares: admission.TeamShares
 
-  constructor (readonly service: string, private readonly weightOf: (team: string) => number) {}
+  constructor (readonly service: string, resolveWeight: admission.WeightResolver) {
+    this.shares = new admission.TeamShares(admission.DEFAULT_QUEUE.usageHalfLifeMs, resolveWeight)
+  }
 
   /** Number of tasks that wait. */
   get taskCount (): number {
@@ -56,7 +58,6 @@
     const { submission } = group.job
     const expectedRunMs = this.runTimes.expectedRunMs(declaredRunMs(group.job, first))
     const team = submission.key!.team ?? ''
-    this.shares.setWeight(team, this.weightOf(team))
     const latestStartAtMs = resolveLatestStartMs(resolveDeadlineMs(submission), expectedRunMs, nowMs)
     return this.laneOf(group.job, first).queue.push({
       team,
