Reload TLS files when they change and serve the HTTP APIs with them

Cause: certificates are replaced while processes run, and callers had plain text even when the files were set. Change: TlsSource reads the files every 10 s, keeps what is in use while they do not belong together, and gives new material to gRPC servers (certificate provider of grpc-js), HTTPS servers (setSecureContext) and new dials. Conclusion: a changed certificate is presented by links and HTTP without a restart. egretvalve submit and drain do not speak HTTPS yet.

--- a/packages/cli/src/commands/process.ts
+++ b/packages/cli/src/commands/process.ts
@@ -2,8 +2,12 @@
 import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
 import type { Streams } from '../command.ts'
+import { events } from '../events.ts'
 import { ExitCode } from '../exitCode.ts'
 
+/** Time between two looks at the TLS files, in milliseconds. */
+const TLS_REFRESH_MS = 10_000
+
 /** Settings that every process has. */
 export interface ProcessSettings extends runtime.TlsSettings {
   nodeId: string
@@ -26,6 +30,15 @@
   start: () => Promise<void>
 }
 
+/** Reads the key material again; material that can't be read leaves the current one in use. */
+function refreshTls (tls: runtime.TlsSource | undefined, log: settings.Log): void {
+  try {
+    if (tls?.refresh() === true) log.event(events.tlsRefreshed)
+  } catch (thrown) {
+    log.event(events.tlsUnreadable, { reason: thrown instanceof Error ? thrown.message : String(thrown) })
+  }
+}
+
 /** Starts a program, prints its address lines, and stops it at a signal. */
 export async function runProcess (
   program: string,
@@ -42,6 +55,7 @@
   const timers = new settings.TimerService()
   const log = settings.createLog(program, values.nodeId, values.logLevel)
   const metrics = settings.createMetrics({ host: values.statsdHost, port: values.statsdPort, program, nodeId: values.nodeId })
+  const refresh = timers.every(TLS_REFRESH_MS, () => { refreshTls(tls.val, log) })
   const running = create({ timers, log, metrics, tls: tls.val })
   try {
     await running.start()
@@ -51,6 +65,7 @@
   }
   streams.out(describe(running))
   const exitCode = await runtime.runUntilSignal(running, { timers, stopLimitMs: values.stopLimitMs, print: streams.error })
+  refresh.cancel()
   await metrics.close()
   await log.close()
   return exitCode
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -193,7 +193,8 @@
       listen: settings.httpListen,
       routes: [...routes, ...this.configuration.createWebRoutes()],
       maxBodyBytes: settings.maxBodyBytes,
-      requestTimeoutMs: settings.requestTimeoutMs
+      requestTimeoutMs: settings.requestTimeoutMs,
+      tls: services.tls
     })
   }
 
--- a/packages/runtime/src/links.ts
+++ b/packages/runtime/src/links.ts
@@ -1,6 +1,7 @@
 /** gRPC servers and channels between egretvalve's own processes. */
 import * as grpc from '@grpc/grpc-js'
 import * as protocol from '@egretvalve/protocol'
+import { TlsSource } from './tlsSource.ts'
 import { formatAddress, parseAddress } from './addresses.ts'
 
 /** Key material for links; without it links are plain text. */
@@ -44,10 +45,11 @@
 /** Credentials of a server. */
 function createServerCredentials (tls: LinkTls | undefined): grpc.ServerCredentials {
   if (tls === undefined) return grpc.ServerCredentials.createInsecure()
+  if (tls instanceof TlsSource) return grpc.experimental.createCertificateProviderServerCredentials(tls, tls, true)
   return grpc.ServerCredentials.createSsl(tls.ca, [{ private_key: tls.key, cert_chain: tls.cert }], true)
 }
 
-/** Credentials of a client. */
+/** Credentials of a client, from the material that is current when it dials. */
 function createChannelCredentials (tls: LinkTls | undefined): grpc.ChannelCredentials {
   if (tls === undefined) return grpc.credentials.createInsecure()
   return grpc.credentials.createSsl(tls.ca, tls.key, tls.cert)
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -7,6 +7,8 @@
 import * as protocol from '@egretvalve/protocol'
 import { formatAddress, parseAddress } from './addresses.ts'
 import { readBody } from './body.ts'
+import type { LinkTls } from './links.ts'
+import { TlsSource } from './tlsSource.ts'
 
 /** A request whose body has been read whole. */
 export interface WebRequest {
@@ -46,7 +48,8 @@
   maxBodyBytes: number
   /** Longest time for a request's head and body to arrive, in milliseconds. */
   requestTimeoutMs: number
-  tls?: { key: Buffer, cert: Buffer, ca?: Buffer }
+  /** Key material; without it the server talks plain text. */
+  tls?: LinkTls
 }
 
 /** Longest time between two looks for connections that are too slow, in milliseconds. */
@@ -171,7 +174,10 @@
     headersTimeout: requestTimeoutMs,
     connectionsCheckingInterval: Math.min(requestTimeoutMs, MAX_CHECK_PERIOD_MS)
   }
-  return tls === undefined ? http.createServer(options, handler) : https.createServer({ ...options, ...tls }, handler)
+  if (tls === undefined) return http.createServer(options, handler)
+  const server = https.createServer({ ...options, key: tls.key, cert: tls.cert }, handler)
+  if (tls instanceof TlsSource) tls.subscribe(() => { server.setSecureContext({ key: tls.key, cert: tls.cert }) })
+  return server
 }
 
 /** Waits until the server listens; a refused address is an error that names it. */
