--- a/scripts/measureConfiguration.ts
+++ b/scripts/measureConfiguration.ts
@@ -161,12 +161,21 @@
   return `median ${median} ms, p99 ${p99} ms, max ${(histogram.maxValue / 1_000).toFixed(1)} ms`
 }
 
+/** Lists the bytes that each kind of message has carried since an earlier reading, most first. */
+function describeKinds (before: Map<string, protocol.LinkCount>, seconds: number): string {
+  const kinds = [...protocol.linkTraffic.read()].map(([kind, count]) => ({ kind, bytes: count.bytes - (before.get(kind)?.bytes ?? 0) }))
+  const carried = kinds.filter(({ bytes }) => bytes > 0).sort((left, right) => right.bytes - left.bytes)
+  return carried.map(({ kind, bytes }) => `${kind} ${(bytes / seconds).toFixed(0)} bytes/s`).join(', ')
+}
+
 async function main (): Promise<void> {
   const [entryCount = 6, agentCount = 60, changes = 200, restSeconds = 30] = process.argv.slice(2).map(Number)
   const sent = countSentBytes()
   const fleet = new MeasuredFleet()
   await fleet.start(entryCount, agentCount)
+  const before = protocol.linkTraffic.read()
   const rest = await measureSpan(fleet, sent, async () => { await timers.sleep(restSeconds * 1_000) })
+  const kinds = describeKinds(before, restSeconds)
   const inForce = hdr.build()
   const afterAccept = hdr.build()
   const busy = await measureSpan(fleet, sent, async () => { await runChanges(fleet, changes, inForce, afterAccept) })
@@ -179,6 +188,7 @@
   console.log(`store calls for a change: ${(busy.reads / changes).toFixed(2)} reads, ${(busy.writes / changes).toFixed(2)} writes`)
   console.log(`store calls at rest: ${(rest.reads / rest.wallMs * 1_000).toFixed(3)} reads/s, ${(rest.writes / rest.wallMs * 1_000).toFixed(3)} writes/s`)
   console.log(`link bytes at rest: ${(rest.bytes / rest.wallMs / nodes * 1_000).toFixed(1)} bytes/s for a node; for a change: ${(changeBytes / BYTES_PER_KB).toFixed(1)} KB in all, ${(changeBytes / nodes).toFixed(0)} bytes for a node`)
+  console.log(`kinds of messages at rest, all nodes: ${kinds}`)
   console.log(`processor at rest: ${(rest.cpuMs / rest.wallMs / nodes * 100).toFixed(3)}% of a core for a node; for a change: ${changeCpuMs.toFixed(2)} ms in all, ${(changeCpuMs / nodes * 1_000).toFixed(0)} us for a node`)
   console.log(`resident memory of the process: ${(process.memoryUsage().rss / 1_048_576).toFixed(0)} MB for ${nodes} nodes`)
   await fleet.stop()
