Keep the executable from starting processes: the repository's load script does

Cause: the load command of the executable started entries and agents as child processes; no program of the product may start another.

--- a/packages/bench/src/command/common.ts
+++ b/packages/bench/src/command/common.ts
@@ -1,5 +1,6 @@
 /** What the commands have in common. */
 import { readFile, writeFile } from 'node:fs/promises'
+import { canStartProcesses } from '../measuredProcess.ts'
 import * as protocol from '@egretvalve/protocol'
 import * as settings from '@egretvalve/settings'
 import * as results from 'ts-results'
@@ -61,7 +62,7 @@
 
 /** Returns how egretvalve is run: by address, in this process, or as processes of their own. */
 export function createFactory (values: FleetSettings, timers: settings.Timers): DispatcherFactory {
-  if (values.entryAddresses.length === 0 && values.inProcess) return (servers, plan) => createLocalDispatcher(servers, plan, timers)
+  if (values.entryAddresses.length === 0 && (values.inProcess || !canStartProcesses())) return (servers, plan) => createLocalDispatcher(servers, plan, timers)
   return (servers, plan) => new EgretvalveDispatcher(servers, plan.fleet.slots, timers, createFleet(values, plan.fleet))
 }
 
--- a/packages/bench/src/command/loadSettings.ts
+++ b/packages/bench/src/command/loadSettings.ts
@@ -56,7 +56,7 @@
   entries: settings.wholeNumber('Entries to run.', 'entries', 1, MAX_ENTRIES, '3'),
   servers: settings.wholeNumber('Stand-in backend servers to run, each with an agent.', 'backend servers', 1, MAX_SERVERS, '10'),
   slots: settings.wholeNumber('Slots of each backend server.', 'slots', 1, MAX_SLOTS, '8'),
-  inProcess: settings.flag('Runs entries and agents in this process; without it each is a process that the tool starts.'),
+  inProcess: settings.flag('Runs entries and agents in this process, as the executable always does; in the repository, npm run load gives each a process of its own.'),
   entryAddresses: settings.addressList('HTTP addresses of entries that already run, in place of own ones.', ''),
   announceAddresses: settings.addressList('Announcement addresses of agents that already run, one for each server.', '')
 }
@@ -72,7 +72,7 @@
   saveTrace: settings.text('File to which the trace is written.', 'a path', ''),
   json: settings.text('File to which the measures are written as JSON.', 'a path', ''),
   report: settings.text('File to which the report is written as HTML.', 'a path', ''),
-  slopes: settings.flag('Measures costs against sizes in place of a load; starts the processes that it measures.'),
+  slopes: settings.flag('Measures costs against sizes in place of a load; only with npm run load in the repository, which starts the processes that it measures.'),
   windowMs: settings.wholeNumber('Length of each window of --slopes with work.', 'milliseconds', 500, MAX_WINDOW_MS, '5000'),
   restWindowMs: settings.wholeNumber('Length of each window of --slopes at rest.', 'milliseconds', 500, MAX_WINDOW_MS, '60000')
 }
--- a/packages/bench/src/command/slopes.ts
+++ b/packages/bench/src/command/slopes.ts
@@ -1,5 +1,6 @@
 /** `egretvalve load --slopes`: measures costs against sizes. */
 import * as settings from '@egretvalve/settings'
+import { canStartProcesses } from '../measuredProcess.ts'
 import { drawPlot } from '../plot.ts'
 import type { Plot } from '../plot.ts'
 import { measureSlopes } from '../slopes/runSlopes.ts'
@@ -10,6 +11,10 @@
 
 /** Runs the experiments and writes their JSON and plots. */
 export async function runSlopes (values: LoadSettings, streams: CommandStreams): Promise<number> {
+  if (!canStartProcesses()) {
+    streams.error('--slopes: got true; the executable starts no process, expected npm run load -- --slopes in the repository')
+    return CommandExit.Usage
+  }
   const timers = new settings.TimerService()
   const report = await measureSlopes({ timers, windowMs: values.windowMs, restWindowMs: values.restWindowMs }, step => { streams.out(`measuring ${step}`) })
   for (const series of report.series) streams.out(describeSeries(series))
--- a/packages/bench/src/measuredProcess.ts
+++ b/packages/bench/src/measuredProcess.ts
@@ -1,53 +1,32 @@
-/** Starts the processes under measurement. Only the load tool starts processes; the product's own never do. */
-import { spawn } from 'node:child_process'
-import type { ChildProcess } from 'node:child_process'
-import * as sea from 'node:sea'
+/** Processes under measurement. The executable starts none: the repository's load script registers what starts them. */
 import * as protocol from '@egretvalve/protocol'
 
 /** A running process of the product. */
-export class MeasuredProcess {
-  private constructor (private readonly child: ChildProcess, readonly line: string) {}
-
-  /** Starts a subcommand and waits for the line that states its addresses. */
-  static async start (command: string, args: readonly string[]): Promise<MeasuredProcess> {
-    const [program, ...prefix] = resolveProgram()
-    const child = spawn(program!, [...prefix, command, ...args], { stdio: ['ignore', 'pipe', 'inherit'] })
-    return new MeasuredProcess(child, await readFirstLine(child, command))
-  }
+export interface MeasuredProcess {
+  readonly processId: number
+  /** Returns the address after a word of the first line that the process printed. */
+  addressAfter: (word: string) => string
+  /** Ends the process and waits until it is gone. */
+  stop: () => Promise<void>
+}
 
-  get processId (): number {
-    return this.child.pid!
-  }
+/** Starts a subcommand and waits for the line that states its addresses. */
+export type ProcessStarter = (command: string, args: readonly string[]) => Promise<MeasuredProcess>
 
-  /** Returns the address after a word of the first line. */
-  addressAfter (word: string): string {
-    return new RegExp(`${word} (?:http://)?(\\S+:\\d+)`).exec(this.line)?.[1] ?? ''
-  }
+let registered: ProcessStarter | undefined
 
-  /** Ends the process and waits until it is gone. */
-  async stop (): Promise<void> {
-    if (this.child.exitCode !== null) return
-    const ended = new Promise<void>(resolve => { this.child.once('exit', () => resolve()) })
-    this.child.kill('SIGKILL')
-    await ended
-  }
+/** Registers what starts processes. */
+export function registerProcessStarter (starter: ProcessStarter): void {
+  registered = starter
 }
 
-/** The program and leading arguments that run this executable again. */
-function resolveProgram (): string[] {
-  if (sea.isSea()) return [process.execPath]
-  return [process.execPath, ...process.execArgv, process.argv[1]!]
+/** True when processes can be started. */
+export function canStartProcesses (): boolean {
+  return registered !== undefined
 }
 
-async function readFirstLine (child: ChildProcess, command: string): Promise<string> {
-  return await new Promise<string>((resolve, reject) => {
-    let text = ''
-    child.stdout!.on('data', chunk => {
-      text += String(chunk)
-      if (text.includes('\n')) resolve(text.slice(0, text.indexOf('\n')))
-    })
-    child.once('exit', code => {
-      reject(new protocol.StepError(protocol.ErrorCode.Unavailable, 'process.start', command, `ended with ${code ?? 'a signal'}`))
-    })
-  })
+/** Starts a process, or fails when nothing has been registered that could. */
+export async function startMeasuredProcess (command: string, args: readonly string[]): Promise<MeasuredProcess> {
+  if (registered !== undefined) return await registered(command, args)
+  throw new protocol.StepError(protocol.ErrorCode.Unavailable, 'process.start', command, 'the executable starts no process; use npm run load in the repository')
 }
--- a/packages/bench/src/processFleet.ts
+++ b/packages/bench/src/processFleet.ts
@@ -1,6 +1,6 @@
 /** A store, entries and agents as processes of their own. */
 import type { Fleet, FleetAddresses } from './fleet.ts'
-import { MeasuredProcess } from './measuredProcess.ts'
+import { type MeasuredProcess, startMeasuredProcess } from './measuredProcess.ts'
 
 const ANY_PORT = '127.0.0.1:0'
 
@@ -51,7 +51,7 @@
   }
 
   private async startProcess (command: string, args: readonly string[]): Promise<MeasuredProcess> {
-    const started = await MeasuredProcess.start(command, args)
+    const started = await startMeasuredProcess(command, args)
     this.processes.push(started)
     return started
   }
--- a/packages/bench/src/slopes/agentSlopes.ts
+++ b/packages/bench/src/slopes/agentSlopes.ts
@@ -4,7 +4,7 @@
 import { BackendServer } from '../backend.ts'
 import { CallerClient } from '../callerClient.ts'
 import { LocalFleet } from '../localFleet.ts'
-import { MeasuredProcess } from '../measuredProcess.ts'
+import { type MeasuredProcess, startMeasuredProcess } from '../measuredProcess.ts'
 import type { SlopeOptions } from './entrySlopes.ts'
 import type { MeasuredPoint } from './fit.ts'
 import { runClosedLoad, runOpenLoad } from './jobLoad.ts'
@@ -45,7 +45,7 @@
     const backend = new BackendServer(SLOTS, timers)
     await backend.start()
     const links = fleet.entries.map(entry => entry.linkAddress).join(',')
-    const agent = await MeasuredProcess.start('agent', ['--announce-listen', '127.0.0.1:0', '--entries', links, '--plain-text', '--log-level', 'error'])
+    const agent = await startMeasuredProcess('agent', ['--announce-listen', '127.0.0.1:0', '--entries', links, '--plain-text', '--log-level', 'error'])
     const announcer = new ServerAnnouncer(agent.addressAfter('on'), { service: SERVICE, address: backend.address, slots: SLOTS, rack: 'rack-1' }, timers)
     await announcer.announce()
     await timers.sleep(SETTLE_MS)
--- a/packages/bench/src/slopes/entrySlopes.ts
+++ b/packages/bench/src/slopes/entrySlopes.ts
@@ -2,7 +2,7 @@
 import type * as settings from '@egretvalve/settings'
 import { CallerClient } from '../callerClient.ts'
 import { waitUntilReady } from '../localFleet.ts'
-import { MeasuredProcess } from '../measuredProcess.ts'
+import { type MeasuredProcess, startMeasuredProcess } from '../measuredProcess.ts'
 import type { MeasuredPoint } from './fit.ts'
 import { runClosedLoad, runOpenLoad } from './jobLoad.ts'
 import type { JobLoad } from './jobLoad.ts'
@@ -51,7 +51,7 @@
   static async start (agentCount: number, slots: number, runMs: number, timers: settings.Timers): Promise<EntryRig> {
     const counter = new SocketByteCounter(SocketSide.Client)
     counter.start()
-    const entry = await MeasuredProcess.start('entry', ['--http-listen', '127.0.0.1:0', '--link-listen', '127.0.0.1:0', '--plain-text', '--log-level', 'error'])
+    const entry = await startMeasuredProcess('entry', ['--http-listen', '127.0.0.1:0', '--link-listen', '127.0.0.1:0', '--plain-text', '--log-level', 'error'])
     await waitUntilReady(entry.addressAfter('http'), timers)
     const agents = Array.from({ length: agentCount }, (_, index) => new LightAgent({
       agentId: `agent-${index + 1}`,
