Keep taking undated ids after the answers' memory is full

Cause: once an answer had been dropped before its retention time, every id without a date was answered outcome unknown; under load with undated ids an entry then took nothing (0 starts/s in the third of three floods of 8 s). Dropping the oldest answers one by one from the front of an array was quadratic. Ended jobs kept their work. Change: fingerprints of dropped undated ids tell them from new ones; the oldest answers go in one cut; ended jobs release their work.

--- a/packages/entry/src/jobs/intake.ts
+++ b/packages/entry/src/jobs/intake.ts
@@ -103,18 +103,10 @@
   private findRefusal (submission: protocol.wire.ISubmission): protocol.wire.IAnswer | undefined {
     const key = submission.key!
     if (this.isDraining) return protocol.createRefusal(key, protocol.AnswerCode.Draining, 'this entry is stopping; submit again', 1)
-    if (this.isForgotten(submission)) return protocol.createUnknownOutcome(key, 'the answer of this id may have been dropped; it may have run and will not run now')
+    if (this.options.registry.mayHaveForgotten(submission)) return protocol.createUnknownOutcome(key, 'the answer of this id may have been dropped; it may have run and will not run now')
     if (!this.options.dispatcher.knowsService(submission.service ?? '')) {
       return protocol.createRefusal(key, protocol.AnswerCode.UnknownService, `service: got ${submission.service ?? ''}; no backend server has announced it`)
     }
     return this.options.dispatcher.findRefusal(submission)
   }
-
-  /** A dated id older than the oldest answer that was dropped early may have run before. */
-  private isForgotten (submission: protocol.wire.ISubmission): boolean {
-    const horizonMs = this.options.registry.forgottenBeforeMs
-    if (horizonMs === 0) return false
-    const submittedAtMs = submission.submittedAtMs ?? 0
-    return submittedAtMs <= horizonMs + protocol.CLOCK_BOUND_MS
-  }
 }
--- a/packages/entry/src/jobs/job.ts
+++ b/packages/entry/src/jobs/job.ts
@@ -102,6 +102,11 @@
     return this.answer
   }
 
+  /** Drops the work of a job that has ended; its answer stays. */
+  releaseWork (): void {
+    this.submission.tasks = []
+  }
+
   /** Creates the answer for a caller who looks before the end. */
   createProgress (): protocol.wire.IAnswer {
     const done = this.taskCount - this.remaining
--- a/packages/entry/src/jobs/registry.ts
+++ b/packages/entry/src/jobs/registry.ts
@@ -2,6 +2,7 @@
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import { events } from '../events.ts'
+import { ForgottenIds } from './forgottenIds.ts'
 import { Job } from './job.ts'
 
 /** Bounds of the registry. */
@@ -43,9 +44,12 @@
   private endedBytes = 0
   private runningCount = 0
   private horizonMs = 0
+  private readonly forgottenIds: ForgottenIds
   private onIdle: (() => void) | undefined
 
-  constructor (private readonly options: RegistryOptions) {}
+  constructor (private readonly options: RegistryOptions) {
+    this.forgottenIds = new ForgottenIds(options.timers, options.retentionMs)
+  }
 
   get running (): number {
     return this.runningCount
@@ -55,9 +59,11 @@
     return this.jobs.size
   }
 
-  /** Wall-clock time before which answers may have been dropped early; 0 when none was. */
-  get forgottenBeforeMs (): number {
-    return this.horizonMs
+  /** True when the submission is not known here and may have run before, because its answer was dropped early. */
+  mayHaveForgotten (submission: protocol.wire.ISubmission): boolean {
+    const submittedAtMs = submission.submittedAtMs ?? 0
+    if (submittedAtMs === 0) return this.forgottenIds.mayHold(protocol.submissionKeyText(submission.key!))
+    return this.horizonMs > 0 && submittedAtMs <= this.horizonMs + protocol.CLOCK_BOUND_MS
   }
 
   find (key: protocol.wire.ISubmissionKey): Job | undefined {
@@ -72,7 +78,7 @@
   /** Creates the job of a submission, or joins the one that runs or has ended. */
   join (submission: protocol.wire.ISubmission): JoinResult {
     const known = this.find(submission.key!)
-    if (known !== undefined) return { kind: isSameWork(known.submission, submission) ? JoinKind.Joined : JoinKind.Conflict, job: known }
+    if (known !== undefined) return { kind: isSameWork(known, submission) ? JoinKind.Joined : JoinKind.Conflict, job: known }
     const job = new Job(submission, this.options.timers.nowMs())
     this.jobs.set(job.keyText, job)
     this.runningCount++
@@ -97,6 +103,7 @@
 
   /** Keeps an ended job for the retention time. */
   retain (job: Job): void {
+    job.releaseWork()
     const sizeBytes = estimateBytes(job)
     this.ended.push({ job, endedAtMs: this.options.timers.nowMs(), sizeBytes })
     this.endedBytes += sizeBytes
@@ -107,7 +114,7 @@
   /** Drops answers older than the retention time. */
   expire (): void {
     const oldestMs = this.options.timers.nowMs() - this.options.retentionMs
-    while (this.ended.length > 0 && this.ended[0]!.endedAtMs <= oldestMs) this.dropOldest()
+    this.dropWhile(ended => ended.endedAtMs <= oldestMs)
   }
 
   /** Resolves when no job runs. */
@@ -124,19 +131,26 @@
   /** Drops the oldest answers until an eighth of the memory is free. */
   private evict (): void {
     const targetBytes = this.options.maxBytes * 7 / 8
-    let count = 0
-    while (this.endedBytes > targetBytes && this.ended.length > 0) {
-      this.dropOldest()
-      count++
+    const dropped = this.dropWhile(() => this.endedBytes > targetBytes)
+    for (const { job } of dropped) {
+      if ((job.submission.submittedAtMs ?? 0) === 0) this.forgottenIds.add(job.keyText)
     }
-    this.horizonMs = this.options.timers.wallClockMs() - (this.options.timers.nowMs() - (this.ended[0]?.endedAtMs ?? this.options.timers.nowMs()))
-    this.options.log.event(events.RecordsEvicted, { count, forgottenBeforeMs: this.horizonMs })
+    const { timers, log } = this.options
+    const keptForMs = this.ended.length === 0 ? 0 : timers.nowMs() - this.ended[0]!.endedAtMs
+    this.horizonMs = timers.wallClockMs() - keptForMs
+    log.event(events.RecordsEvicted, { count: dropped.length, forgottenBeforeMs: this.horizonMs })
   }
 
-  private dropOldest (): void {
-    const oldest = this.ended.shift()!
-    this.endedBytes -= oldest.sizeBytes
-    this.jobs.delete(oldest.job.keyText)
+  /** Removes and returns the oldest answers, as long as they match. */
+  private dropWhile (matches: (ended: EndedJob) => boolean): EndedJob[] {
+    let count = 0
+    while (count < this.ended.length && matches(this.ended[count]!)) {
+      const { job, sizeBytes } = this.ended[count]!
+      this.endedBytes -= sizeBytes
+      this.jobs.delete(job.keyText)
+      count++
+    }
+    return count === 0 ? [] : this.ended.splice(0, count)
   }
 }
 
@@ -147,6 +161,6 @@
 }
 
 /** A resubmission must state the same work. */
-function isSameWork (known: protocol.wire.ISubmission, submitted: protocol.wire.ISubmission): boolean {
-  return known.service === submitted.service && known.tasks!.length === submitted.tasks!.length
+function isSameWork (known: Job, submitted: protocol.wire.ISubmission): boolean {
+  return known.submission.service === submitted.service && known.taskCount === submitted.tasks!.length
 }
