--- a/packages/entry/src/jobs/gateway.ts
+++ b/packages/entry/src/jobs/gateway.ts
@@ -31,7 +31,7 @@
   async function cancel (key: protocol.wire.ISubmissionKey): Promise<protocol.wire.IAnswer | undefined> {
     const job = registry.find(key)
     if (job === undefined) return undefined
-    if (job.answer === undefined) dispatcher.cancel(job)
+    if (!job.hasAnswer) dispatcher.cancel(job)
     return job.answer ?? job.createProgress()
   }
 
--- a/packages/entry/src/jobs/intake.ts
+++ b/packages/entry/src/jobs/intake.ts
@@ -70,7 +70,8 @@
 
   /** Waits for a job's answer; after the wait, or when the caller leaves, returns its progress. */
   async wait (job: Job, waitMs: number, signal: AbortSignal): Promise<protocol.wire.IAnswer> {
-    if (job.answer !== undefined) return job.answer
+    const known = job.answer
+    if (known !== undefined) return known
     if (waitMs <= 0) return job.createProgress()
     return await new Promise(resolve => {
       const finish = (answer: protocol.wire.IAnswer): void => {
--- a/packages/entry/src/jobs/job.ts
+++ b/packages/entry/src/jobs/job.ts
@@ -26,31 +26,40 @@
 export class Job {
   readonly keyText: string
   readonly partition: number
-  /** Set when the job has ended. */
-  answer: protocol.wire.IAnswer | undefined
   isCancelled = false
   /** True once another entry owns the job; reports that still arrive here change nothing. */
   isMoved = false
   /** True while only the records of agents are known, and not the work itself. */
   needsSubmission = false
   private readonly heldByAgents = new Set<number>()
-  private readonly reports: Array<protocol.wire.ITaskReport | undefined>
+  readonly taskCount: number
+  private reports: Array<protocol.wire.ITaskReport | undefined>
   private remaining: number
+  private finalAnswer: protocol.wire.IAnswer | undefined
+  private encodedAnswer: Uint8Array | undefined
   private readonly waiters = new Set<(answer: protocol.wire.IAnswer) => void>()
 
   constructor (public submission: protocol.wire.ISubmission, readonly acceptedAtMs: number) {
     this.keyText = protocol.submissionKeyText(submission.key!)
     this.partition = protocol.resolvePartition(submission.key!)
-    this.remaining = submission.tasks!.length
-    this.reports = new Array(this.remaining)
+    this.taskCount = submission.tasks!.length
+    this.remaining = this.taskCount
+    this.reports = new Array(this.taskCount)
   }
 
   get key (): protocol.wire.ISubmissionKey {
     return this.submission.key!
   }
 
-  get taskCount (): number {
-    return this.reports.length
+  /** True when the job has its answer. */
+  get hasAnswer (): boolean {
+    return this.finalAnswer !== undefined || this.encodedAnswer !== undefined
+  }
+
+  /** The answer of a job that has ended. */
+  get answer (): protocol.wire.IAnswer | undefined {
+    if (this.finalAnswer !== undefined || this.encodedAnswer === undefined) return this.finalAnswer
+    return wire.Answer.decode(this.encodedAnswer)
   }
 
   get remainingCount (): number {
@@ -81,13 +90,13 @@
 
   /** Returns true when the task has ended. */
   hasEnded (index: number): boolean {
-    return this.reports[index] !== undefined
+    return this.hasAnswer || this.reports[index] !== undefined
   }
 
   /** Takes the final report of a task. A doubled or late report changes nothing. Returns true when it was the last one. */
   settle (report: protocol.wire.ITaskReport): boolean {
     const index = report.index ?? 0
-    if (index >= this.reports.length || this.reports[index] !== undefined) return false
+    if (index >= this.taskCount || this.hasEnded(index)) return false
     this.reports[index] = report
     this.remaining--
     return this.remaining === 0
@@ -96,15 +105,25 @@
   /** Ends the job with its final answer and tells everyone who waits. */
   finish (): protocol.wire.IAnswer {
     const code = this.isCancelled ? protocol.AnswerCode.Cancelled : undefined
-    this.answer = protocol.createFinalAnswer(this.key, this.reports as protocol.wire.ITaskReport[], code)
-    for (const waiter of this.waiters) waiter(this.answer)
+    const answer = protocol.createFinalAnswer(this.key, this.reports as protocol.wire.ITaskReport[], code)
+    this.finalAnswer = answer
+    for (const waiter of this.waiters) waiter(answer)
     this.waiters.clear()
-    return this.answer
+    return answer
   }
 
-  /** Drops the work of a job that has ended; its answer stays. */
-  releaseWork (): void {
-    this.submission.tasks = []
+  /**
+   * Drops the work of a job that has ended and keeps its answer encoded. Returns the size of the encoded answer in bytes.
+   */
+  compact (): number {
+    if (this.finalAnswer !== undefined) {
+      // A copy of its own: the encoder's buffer is shared with messages that live shorter.
+      this.encodedAnswer = new Uint8Array(wire.Answer.encode(this.finalAnswer).finish())
+      this.finalAnswer = undefined
+    }
+    this.submission = { key: this.key, service: this.submission.service, submittedAtMs: this.submission.submittedAtMs, tasks: [] }
+    this.reports = []
+    return this.encodedAnswer?.length ?? 0
   }
 
   /** Creates the answer for a caller who looks before the end. */
@@ -122,8 +141,9 @@
 
   /** Calls back with the answer; the function returned withdraws. */
   onAnswer (waiter: (answer: protocol.wire.IAnswer) => void): () => void {
-    if (this.answer !== undefined) {
-      waiter(this.answer)
+    const { answer } = this
+    if (answer !== undefined) {
+      waiter(answer)
       return () => {}
     }
     this.waiters.add(waiter)
--- a/packages/entry/src/jobs/registry.ts
+++ b/packages/entry/src/jobs/registry.ts
@@ -13,10 +13,8 @@
   maxBytes: number
 }
 
-/** Estimated memory of one kept job beside its bodies, in bytes. */
-const JOB_OVERHEAD_BYTES = 600
-/** Estimated memory of one kept task beside its body, in bytes. */
-const TASK_OVERHEAD_BYTES = 150
+/** Estimated memory of one kept job beside its encoded answer, in bytes. */
+const JOB_OVERHEAD_BYTES = 2_000
 
 interface EndedJob {
   job: Job
@@ -72,7 +70,7 @@
 
   /** Returns the running jobs. */
   listRunning (): Job[] {
-    return [...this.jobs.values()].filter(job => job.answer === undefined)
+    return [...this.jobs.values()].filter(job => !job.hasAnswer)
   }
 
   /** Creates the job of a submission, or joins the one that runs or has ended. */
@@ -103,8 +101,7 @@
 
   /** Keeps an ended job for the retention time. */
   retain (job: Job): void {
-    job.releaseWork()
-    const sizeBytes = estimateBytes(job)
+    const sizeBytes = JOB_OVERHEAD_BYTES + job.compact()
     this.ended.push({ job, endedAtMs: this.options.timers.nowMs(), sizeBytes })
     this.endedBytes += sizeBytes
     this.noteEnd()
@@ -154,12 +151,6 @@
   }
 }
 
-function estimateBytes (job: Job): number {
-  let sizeBytes = JOB_OVERHEAD_BYTES
-  for (const task of job.answer?.tasks ?? []) sizeBytes += TASK_OVERHEAD_BYTES + (task.body?.length ?? 0)
-  return sizeBytes
-}
-
 /** A resubmission must state the same work. */
 function isSameWork (known: Job, submitted: protocol.wire.ISubmission): boolean {
   return known.submission.service === submitted.service && known.taskCount === submitted.tasks!.length
--- a/packages/entry/src/owners/adoption.ts
+++ b/packages/entry/src/owners/adoption.ts
@@ -66,7 +66,7 @@
     const tasks = (report.tasks ?? []).filter(task => task.state !== TaskState.TASK_STATE_NOT_RUN)
     if (tasks.length === 0) return undefined
     const known = this.services.registry.find(report.key ?? {})
-    if (known?.answer !== undefined) return undefined
+    if (known?.hasAnswer === true) return undefined
     const job = known ?? this.services.registry.adopt(report)
     for (const task of tasks) this.adoptTask(record, job, task)
     return job
@@ -88,7 +88,7 @@
 
   /** Ends the tasks of a job whose work did not arrive. */
   private settleMissing (job: Job): void {
-    if (job.isMoved || job.answer !== undefined || !job.needsSubmission) return
+    if (job.isMoved || job.hasAnswer || !job.needsSubmission) return
     const state = this.services.judge(job) === ownership.FirstSight.Fresh ? TaskState.TASK_STATE_NOT_RUN : TaskState.TASK_STATE_UNKNOWN
     for (const index of job.missingIndexes()) this.services.dispatcher.adopt(job, { index, state, error: 'the owner changed before the task was sent' })
   }
