Define once the settings that every process has

Cause: stop limit, TLS, log and metrics settings stood in the entry, the agent, the stand-ins and the command line. Change: runtime holds them; the four spread them.

--- a/packages/agent/src/settings.ts
+++ b/packages/agent/src/settings.ts
@@ -1,9 +1,10 @@
 /** Settings of the agent. */
 import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
 
 /** Resolved settings of an agent. */
-export interface AgentSettings {
+export interface AgentSettings extends runtime.ProcessSettings {
   nodeId: string
   region: string
   failureDomain: string
@@ -16,14 +17,6 @@
   queueDepth: number
   retentionMs: number
   recordMaxBytes: number
-  stopLimitMs: number
-  plainText: boolean
-  tlsKeyFile: string
-  tlsCertFile: string
-  tlsCaFile: string
-  logLevel: settings.LogLevel
-  statsdHost: string
-  statsdPort: number
 }
 
 const MAX_STOP_LIMIT_MS = 3_600_000
@@ -39,14 +32,7 @@
   queueDepth: settings.wholeNumber('Tasks that may wait at the agent beyond its free slots.', 'tasks', 0, 1_000, '0'),
   retentionMs: settings.wholeNumber('Time for which starts and results are kept.', 'milliseconds', 1_000, MAX_STOP_LIMIT_MS, String(protocol.RETENTION_MS)),
   recordMaxBytes: settings.wholeNumber('Memory for the record of starts and results.', 'bytes', 1_000_000, MAX_RECORD_BYTES, '100000000'),
-  stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_STOP_LIMIT_MS, '60000'),
-  plainText: settings.flag('Allows links without TLS.'),
-  tlsKeyFile: settings.text('PEM file with the private key.', 'a path', ''),
-  tlsCertFile: settings.text('PEM file with the certificate.', 'a path', ''),
-  tlsCaFile: settings.text('PEM file with the certificate authority.', 'a path', ''),
-  logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Info),
-  statsdHost: settings.text('IP number of the StatsD collector.', 'an IPv4 address', '127.0.0.1'),
-  statsdPort: settings.wholeNumber('UDP port of the StatsD collector; 0 sends nothing.', 'port', 0, 65_535, '0')
+  ...runtime.processDefinition
 }
 
 /** Resolves settings for embedded use: the defaults with some values replaced. */
--- a/packages/cli/src/commands/process.ts
+++ b/packages/cli/src/commands/process.ts
@@ -8,13 +8,9 @@
 /** Time between two looks at the TLS files, in milliseconds. */
 const TLS_REFRESH_MS = 10_000
 
-/** Settings that every process has. */
-export interface ProcessSettings extends runtime.TlsSettings {
+/** Settings that every process has, with its id. */
+export interface ProcessSettings extends runtime.ProcessSettings {
   nodeId: string
-  stopLimitMs: number
-  logLevel: settings.LogLevel
-  statsdHost: string
-  statsdPort: number
 }
 
 /** Services that a process hands to its parts. */
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,11 +1,12 @@
 /** Settings of the entry. */
 import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
 import * as zod from 'zod'
 import { GRANT_FORMAT, parseGrants, type TokenGrant } from './admin/access.ts'
 
 /** Resolved settings of an entry. */
-export interface EntrySettings {
+export interface EntrySettings extends runtime.ProcessSettings {
   nodeId: string
   region: string
   failureDomain: string
@@ -26,20 +27,12 @@
   recordMaxBytes: number
   /** Time for a disconnected agent to return before its tasks count as unknown. */
   agentGraceMs: number
-  stopLimitMs: number
   /** Tokens of the administration API, of which only digests are given. */
   adminTokens: TokenGrant[]
   /** Takes every administration request as an administrator's. */
   openAdmin: boolean
   /** Refuses submissions of teams without a configuration. */
   requireConfig: boolean
-  plainText: boolean
-  tlsKeyFile: string
-  tlsCertFile: string
-  tlsCaFile: string
-  logLevel: settings.LogLevel
-  statsdHost: string
-  statsdPort: number
 }
 
 const MAX_DURATION_MS = 3_600_000
@@ -66,17 +59,10 @@
   retentionMs: settings.wholeNumber('Time for which answers are kept.', 'milliseconds', 1_000, MAX_DURATION_MS, String(protocol.RETENTION_MS)),
   recordMaxBytes: settings.wholeNumber('Memory for answers that are kept.', 'bytes', 1_000_000, MAX_RECORD_BYTES, '64000000'),
   agentGraceMs: settings.wholeNumber('Time for a disconnected agent to return.', 'milliseconds', 100, MAX_DURATION_MS, '10000'),
-  stopLimitMs: settings.wholeNumber('Longest time for a planned stop.', 'milliseconds', 0, MAX_DURATION_MS, '60000'),
   adminTokens: tokenGrants('Tokens of the administration API, as egretvalve token prints them.'),
   openAdmin: settings.flag('Takes every administration request as an administrator\'s; for development.'),
   requireConfig: settings.flag('Refuses submissions of teams without a configuration.'),
-  plainText: settings.flag('Allows links and HTTP without TLS.'),
-  tlsKeyFile: settings.text('PEM file with the private key.', 'a path', ''),
-  tlsCertFile: settings.text('PEM file with the certificate.', 'a path', ''),
-  tlsCaFile: settings.text('PEM file with the certificate authority.', 'a path', ''),
-  logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Info),
-  statsdHost: settings.text('IP number of the StatsD collector.', 'an IPv4 address', '127.0.0.1'),
-  statsdPort: settings.wholeNumber('UDP port of the StatsD collector; 0 sends nothing.', 'port', 0, 65_535, '0')
+  ...runtime.processDefinition
 }
 
 /** Resolves settings for embedded use: the defaults with some values replaced. */
