--- a/packages/bench/src/capacity/model.ts
+++ b/packages/bench/src/capacity/model.ts
@@ -20,7 +20,7 @@
   slope: string
   figure: number
   unit: string
-  /** Missing when the brief sets none. */
+  /** Missing when the target sets none. */
   limit?: number
   mechanism: string
 }
