agent: schedule the load after the greeting once

Change: the link's call stays, the agent's goes. A report that is already scheduled is not scheduled twice, so behaviour is the same. Conclusion: 32 tests of agents, mounted configuration, ownership across entries and the command line pass.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -126,8 +126,6 @@
     } else if (message.inquiry != null) {
       this.answerInquiry(link, message.inquiry)
     } else if (message.hello != null) {
-      // The backend server may have announced itself while the stream was opening.
-      link.scheduleFlush()
       this.learnEntries(message.hello.entries ?? [])
     } else if (message.entries != null) {
       this.life.note(message.entries)
