--- /dev/null
+++ b/packages/fleet/src/agentConnection.ts
@@ -0,0 +1,88 @@
+/** The entry's side of a link to an agent. */
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import type * as scheduler from '@egretvalve/scheduler'
+import type * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS } from './defaults.ts'
+import { encodeOrder } from './messages.ts'
+import { Heard, watchRegularly } from './watchdog.ts'
+
+/** A stream on which an agent has greeted. */
+export class AgentConnection implements scheduler.AgentPort {
+  readonly agentId: string
+  readonly life: string
+  readonly failureDomain: string
+  /** Version of the configuration that the agent is known to have. */
+  configVersion: number
+  private readonly heard: Heard
+  private orders: protocol.runs.IRunOrder[] = []
+  private lastSentAtMs = 0
+  /** Tasks sent and not reported, by key. */
+  private readonly busy = new Set<string>()
+  private readonly watch: settings.TimerHandle
+
+  constructor (
+    greeting: protocol.runs.IAgentGreeting,
+    private readonly outbox: runtime.Outbox<protocol.runs.IFromEntry>,
+    private readonly timers: settings.Timers,
+    createBeat: () => protocol.runs.IBeat,
+    onSilent: () => void
+  ) {
+    this.agentId = greeting.agentId ?? ''
+    this.life = greeting.life ?? ''
+    this.failureDomain = greeting.failureDomain ?? ''
+    this.configVersion = greeting.configVersion ?? 0
+    this.heard = new Heard(timers)
+    this.watch = watchRegularly(timers, () => { this.keepAlive(createBeat, onSilent) })
+  }
+
+  silentMs (): number {
+    return this.heard.silentMs
+  }
+
+  noteHeard (): void {
+    this.heard.note()
+  }
+
+  /** Sends a task soon, with the others of this turn. */
+  order (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): void {
+    this.busy.add(workers.taskKey(task.ref))
+    this.orders.push(encodeOrder(job, task, this.timers.nowMs(), expiresInMs))
+    if (this.orders.length === 1) setImmediate(() => { this.flush() })
+  }
+
+  stop (ref: workers.TaskRef): void {
+    this.flush()
+    this.send({ stop: { jobId: ref.jobId, step: ref.step, indexes: [ref.index] } })
+  }
+
+  /** Notes the tasks that have ended. */
+  noteEnds (ends: readonly scheduler.ReportedEnd[]): void {
+    for (const end of ends) this.busy.delete(workers.taskKey(end.ref))
+  }
+
+  send (message: protocol.runs.IFromEntry): void {
+    if (this.outbox.send(message)) this.lastSentAtMs = this.timers.nowMs()
+  }
+
+  /** Ends the stream. */
+  close (): void {
+    this.watch.cancel()
+    this.outbox.end()
+    this.outbox.close()
+  }
+
+  private flush (): void {
+    if (this.orders.length === 0) return
+    const orders = this.orders
+    this.orders = []
+    this.send({ orders: { orders } })
+  }
+
+  private keepAlive (createBeat: () => protocol.runs.IBeat, onSilent: () => void): void {
+    const isBusy = this.busy.size > 0
+    if (this.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: createBeat() })
+    if (this.silentMs() > (isBusy ? 2 * BUSY_SILENCE_MS : IDLE_SILENCE_MS)) onSilent()
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/agentNode.ts
@@ -0,0 +1,215 @@
+/** The agent of a leased worker: takes orders of entries over their links and reports what becomes of them. */
+import type * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+import { ConfigShelf, decodeCopy } from './configCopy.ts'
+import { FORGET_ENTRY_MS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
+import { EntryConnection } from './entryConnection.ts'
+import { events } from './events.ts'
+import { decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
+import { Owners } from './owners.ts'
+import { watchRegularly } from './watchdog.ts'
+
+/** Who the agent is. */
+export interface AgentIdentity {
+  agentId: string
+  life: string
+  failureDomain: string
+}
+
+/** Services of an agent. */
+export interface AgentServices {
+  timers: settings.Timers
+  log: settings.Log
+  driver: workers.WorkerDriver
+}
+
+/** A run counts as slow when it takes this many times its estimate, and this much longer at least. */
+const SLOW_FACTOR = 1.6
+const SLOW_MARGIN_MS = 60
+/** A run is told as standing still after this time without progress, in milliseconds. */
+const STILL_MS = 150
+
+/** One agent. */
+export class AgentNode {
+  readonly executor: workers.RunExecutor
+  private readonly shelf = new ConfigShelf()
+  private readonly owners: Owners
+  private readonly connections = new Map<string, EntryConnection>()
+  private readonly pendingEnds = new Map<string, workers.TaskEnding[]>()
+  private readonly handles: settings.TimerHandle[] = []
+  private isFlushScheduled = false
+  private isLoadStale = false
+  private flushedAtMs = 0
+
+  constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
+    this.owners = new Owners(services.timers)
+    this.executor = new workers.RunExecutor(services, {
+      onEnd: ending => { this.report(ending) },
+      onLoad: () => { this.isLoadStale = true }
+    })
+    this.handles.push(
+      watchRegularly(services.timers, () => { this.dropSilentOwners() }),
+      services.timers.every(LOAD_PERIOD_MS, () => { this.flushLoad() }),
+      services.timers.every(SLOW_PERIOD_MS, () => { this.reportSlow() })
+    )
+  }
+
+  /** True while some entry is linked. */
+  get isLinked (): boolean {
+    return this.openConnections().length > 0
+  }
+
+  /** Opens links to the addresses, and gives up links to others that have been closed for long. */
+  setEntries (addresses: readonly string[]): void {
+    const nowMs = this.services.timers.nowMs()
+    for (const address of addresses) {
+      const known = this.connections.get(address)
+      if (known === undefined) this.open(address)
+      else known.wantedAtMs = nowMs
+    }
+    for (const [address, connection] of this.connections) {
+      if (connection.isOpen) connection.wantedAtMs = nowMs
+      if (nowMs - connection.wantedAtMs < FORGET_ENTRY_MS) continue
+      connection.close()
+      this.connections.delete(address)
+    }
+  }
+
+  /** Takes no new tasks, and resolves when those that run have ended and their ends are sent. */
+  async drain (): Promise<void> {
+    await this.executor.drain()
+    this.flushEnds()
+  }
+
+  /** Closes all links. */
+  async stop (): Promise<void> {
+    for (const handle of this.handles) handle.cancel()
+    for (const connection of this.connections.values()) connection.close()
+    await this.executor.close()
+  }
+
+  private open (address: string): void {
+    const connection = new EntryConnection(address, {
+      createGreeting: () => this.createGreeting(),
+      onOpen: (opened, greeting) => { this.greet(opened, greeting) },
+      onMessage: (from, message) => { this.receive(from, message) },
+      onClose: () => {},
+      isBusy: of => this.executor.heldBy(of.life).length > 0,
+      createBeat: () => ({ configVersion: this.shelf.version })
+    }, this.services)
+    this.connections.set(address, connection)
+    connection.run()
+  }
+
+  private createGreeting (): protocol.runs.IAgentGreeting {
+    return { ...this.identity, load: encodeLoad(this.executor.load, 0), configVersion: this.shelf.version }
+  }
+
+  private greet (connection: EntryConnection, greeting: protocol.runs.IEntryGreeting): void {
+    const { life } = connection
+    this.owners.noteHeard(life)
+    this.pendingEnds.delete(life)
+    connection.send({ report: { ends: this.owners.keptEnds(life).map(encodeEnd), load: encodeLoad(this.executor.load, connection.received) } })
+    connection.send({ held: { runs: this.executor.heldBy(life).map(order => ({ ...order.task, attempt: order.attempt })) } })
+    this.learnEntries(greeting.entries ?? [])
+    this.shareConfig(connection, greeting.configVersion ?? 0)
+  }
+
+  private receive (connection: EntryConnection, message: protocol.runs.IFromEntry): void {
+    this.owners.noteHeard(connection.life)
+    if (message.orders != null) this.takeOrders(connection, message.orders.orders ?? [])
+    else if (message.stop != null) this.takeStop(connection, message.stop)
+    else if (message.config != null) this.shelf.offer(decodeCopy(message.config))
+    else if (message.entries != null) this.learnEntries(message.entries.entries ?? [])
+    else if (message.beat != null) this.shareConfig(connection, message.beat.configVersion ?? 0)
+  }
+
+  private takeOrders (connection: EntryConnection, orders: readonly protocol.runs.IRunOrder[]): void {
+    const age = new workers.Age(this.services.timers)
+    const nowMs = this.services.timers.nowMs()
+    for (const message of orders) {
+      for (const order of decodeOrder(message, connection.life, nowMs, age)) {
+        connection.received++
+        this.executor.submit(order)
+      }
+    }
+  }
+
+  private takeStop (connection: EntryConnection, stop: protocol.runs.IStopRuns): void {
+    const indexes = new Set(stop.indexes ?? [])
+    const isMeant = (order: workers.TaskOrder): boolean => order.task.jobId === stop.jobId && (indexes.size === 0 || (order.task.step === stop.step && indexes.has(order.task.index)))
+    this.executor.stop(connection.life, isMeant, 'stopped by the entry')
+  }
+
+  private learnEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
+    this.setEntries(entries.map(entry => entry.address ?? '').filter(address => address !== ''))
+  }
+
+  /** Sends the newest configuration to an entry that has an older one. */
+  private shareConfig (connection: EntryConnection, version: number): void {
+    if (version < this.shelf.version) connection.send({ config: this.shelf.message })
+  }
+
+  private dropSilentOwners (): void {
+    for (const life of this.owners.review()) {
+      const held = this.executor.heldBy(life).length
+      if (held === 0) continue
+      this.services.log.event(events.OwnerSilent, { life, held })
+      this.executor.stop(life, () => true, 'entry is silent')
+    }
+  }
+
+  private report (ending: workers.TaskEnding): void {
+    const { owner } = ending.order
+    this.owners.keep(ending)
+    const pending = this.pendingEnds.get(owner)
+    if (pending === undefined) this.pendingEnds.set(owner, [ending])
+    else pending.push(ending)
+    if (this.isFlushScheduled) return
+    this.isFlushScheduled = true
+    setImmediate(() => { this.flushEnds() })
+  }
+
+  /** Sends ends at once to the entries that wait for them. Ends for a link that is away follow when it is back. */
+  private flushEnds (): void {
+    this.isFlushScheduled = false
+    for (const connection of this.openConnections()) {
+      const ends = this.pendingEnds.get(connection.life)
+      if (ends !== undefined) connection.send({ report: { ends: ends.map(encodeEnd), load: encodeLoad(this.executor.load, connection.received) } })
+    }
+    this.pendingEnds.clear()
+    this.isLoadStale = true
+  }
+
+  /** Tells all entries the load when it changed. */
+  private flushLoad (): void {
+    const nowMs = this.services.timers.nowMs()
+    if (!this.isLoadStale || nowMs - this.flushedAtMs < LOAD_PERIOD_MS / 2) return
+    this.isLoadStale = false
+    this.flushedAtMs = nowMs
+    for (const connection of this.openConnections()) connection.send({ report: { load: encodeLoad(this.executor.load, connection.received) } })
+  }
+
+  private reportSlow (): void {
+    const nowMs = this.services.timers.nowMs()
+    const slow = new Map<string, protocol.runs.ISlowRun[]>()
+    for (const run of this.executor.runs) {
+      const elapsedMs = nowMs - run.startedAtMs
+      const stalledMs = nowMs - run.progressAtMs
+      const isLate = elapsedMs > run.order.estimatedMs * SLOW_FACTOR && elapsedMs > run.order.estimatedMs + SLOW_MARGIN_MS
+      if (!isLate && stalledMs < STILL_MS) continue
+      const of = slow.get(run.order.owner) ?? []
+      of.push({ ...run.order.task, elapsedMs, percent: run.percent, stalledMs })
+      slow.set(run.order.owner, of)
+    }
+    for (const connection of this.openConnections()) {
+      const ofEntry = slow.get(connection.life)
+      if (ofEntry !== undefined) connection.send({ report: { slow: ofEntry, load: encodeLoad(this.executor.load, connection.received) } })
+    }
+  }
+
+  private openConnections (): EntryConnection[] {
+    return [...this.connections.values()].filter(connection => connection.isOpen)
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/defaults.ts
@@ -0,0 +1,38 @@
+/** Times of links and membership. */
+
+/** Period of beats on a link over which tasks are held, in milliseconds. */
+export const BUSY_BEAT_MS = 150
+/** Period of beats on a link without tasks, in milliseconds. */
+export const IDLE_BEAT_MS = 400
+/** Silence after which a link is dialled anew, in milliseconds: three beats of a busy link. */
+export const BUSY_SILENCE_MS = 450
+/** The same for a link without tasks. */
+export const IDLE_SILENCE_MS = 1_300
+/** Silence of an entry after which its runs are stopped. A caller sends its job again 1,300 ms after it lost its answer. */
+export const OWNER_TIMEOUT_MS = 900
+/** Period in which silence is looked at, in milliseconds. */
+export const WATCH_PERIOD_MS = 50
+/** A longer pause between two looks means that this process itself stood still; what has arrived is read first. */
+export const STALL_MS = 200
+/** Pause before a link that failed is dialled again, in milliseconds; doubles up to the longest. */
+export const MIN_REDIAL_MS = 50
+export const MAX_REDIAL_MS = 1_000
+/** Time for which ends are kept for a link that comes back, in milliseconds. */
+export const END_MEMORY_MS = 3_000
+/** Period of reports to entries whose tasks did not change, in milliseconds. */
+export const LOAD_PERIOD_MS = 20
+/** Period in which slow runs are looked for, in milliseconds. */
+export const SLOW_PERIOD_MS = 100
+/** Lifetime of an entry's key in the store, in milliseconds. */
+export const MEMBER_LEASE_MS = 6_000
+/** Period of renewals of the key; two may be lost. */
+export const MEMBER_RENEW_MS = 2_000
+/** Period in which entries read the list of entries. */
+export const MEMBER_READ_MS = 2_000
+/** Period in which agents without a list of entries read it, and with one. */
+export const SEARCH_PERIOD_MS = 500
+export const AGENT_READ_MS = 5_000
+/** Time after which an address that is neither listed nor linked is given up, in milliseconds. */
+export const FORGET_ENTRY_MS = 10_000
+/** Prefix of the keys of entries in the store. */
+export const ENTRY_PREFIX = 'egretvalve/entries/'
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,8 @@
+/** Links between entries and the agents of leased workers, and how they find each other. */
+export * from './agentNode.ts'
+export * from './configCopy.ts'
+export * from './defaults.ts'
+export * from './entryNode.ts'
+export * from './events.ts'
+export * from './membership.ts'
+export * from './search.ts'
--- /dev/null
+++ b/packages/fleet/src/messages.ts
@@ -0,0 +1,122 @@
+/** Conversion between the messages of a link and the types of the product. */
+import * as protocol from '@egretvalve/protocol'
+import type * as scheduler from '@egretvalve/scheduler'
+import * as workers from '@egretvalve/workers'
+
+const { runs } = protocol
+
+/** Creates the message of a load. */
+export function encodeLoad (load: workers.ExecutorLoad, received: number): protocol.runs.IWorkerLoad {
+  return {
+    isPresent: load.isPresent,
+    isDraining: load.isDraining,
+    service: load.service,
+    total: load.total,
+    free: clampSize(load.free),
+    labels: [...load.labels],
+    received,
+    waiting: load.waiting
+  }
+}
+
+/** Reads the message of a load. */
+export function decodeLoad (message: protocol.runs.IWorkerLoad | null | undefined): scheduler.ReportedLoad {
+  return {
+    isPresent: message?.isPresent ?? false,
+    isDraining: message?.isDraining ?? false,
+    service: message?.service ?? '',
+    total: decodeSize(message?.total),
+    free: decodeSize(message?.free),
+    labels: message?.labels ?? [],
+    received: message?.received ?? 0,
+    waiting: message?.waiting ?? 0
+  }
+}
+
+/** Creates the order of one task. */
+export function encodeOrder (job: scheduler.Job, task: scheduler.Task, nowMs: number, expiresInMs: number): protocol.runs.IRunOrder {
+  const step = job.stepOf(task)
+  return {
+    jobId: job.id,
+    step: task.ref.step,
+    spec: job.spec.spec,
+    size: step.size,
+    estimatedMs: step.estimatedMs,
+    dueInMs: job.dueAtMs - nowMs,
+    expiresInMs,
+    priority: job.terms.priority,
+    tasks: [{ index: task.ref.index, attempt: task.attempt }]
+  }
+}
+
+/** Reads the tasks of an order. */
+export function decodeOrder (message: protocol.runs.IRunOrder, owner: string, nowMs: number, age: workers.Age): workers.TaskOrder[] {
+  return (message.tasks ?? []).map(task => ({
+    owner,
+    task: { jobId: message.jobId ?? '', step: message.step ?? 0, index: task.index ?? 0 },
+    attempt: task.attempt ?? 1,
+    spec: message.spec ?? '',
+    size: decodeSize(message.size),
+    estimatedMs: message.estimatedMs ?? 0,
+    priority: message.priority ?? 0,
+    dueAtMs: nowMs + (message.dueInMs ?? 0),
+    age,
+    expiresAfterMs: message.expiresInMs ?? 0
+  }))
+}
+
+/** Creates the message of an end. */
+export function encodeEnd (ending: workers.TaskEnding): protocol.runs.IRunEnd {
+  const { task, attempt } = ending.order
+  return { ...task, attempt, kind: encodeEndKind(ending.end), runMs: ending.runMs, reason: ending.reason }
+}
+
+/** Reads the message of an end. */
+export function decodeEnd (message: protocol.runs.IRunEnd): scheduler.ReportedEnd {
+  return {
+    ref: { jobId: message.jobId ?? '', step: message.step ?? 0, index: message.index ?? 0 },
+    attempt: message.attempt ?? 0,
+    end: decodeEndKind(message.kind),
+    runMs: message.runMs ?? 0,
+    reason: message.reason ?? ''
+  }
+}
+
+/** Reads the message of a slow run. */
+export function decodeSlow (message: protocol.runs.ISlowRun): scheduler.SlowRun {
+  return {
+    ref: { jobId: message.jobId ?? '', step: message.step ?? 0, index: message.index ?? 0 },
+    elapsedMs: message.elapsedMs ?? 0,
+    percent: message.percent ?? 0,
+    stalledMs: message.stalledMs ?? 0
+  }
+}
+
+function decodeSize (message: protocol.runs.ISize | null | undefined): workers.RunSize {
+  return { cpuMilli: message?.cpuMilli ?? 0, memoryMb: message?.memoryMb ?? 0, accelerators: message?.accelerators ?? 0 }
+}
+
+/** Sizes on the wire are not negative; a worker that shrank while it was full has no room. */
+function clampSize (size: workers.RunSize): workers.RunSize {
+  return { cpuMilli: Math.max(0, size.cpuMilli), memoryMb: Math.max(0, size.memoryMb), accelerators: Math.max(0, size.accelerators) }
+}
+
+function encodeEndKind (end: workers.TaskEnd): protocol.runs.EndKind {
+  switch (end) {
+    case workers.TaskEnd.Done: return runs.EndKind.END_KIND_DONE
+    case workers.TaskEnd.Failed: return runs.EndKind.END_KIND_FAILED
+    case workers.TaskEnd.Lost: return runs.EndKind.END_KIND_LOST
+    case workers.TaskEnd.NotStarted: return runs.EndKind.END_KIND_NOT_STARTED
+    default: return protocol.assertNever(end)
+  }
+}
+
+/** An unknown kind, of a newer agent, counts as an end without a result. */
+function decodeEndKind (kind: protocol.runs.EndKind | null | undefined): workers.TaskEnd {
+  switch (kind) {
+    case runs.EndKind.END_KIND_DONE: return workers.TaskEnd.Done
+    case runs.EndKind.END_KIND_FAILED: return workers.TaskEnd.Failed
+    case runs.EndKind.END_KIND_NOT_STARTED: return workers.TaskEnd.NotStarted
+    default: return workers.TaskEnd.Lost
+  }
+}
--- a/packages/platform/src/client/httpStore.ts
+++ b/packages/platform/src/client/httpStore.ts
@@ -1,8 +1,8 @@
 /** Client of the platform's key-value service over HTTP. */
 import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import * as results from 'ts-results'
-import * as undici from 'undici'
 import type * as zod from 'zod'
 import { errorCodeOf } from '../failures.ts'
 import { StoreFailure } from '../store.ts'
@@ -27,8 +27,6 @@
 /** Connections to the store; a waiting watch holds one. */
 const CONNECTIONS = 8
 const STATUS_OK = 200
-/** Failures that arise before a request is sent. */
-const UNSENT_ERROR_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_DESTROYED', 'UND_ERR_CLOSED'])
 
 interface CallOptions {
   waitMs?: number
@@ -42,15 +40,10 @@
 
 class HttpStore implements StoreClient {
   readonly counts: StoreCallCounts = { reads: 0, writes: 0 }
-  private readonly pool: undici.Pool
+  private readonly caller: runtime.HttpCaller
 
   constructor (private readonly options: StoreClientOptions) {
-    this.pool = new undici.Pool(`http://${options.address}`, {
-      connections: CONNECTIONS,
-      connect: { timeout: options.timeoutMs },
-      headersTimeout: 0,
-      bodyTimeout: 0
-    })
+    this.caller = new runtime.HttpCaller({ address: options.address, connections: CONNECTIONS, connectTimeoutMs: options.timeoutMs, timers: options.timers })
   }
 
   async get (key: string): StoreResult<StoredValue> {
@@ -82,7 +75,7 @@
   }
 
   async close (): Promise<void> {
-    await this.pool.destroy()
+    await this.caller.close()
   }
 
   private async read<O extends StoreOperation> (operation: O, body: object, call: CallOptions = {}): StoreResult<zod.infer<typeof storeAnswerSchemas[O]>> {
@@ -97,29 +90,15 @@
 
   /** Sends one call. `failureAfterSend` tells what an unanswered call means: a lost read has no effect, a lost write may have. */
   private async call<O extends StoreOperation> (operation: O, body: object, failureAfterSend: StoreFailure, call: CallOptions): StoreResult<zod.infer<typeof storeAnswerSchemas[O]>> {
-    const stop = new AbortController()
-    const timeout = this.options.timers.after(this.options.timeoutMs + (call.waitMs ?? 0), () => { stop.abort() })
-    const abort = (): void => { stop.abort() }
-    call.signal?.addEventListener('abort', abort, { once: true })
-    if (call.signal?.aborted === true) stop.abort()
-    try {
-      const response = await this.pool.request({
-        path: STORE_PATH + operation,
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(body),
-        signal: stop.signal
-      })
-      const answer = await response.body.json()
-      if (response.statusCode !== STATUS_OK) return results.Err(this.resolveFailure(operation, response.statusCode, answer, failureAfterSend))
-      return results.Ok(storeAnswerSchemas[operation].parse(answer) as zod.infer<typeof storeAnswerSchemas[O]>)
-    } catch (thrown) {
-      const failure = isUnsent(thrown) ? StoreFailure.Unavailable : failureAfterSend
-      return results.Err(this.createProblem(operation, failure, describe(thrown, stop.signal.aborted)))
-    } finally {
-      timeout.cancel()
-      call.signal?.removeEventListener('abort', abort)
+    const outcome = await this.caller.call({ method: 'POST', path: STORE_PATH + operation, body, timeoutMs: this.options.timeoutMs + (call.waitMs ?? 0), signal: call.signal })
+    if (outcome.kind !== 'answered') {
+      const failure = outcome.kind === 'unsent' ? StoreFailure.Unavailable : failureAfterSend
+      return results.Err(this.createProblem(operation, failure, outcome.reason))
     }
+    if (outcome.status !== STATUS_OK) return results.Err(this.resolveFailure(operation, outcome.status, outcome.body, failureAfterSend))
+    const answer = storeAnswerSchemas[operation].safeParse(outcome.body)
+    if (!answer.success) return results.Err(this.createProblem(operation, failureAfterSend, answer.error.message))
+    return results.Ok(answer.data as zod.infer<typeof storeAnswerSchemas[O]>)
   }
 
   private resolveFailure (operation: StoreOperation, statusCode: number, answer: unknown, failureAfterSend: StoreFailure): StoreProblem {
@@ -138,13 +117,3 @@
     return { failure, error: new protocol.StepError(errorCodeOf(failure), `store.${operation}`, this.options.address, message) }
   }
 }
-
-function isUnsent (thrown: unknown): boolean {
-  const code = (thrown as { code?: unknown } | undefined)?.code
-  return typeof code === 'string' && UNSENT_ERROR_CODES.has(code)
-}
-
-function describe (thrown: unknown, isAborted: boolean): string {
-  if (isAborted) return 'no answer in time'
-  return thrown instanceof Error ? thrown.message : String(thrown)
-}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 /** Messages, identifiers, answers, errors and limits that all processes share. */
+export { runs } from './generated/runs.js'
 export { wire } from './generated/wire.js'
 export * from './answers.ts'
 export * from './errors.ts'
--- a/packages/protocol/src/services.ts
+++ b/packages/protocol/src/services.ts
@@ -1,5 +1,6 @@
 /** gRPC service definitions over the committed message code. */
 import type * as grpc from '@grpc/grpc-js'
+import { runs } from './generated/runs.js'
 import { wire } from './generated/wire.js'
 import { linkTraffic } from './traffic.ts'
 
@@ -58,3 +59,10 @@
     wire.PeerFrame as Codec<wire.PeerFrame, wire.IPeerFrame>,
     wire.PeerFrame as Codec<wire.PeerFrame, wire.IPeerFrame>)
 }
+
+/** The stream that the agent of a leased worker opens to an entry. */
+export const runLink = {
+  exchange: createStreamMethod('/egretvalve.RunLink/Exchange', 'agent', 'entry',
+    runs.FromAgent as Codec<runs.FromAgent, runs.IFromAgent>,
+    runs.FromEntry as Codec<runs.FromEntry, runs.IFromEntry>)
+}
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 /** What every process shares: broker, web server, links, graceful stop. */
 export * from './addresses.ts'
 export * from './broker.ts'
+export * from './httpCaller.ts'
 export * from './links.ts'
 export * from './outbox.ts'
 export * from './processSettings.ts'
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -67,14 +67,41 @@
   return jsonResponse(status, { error: { code, message, field } })
 }
 
+/** Limits that may change while a server runs. */
+export interface WebLimits {
+  maxBodyBytes: number
+  /** Longest time for a request's head to arrive, in milliseconds. */
+  headerTimeoutMs: number
+  /** Time after which a connection without a request is closed, in milliseconds. */
+  idleTimeoutMs: number
+}
+
 /** An HTTP server with graceful stop. */
 export class WebServer {
+  private closesAfterAnswers = false
+  private maxBodyBytes: number
   private service: moleculer.Service | undefined
   private inProgress = 0
   private isStopping = false
   private onIdle: (() => void) | undefined
 
-  constructor (private readonly options: WebServerOptions) {}
+  constructor (private readonly options: WebServerOptions) {
+    this.maxBodyBytes = options.maxBodyBytes
+  }
+
+  /** Asks callers to close their connections with each answer from now on. */
+  closeAfterAnswers (): void {
+    this.closesAfterAnswers = true
+  }
+
+  /** Puts other limits into force for the requests that follow. */
+  setLimits (limits: WebLimits): void {
+    this.maxBodyBytes = limits.maxBodyBytes
+    if (this.service === undefined) return
+    const server = this.server()
+    server.headersTimeout = limits.headerTimeoutMs
+    server.keepAliveTimeout = limits.idleTimeoutMs
+  }
 
   /** Starts listening and returns the address. */
   async start (): Promise<string> {
@@ -82,7 +109,9 @@
     this.service = this.options.broker.createService(this.createSchema(host, port))
     const server = this.server()
     const listening = waitForListening(server, this.options.listen)
-    await Promise.race([listening, this.options.broker.start().then(async () => await listening)])
+    // A broker that runs starts a new service by itself; one that starts must have done so before another server is added.
+    const isRunning = (this.options.broker as unknown as { started: boolean }).started
+    await (isRunning ? listening : Promise.all([listening, this.options.broker.start()]))
     const bound = server.address() as net.AddressInfo
     return formatAddress(host, bound.port)
   }
@@ -135,7 +164,7 @@
     this.inProgress++
     try {
       const answer = await this.answer(route, request, response)
-      writeResponse(response, answer, this.isStopping)
+      writeResponse(response, answer, this.isStopping || this.closesAfterAnswers)
       await waitForClose(response)
     } finally {
       this.inProgress--
@@ -146,7 +175,7 @@
   private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
     const abort = new AbortController()
     response.once('close', () => { if (!response.writableEnded) abort.abort() })
-    const body = await readBody(request, this.options.maxBodyBytes)
+    const body = await readBody(request, this.maxBodyBytes)
     if (body.err) return errorResponse(413, protocol.ErrorCode.InvalidInput, body.val.message, 'body')
     const target = new URL(request.url ?? '/', 'http://local')
     try {
--- /dev/null
+++ b/packages/scheduler/src/admission.ts
@@ -0,0 +1,30 @@
+/** Refuses jobs that can't end before their deadline, and tells callers when to come back. */
+import type { SchedulerOptions } from './defaults.ts'
+
+/** What is known at the arrival of a job. */
+export interface ArrivalState {
+  /** Work that goes before the job, in core-milliseconds. */
+  workAhead: number
+  /** Cores that this entry can count on. */
+  cores: number
+  /** Expected time of the job once it has room. */
+  expectedMs: number
+  /** Time until the caller leaves. */
+  deadlineInMs: number
+}
+
+/** Returns the expected wait for room, in milliseconds. */
+export function expectedWaitMs (state: ArrivalState): number {
+  return state.cores <= 0 ? Number.POSITIVE_INFINITY : state.workAhead / state.cores
+}
+
+/** Returns true when a job that arrives now is expected to end before its caller leaves. */
+export function canServe (state: ArrivalState): boolean {
+  return expectedWaitMs(state) + state.expectedMs <= state.deadlineInMs
+}
+
+/** Returns when a refused caller may come back: when the work ahead is done, spread so that callers don't return together. */
+export function retryAfterMs (waitMs: number, random: number, options: Pick<SchedulerOptions, 'minRetryAfterMs' | 'maxRetryAfterMs'>): number {
+  const spreadMs = waitMs * (0.5 + random)
+  return Math.round(Math.min(options.maxRetryAfterMs, Math.max(options.minRetryAfterMs, spreadMs)))
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler.ts
@@ -0,0 +1,478 @@
+/** Accepts jobs, places their tasks on workers, and ends each job once. */
+import * as placement from '@egretvalve/placement'
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+import { type ArrivalState, canServe, expectedWaitMs, retryAfterMs } from './admission.ts'
+import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
+import { type Candidate, chooseReserved, chooseWorker } from './choice.ts'
+import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
+import { events } from './events.ts'
+import { Job, type Task, TaskPhase } from './job.ts'
+import { estimatedWork, type JobOutcome, type JobSpec, type JobTerms, type StepSpec } from './model.ts'
+import { compareJobs, type OrderKey } from './order.ts'
+import { isWorthMoving, type SlowRun } from './slowRuns.ts'
+import { SpeedEstimate } from './speed.ts'
+import type { ReportedLoad } from './workerView.ts'
+
+/** Services of the scheduler. */
+export interface SchedulerServices {
+  timers: settings.Timers
+  log: settings.Log
+  options?: SchedulerOptions
+  /** Returns a number from 0 to 1; spreads the times at which refused callers return. */
+  random: () => number
+  failureDomain: string
+}
+
+/** The end of a task as an agent reports it. */
+export interface ReportedEnd {
+  ref: workers.TaskRef
+  attempt: number
+  end: workers.TaskEnd
+  runMs: number
+  reason: string
+}
+
+/** Counts since the process began. */
+export interface SchedulerCounters {
+  accepted: number
+  refused: number
+  succeeded: number
+  failed: number
+  expired: number
+  cancelled: number
+  starts: number
+  moves: number
+}
+
+/** Order key and job, computed once for each pass over the queue. */
+interface QueuedJob extends OrderKey {
+  job: Job
+}
+
+/** Smallest share of the fleet's processors that an entry counts on, so that a start after idleness refuses nothing. */
+const MIN_SHARE = 0.2
+
+/** Schedules the jobs of one entry. */
+export class Scheduler {
+  readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, starts: 0, moves: 0 }
+  private readonly options: SchedulerOptions
+  private readonly jobs = new Map<string, Job>()
+  private readonly agents = new Agents()
+  private readonly speeds = new SpeedEstimate()
+  private readonly ejection: placement.Ejection
+  private readonly tick: settings.TimerHandle
+  private isPumpScheduled = false
+  private onIdle: (() => void) | undefined
+
+  constructor (private readonly services: SchedulerServices) {
+    this.options = services.options ?? DEFAULT_SCHEDULER
+    this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logStanding(change) })
+    this.tick = services.timers.every(this.options.tickMs, () => { this.review() })
+  }
+
+  /** Number of jobs that have not ended. */
+  get openCount (): number {
+    let count = 0
+    for (const job of this.jobs.values()) count += job.hasEnded ? 0 : 1
+    return count
+  }
+
+  /** Number of open jobs of which no task has started, by service. */
+  countPending (service: string): number {
+    let count = 0
+    for (const job of this.jobs.values()) count += !job.hasEnded && !job.mayHaveStarted && job.terms.service === service ? 1 : 0
+    return count
+  }
+
+  /** Number of workers that take runs. */
+  get workerCount (): number {
+    let count = 0
+    for (const agent of this.agents.all) count += agent.port !== undefined && agent.view.takesRuns ? 1 : 0
+    return count
+  }
+
+  stop (): void {
+    this.tick.cancel()
+  }
+
+  /** Resolves when no job is open. */
+  async waitUntilIdle (): Promise<void> {
+    if (this.openCount > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
+  }
+
+  find (jobId: string): Job | undefined {
+    return this.jobs.get(jobId)
+  }
+
+  /** Accepts or refuses a job. A job that is known shares the outcome of the first submission. */
+  submit (spec: JobSpec, terms: JobTerms, deadlineMs: number): Job {
+    const known = this.jobs.get(spec.jobId)
+    if (known !== undefined && (!known.hasEnded || known.mayHaveStarted)) {
+      this.services.log.event(events.JobJoined, { jobId: spec.jobId, outcome: known.outcome?.kind ?? 'open' })
+      return known
+    }
+    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers))
+    const refusal = this.findRefusal(job)
+    if (refusal !== undefined) {
+      this.refuse(job, refusal.reason, refusal.waitMs)
+      return job
+    }
+    this.jobs.set(job.id, job)
+    this.counters.accepted++
+    job.advance()
+    this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount })
+    this.schedulePump()
+    return job
+  }
+
+  /** Ends a job whose caller no longer waits, or that was cancelled. */
+  cancel (job: Job): void {
+    if (!job.hasEnded) this.end(job, { kind: 'cancelled' }, 'caller left')
+  }
+
+  /** Takes a link to an agent. A new life of the agent whose worker takes runs has stopped what the earlier life ran. */
+  connect (port: AgentPort, load: ReportedLoad): void {
+    const known = this.agents.get(port.agentId)
+    const isNewLife = known !== undefined && known.life !== port.life
+    const agent = this.agents.connect(port, load)
+    this.ejection.add(port.agentId)
+    this.services.log.event(events.AgentJoined, { agentId: port.agentId, life: port.life, isNewLife, sent: agent.sent.size, takesRuns: agent.view.takesRuns, freeCpuMilli: agent.view.free.cpuMilli })
+    if (isNewLife && agent.view.takesRuns) this.adoptLife(agent, port.life)
+    this.schedulePump()
+  }
+
+  /** Takes the list of tasks that an agent holds for this entry: what it doesn't hold will not start there. */
+  reconcile (port: AgentPort, held: ReadonlySet<string>): void {
+    const agent = this.agents.get(port.agentId)
+    if (agent?.port !== port || agent.life !== port.life) return
+    for (const [key, sent] of [...agent.sent]) {
+      if (!held.has(`${key}#${sent.attempt}`)) this.takeEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
+    }
+  }
+
+  /** Notes that a link has ended. The tasks of the agent may go on for a while. */
+  disconnect (port: AgentPort, reason: string): void {
+    const agent = this.agents.get(port.agentId)
+    if (agent?.port !== port) return
+    agent.port = undefined
+    agent.awaySinceMs = this.nowMs
+    this.services.log.event(events.AgentAway, { agentId: port.agentId, reason, sent: agent.sent.size })
+  }
+
+  /** Takes an agent's load. */
+  takeLoad (port: AgentPort, load: ReportedLoad): void {
+    const agent = this.agents.get(port.agentId)
+    if (agent?.port !== port) return
+    agent.view.apply(load)
+    if (agent.life !== port.life && agent.view.takesRuns) this.adoptLife(agent, port.life)
+    this.schedulePump()
+  }
+
+  /** Takes the ends of tasks. */
+  takeEnds (port: AgentPort, ends: readonly ReportedEnd[]): void {
+    const agent = this.agents.get(port.agentId)
+    if (agent === undefined) return
+    for (const end of ends) this.takeEnd(agent, end)
+    this.schedulePump()
+  }
+
+  /** Takes runs that are far slower than estimated, and moves those that are expected to end sooner elsewhere. */
+  takeSlow (port: AgentPort, slow: readonly SlowRun[]): void {
+    const agent = this.agents.get(port.agentId)
+    if (agent === undefined) return
+    for (const run of slow) this.considerMove(agent, run)
+  }
+
+  private get nowMs (): number {
+    return this.services.timers.nowMs()
+  }
+
+  private adoptLife (agent: AgentRecord, life: string): void {
+    agent.life = life
+    this.speeds.forget(agent.agentId)
+    this.loseTasks(agent, 'agent started again')
+  }
+
+  private loseTasks (agent: AgentRecord, reason: string): void {
+    for (const sent of [...agent.sent.values()]) {
+      this.takeEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason })
+    }
+  }
+
+  private takeEnd (agent: AgentRecord, end: ReportedEnd): void {
+    const key = workers.taskKey(end.ref)
+    const sent = agent.sent.get(key)
+    if (sent === undefined || sent.attempt !== end.attempt) return
+    agent.sent.delete(key)
+    if (end.end === workers.TaskEnd.NotStarted) sent.job.noteNotStarted()
+    this.services.log.event(events.TaskReported, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
+    this.noteOutcome(agent, sent, end)
+    if (sent.job.hasEnded || sent.task.attempt !== end.attempt || sent.task.phase !== TaskPhase.Sent) return
+    this.settleTask(sent, agent, end)
+  }
+
+  private noteOutcome (agent: AgentRecord, sent: SentTask, end: ReportedEnd): void {
+    const estimatedMs = sent.job.stepOf(sent.task).estimatedMs
+    switch (end.end) {
+      case workers.TaskEnd.Done:
+        this.speeds.observe(agent.agentId, end.runMs, estimatedMs, this.nowMs)
+        this.ejection.noteOutcome(agent.agentId, false, this.nowMs)
+        return
+      case workers.TaskEnd.Failed:
+        this.ejection.noteOutcome(agent.agentId, true, this.nowMs)
+        return
+      case workers.TaskEnd.NotStarted:
+        if (end.reason === workers.StartRefusal.Unhealthy) this.ejection.noteOutcome(agent.agentId, true, this.nowMs)
+        else this.ejection.noteNoOutcome(agent.agentId)
+        return
+      case workers.TaskEnd.Lost:
+        this.ejection.noteNoOutcome(agent.agentId)
+        return
+      default: protocol.assertNever(end.end)
+    }
+  }
+
+  private settleTask (sent: SentTask, agent: AgentRecord, end: ReportedEnd): void {
+    const { job, task } = sent
+    task.agentId = undefined
+    switch (end.end) {
+      case workers.TaskEnd.Done:
+        task.phase = TaskPhase.Done
+        if (job.advance()) this.end(job, { kind: 'succeeded' }, 'all tasks done')
+        return
+      case workers.TaskEnd.Failed:
+        task.failures++
+        task.avoided.add(agent.agentId)
+        task.phase = TaskPhase.Waiting
+        if (task.failures >= job.terms.maxAttempts) this.end(job, { kind: 'failed', reason: `task ${task.ref.step}.${task.ref.index} failed ${task.failures} times` }, 'attempts used up')
+        return
+      case workers.TaskEnd.Lost:
+      case workers.TaskEnd.NotStarted:
+        task.phase = TaskPhase.Waiting
+        if (end.reason === workers.StartRefusal.Unhealthy) task.avoided.add(agent.agentId)
+        return
+      default: protocol.assertNever(end.end)
+    }
+  }
+
+  private considerMove (agent: AgentRecord, run: SlowRun): void {
+    const sent = agent.sent.get(workers.taskKey(run.ref))
+    if (sent === undefined || sent.job.hasEnded || agent.port === undefined) return
+    const step = sent.job.stepOf(sent.task)
+    if (run.percent > 0) this.speeds.observeUnfinished(agent.agentId, run.elapsedMs * 100 / run.percent, step.estimatedMs, this.nowMs)
+    if (!isWorthMoving(run, this.speeds.factorOf(agent.agentId, this.nowMs), this.speeds.expectedMs(step.estimatedMs), this.options)) return
+    if (sent.task.avoided.has(agent.agentId)) return
+    if (chooseWorker(this.findCandidates(sent.job, sent.task).filter(each => each.agentId !== agent.agentId), step, step.estimatedMs, this.options) === undefined) return
+    sent.task.avoided.add(agent.agentId)
+    this.counters.moves++
+    this.services.log.event(events.TaskMoved, { jobId: run.ref.jobId, step: run.ref.step, index: run.ref.index, agentId: agent.agentId, elapsedMs: Math.round(run.elapsedMs), percent: run.percent, stalledMs: Math.round(run.stalledMs), estimatedMs: step.estimatedMs, speedFactor: this.speeds.factorOf(agent.agentId, this.nowMs) })
+    if (run.stalledMs > this.options.stalledMs) this.ejection.noteOutcome(agent.agentId, true, this.nowMs)
+    agent.port.stop(run.ref)
+  }
+
+  /** Looks at deadlines and at agents that are away. */
+  private review (): void {
+    for (const agent of [...this.agents.all]) this.reviewAgent(agent)
+    for (const job of [...this.jobs.values()]) this.reviewJob(job)
+    this.schedulePump()
+  }
+
+  private reviewAgent (agent: AgentRecord): void {
+    if (agent.awaySinceMs === undefined || this.nowMs - agent.awaySinceMs < this.options.goneAfterMs) return
+    if (agent.sent.size > 0) {
+      this.services.log.event(events.AgentGone, { agentId: agent.agentId, awayMs: Math.round(this.nowMs - agent.awaySinceMs), sent: agent.sent.size })
+      this.loseTasks(agent, 'agent is gone')
+    }
+    this.agents.forget(agent.agentId)
+    this.ejection.remove(agent.agentId)
+    this.speeds.forget(agent.agentId)
+  }
+
+  private reviewJob (job: Job): void {
+    if (job.hasEnded) {
+      if (this.nowMs - job.deadlineAtMs > this.options.outcomeMemoryMs) this.jobs.delete(job.id)
+      return
+    }
+    if (this.hasPassedDeadline(job)) {
+      if (job.mayHaveStarted) this.end(job, { kind: 'expired', reason: 'deadline passed' }, 'deadline passed')
+      else this.refuse(job, 'no room before the deadline', 0)
+      return
+    }
+    const isHopeless = !job.mayHaveStarted && this.nowMs + this.speeds.expectedMs(job.remainingEstimateMs()) > job.deadlineAtMs
+    if (isHopeless) this.refuse(job, 'can not end before the deadline', this.expectedWaitFor(job))
+  }
+
+  private hasPassedDeadline (job: Job): boolean {
+    return this.nowMs >= job.deadlineAtMs || job.age.ms >= job.deadlineMs
+  }
+
+  private refuse (job: Job, reason: string, waitMs: number): void {
+    this.counters.refused++
+    const retryMs = retryAfterMs(waitMs, this.services.random(), this.options)
+    this.services.log.event(events.JobRefused, { jobId: job.id, reason, retryAfterMs: retryMs, workers: this.workerCount, ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+    this.jobs.delete(job.id)
+    job.finish({ kind: 'refused', reason, retryAfterMs: retryMs })
+    this.noteIdle()
+  }
+
+  private end (job: Job, outcome: JobOutcome, reason: string): void {
+    for (const task of job.sentTasks()) this.agents.get(task.agentId ?? '')?.port?.stop(task.ref)
+    this.countOutcome(outcome)
+    this.services.log.event(events.JobEnded, { jobId: job.id, outcome: outcome.kind, reason, ageMs: Math.round(this.nowMs - job.arrivedAtMs), objectiveMs: Math.round(job.dueAtMs - job.arrivedAtMs) })
+    job.finish(outcome)
+    this.noteIdle()
+  }
+
+  private countOutcome (outcome: JobOutcome): void {
+    switch (outcome.kind) {
+      case 'succeeded': this.counters.succeeded++; return
+      case 'failed': this.counters.failed++; return
+      case 'refused': this.counters.refused++; return
+      case 'expired': this.counters.expired++; return
+      case 'cancelled': this.counters.cancelled++; return
+      default: protocol.assertNever(outcome)
+    }
+  }
+
+  private noteIdle (): void {
+    if (this.onIdle !== undefined && this.openCount === 0) this.onIdle()
+  }
+
+  private findRefusal (job: Job): { reason: string, waitMs: number } | undefined {
+    if (this.workerCount === 0) return { reason: 'no worker takes runs', waitMs: 0 }
+    const unplaceable = job.spec.steps.find(step => !this.fitsSomewhere(job, step))
+    if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
+    const state: ArrivalState = { workAhead: this.workAhead(job), cores: this.ownCores(job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), deadlineInMs: job.deadlineMs }
+    return canServe(state) ? undefined : { reason: 'can not end before the deadline', waitMs: expectedWaitMs(state) }
+  }
+
+  private expectedWaitFor (job: Job): number {
+    return this.workAhead(job) / Math.max(1, this.ownCores(job.terms.service))
+  }
+
+  private fitsSomewhere (job: Job, step: StepSpec): boolean {
+    for (const { view } of this.agents.all) {
+      const hasLabel = step.requirement === undefined || view.hasLabel(step.requirement)
+      if (view.service === job.terms.service && hasLabel && workers.fits(view.total, step.size)) return true
+    }
+    return false
+  }
+
+  /** Work of waiting tasks with the same or a more urgent priority, in core-milliseconds. */
+  private workAhead (job: Job): number {
+    let work = 0
+    for (const other of this.jobs.values()) {
+      if (other.hasEnded || other === job || other.terms.priority > job.terms.priority) continue
+      for (const task of other.waitingTasks()) {
+        const step = other.stepOf(task)
+        work += step.size.cpuMilli / 1000 * this.speeds.expectedMs(step.estimatedMs)
+      }
+    }
+    return work + estimatedWork(job.spec.steps)
+  }
+
+  /** Cores that this entry can count on: the fleet's, by its share of what is in use. */
+  private ownCores (service: string): number {
+    let total = 0
+    let used = 0
+    let own = 0
+    for (const agent of this.agents.all) {
+      if (agent.port === undefined || agent.view.service !== service || !agent.view.takesRuns) continue
+      total += agent.view.total.cpuMilli
+      used += agent.view.total.cpuMilli * agent.view.usedShare
+      for (const sent of agent.sent.values()) own += sent.job.stepOf(sent.task).size.cpuMilli
+    }
+    const share = used === 0 ? 1 : Math.min(1, Math.max(MIN_SHARE, own / used))
+    return total / 1000 * share
+  }
+
+  private schedulePump (): void {
+    if (this.isPumpScheduled) return
+    this.isPumpScheduled = true
+    setImmediate(() => {
+      this.isPumpScheduled = false
+      this.pump()
+    })
+  }
+
+  private pump (): void {
+    const { nowMs } = this
+    const queue: QueuedJob[] = []
+    for (const job of this.jobs.values()) {
+      if (job.hasEnded || job.waitingTasks().length === 0) continue
+      queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()) })
+    }
+    if (queue.length === 0) return
+    queue.sort((left, right) => compareJobs(left, right, nowMs))
+    const reserved = new Set<string>()
+    for (const { job } of queue) this.placeJob(job, reserved)
+  }
+
+  private placeJob (job: Job, reserved: Set<string>): void {
+    if (this.hasPassedDeadline(job)) return
+    for (const task of job.waitingTasks()) {
+      const step = job.stepOf(task)
+      const candidates = this.findCandidates(job, task).filter(each => !reserved.has(each.agentId))
+      const chosen = chooseWorker(candidates, step, this.speeds.expectedMs(step.estimatedMs), this.options)
+      if (chosen !== undefined) {
+        this.send(job, task, chosen)
+        continue
+      }
+      const kept = chooseReserved(candidates)
+      if (kept === undefined) return
+      reserved.add(kept.agentId)
+    }
+  }
+
+  private findCandidates (job: Job, task: Task): Candidate[] {
+    const candidates: Candidate[] = []
+    for (const agent of this.agents.all) {
+      if (this.isEligible(agent, job, task)) candidates.push(this.createCandidate(agent, job.stepOf(task)))
+    }
+    const preferred = candidates.filter(each => !task.avoided.has(each.agentId))
+    return preferred.length > 0 ? preferred : candidates
+  }
+
+  private isEligible (agent: AgentRecord, job: Job, task: Task): boolean {
+    const step = job.stepOf(task)
+    if (agent.port === undefined || agent.view.service !== job.terms.service || !agent.view.takesRuns) return false
+    if (agent.port.silentMs() > this.options.suspectAfterMs) return false
+    if (step.requirement !== undefined && !agent.view.hasLabel(step.requirement)) return false
+    if (step.maxPerWorker !== undefined && job.countOn(agent.agentId, task.ref.step) >= step.maxPerWorker) return false
+    return this.ejection.accepts(agent.agentId, this.nowMs)
+  }
+
+  private createCandidate (agent: AgentRecord, step: StepSpec): Candidate {
+    return {
+      agentId: agent.agentId,
+      free: agent.view.free,
+      usedShare: agent.view.usedShare,
+      speedFactor: this.speeds.factorOf(agent.agentId, this.nowMs),
+      hasDataRack: step.dataRack !== undefined && agent.view.hasLabel(step.dataRack),
+      isOwnDomain: agent.view.failureDomain === this.services.failureDomain
+    }
+  }
+
+  private send (job: Job, task: Task, chosen: Candidate): void {
+    const agent = this.agents.get(chosen.agentId)!
+    const step = job.stepOf(task)
+    task.attempt++
+    task.phase = TaskPhase.Sent
+    task.agentId = agent.agentId
+    task.sentAtMs = this.nowMs
+    job.noteSent()
+    this.counters.starts++
+    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt })
+    agent.view.noteSent(step.size)
+    this.ejection.noteSent(agent.agentId)
+    this.services.log.event(events.TaskPlaced, { jobId: job.id, step: task.ref.step, index: task.ref.index, attempt: task.attempt, agentId: agent.agentId, freeCpuMilli: chosen.free.cpuMilli, speedFactor: Math.round(chosen.speedFactor * 100) / 100, reportAgeMs: Math.round(agent.port!.silentMs()), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+    agent.port!.order(job, task, job.deadlineAtMs - this.nowMs)
+  }
+
+  private logStanding (change: placement.StandingChange): void {
+    const event = change.standing === placement.ServerStanding.Ejected ? events.WorkerEjected : events.WorkerRestored
+    this.services.log.event(event, { agentId: change.agentId, failureRate: change.failureRate })
+  }
+}
--- a/packages/settings/src/log.ts
+++ b/packages/settings/src/log.ts
@@ -26,18 +26,62 @@
   close: () => Promise<void>
 }
 
-/** Creates a log that writes JSON lines to standard error. */
-export function createLog (program: string, nodeId: string, level: LogLevel): Log {
+/** Where a log goes and how much of it. */
+export interface LogOptions {
+  /** Takes the lines; standard error when there is none. */
+  stream?: NodeJS.WritableStream
+  /** Most lines in a second. What exceeds them is dropped, and its count is logged with the next line that is not. */
+  maxLinesPerS?: number
+}
+
+const DROPPED: LogEvent = { code: 1, level: LogLevel.Warn, message: 'log lines were dropped' }
+const SECOND_MS = 1_000
+
+/** Counts lines and drops those beyond the rate. */
+class LineBudget {
+  private secondStartedAtMs = 0
+  private lines = 0
+  private dropped = 0
+
+  constructor (private readonly maxLinesPerS: number) {}
+
+  /** Returns whether a line may be written. */
+  take (): boolean {
+    const nowMs = performance.now()
+    if (nowMs - this.secondStartedAtMs >= SECOND_MS) {
+      this.secondStartedAtMs = nowMs
+      this.lines = 0
+    }
+    if (++this.lines <= this.maxLinesPerS) return true
+    this.dropped++
+    return false
+  }
+
+  /** Returns the lines dropped since the last call. */
+  takeDropped (): number {
+    const { dropped } = this
+    this.dropped = 0
+    return dropped
+  }
+}
+
+/** Creates a log that writes JSON lines. */
+export function createLog (program: string, nodeId: string, level: LogLevel, options: LogOptions = {}): Log {
   const logger = winston.createLogger({
     level,
     format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
     defaultMeta: { program, nodeId },
-    transports: [new winston.transports.Console({ stderrLevels: Object.values(LogLevel) })]
+    transports: [options.stream === undefined ? new winston.transports.Console({ stderrLevels: Object.values(LogLevel) }) : new winston.transports.Stream({ stream: options.stream })]
   })
+  const budget = new LineBudget(options.maxLinesPerS ?? Number.POSITIVE_INFINITY)
+  const write = (event: LogEvent, fields?: LogFields): void => { logger.log({ level: event.level, message: event.message, event: event.code, ...fields }) }
   return {
     event: (event, fields) => {
       // winston formats an event before its transports drop it, so drop it here.
-      if (logger.isLevelEnabled(event.level)) logger.log({ level: event.level, message: event.message, event: event.code, ...fields })
+      if (!logger.isLevelEnabled(event.level) || !budget.take()) return
+      const lines = budget.takeDropped()
+      if (lines > 0) write(DROPPED, { lines })
+      write(event, fields)
     },
     close: async () => { logger.end() }
   }
--- /dev/null
+++ b/packages/workers/src/executor.ts
@@ -0,0 +1,243 @@
+/** Takes orders of entries, lets them wait for room, and starts them on the worker beside the agent. */
+import type * as settings from '@egretvalve/settings'
+import { DEFAULT_WORKER_OPTIONS, type WorkerOptions } from './defaults.ts'
+import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
+import { events } from './events.ts'
+import { FencingToken } from './fencing.ts'
+import { compareOrders, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { type HeldRun, WorkerSession } from './session.ts'
+import { addSize, fits, NO_SIZE, subtractSize } from './size.ts'
+
+/** What the executor tells the links. */
+export interface ExecutorHandlers {
+  onEnd: (ending: TaskEnding) => void
+  onLoad: () => void
+}
+
+/** Services of the executor. */
+export interface ExecutorServices {
+  timers: settings.Timers
+  log: settings.Log
+  driver: WorkerDriver
+  options?: WorkerOptions
+}
+
+/** How much of the worker is free. */
+export interface ExecutorLoad {
+  isPresent: boolean
+  isDraining: boolean
+  service: string
+  total: RunSize
+  /** Room that neither runs nor waiting tasks take. */
+  free: RunSize
+  labels: readonly string[]
+  waiting: number
+}
+
+/** Period in which waiting tasks and the worker's reports are looked at, in milliseconds. */
+const TICK_PERIOD_MS = 25
+
+/** Runs the tasks of one worker. */
+export class RunExecutor {
+  private readonly options: WorkerOptions
+  private readonly fencing: FencingToken
+  private session: WorkerSession | undefined
+  private report: WorkerReport | undefined
+  private reportedAtMs = 0
+  private waiting: TaskOrder[] = []
+  private isStopping = false
+  private onIdle: (() => void) | undefined
+  private readonly tick: settings.TimerHandle
+
+  constructor (private readonly services: ExecutorServices, private readonly handlers: ExecutorHandlers) {
+    this.options = services.options ?? DEFAULT_WORKER_OPTIONS
+    this.fencing = new FencingToken(services.timers, services.log)
+    this.tick = services.timers.every(TICK_PERIOD_MS, () => { this.review() })
+  }
+
+  /** Tasks that wait or run. */
+  get taskCount (): number {
+    return this.waiting.length + (this.session?.runCount ?? 0)
+  }
+
+  /** Runs that take room, for reports on slow ones. */
+  get runs (): Iterable<HeldRun> {
+    return this.session?.runs ?? []
+  }
+
+  /** How much of the worker is free. */
+  get load (): ExecutorLoad {
+    const { report, session } = this
+    if (report === undefined || session === undefined) {
+      return { isPresent: false, isDraining: false, service: '', total: NO_SIZE, free: NO_SIZE, labels: [], waiting: this.waiting.length }
+    }
+    const waitingSize = this.waiting.reduce((sum, order) => addSize(sum, order.size), NO_SIZE)
+    return {
+      isPresent: session.acceptsRuns,
+      isDraining: report.isDraining || this.isStopping,
+      service: report.service,
+      total: report.total,
+      free: subtractSize(session.free, waitingSize),
+      labels: report.labels,
+      waiting: this.waiting.length
+    }
+  }
+
+  /** Takes a worker's report of itself. Returns false when a later life or a later report is known. */
+  takeReport (report: WorkerReport): boolean {
+    const known = this.report
+    if (known !== undefined && isOlder(report, known)) {
+      this.services.log.event(events.ReportIgnored, { workerId: report.workerId, bornAtMs: report.bornAtMs, sequence: report.sequence, knownBornAtMs: known.bornAtMs, knownSequence: known.sequence })
+      return false
+    }
+    this.report = report
+    this.reportedAtMs = this.services.timers.nowMs()
+    const isSameLife = known?.workerId === report.workerId && known.bornAtMs === report.bornAtMs
+    if (!isSameLife || this.session === undefined) this.openSession(report)
+    else if (known.isDraining !== report.isDraining) this.noteDraining(report)
+    return true
+  }
+
+  /** Notes that the worker leaves as planned: nothing new starts, and what runs ends with it. */
+  takeLeave (workerId: string): void {
+    if (this.report?.workerId !== workerId) return
+    this.services.log.event(events.WorkerLeft, { workerId, runs: this.session?.runCount ?? 0 })
+    this.report = { ...this.report, isDraining: true }
+    this.returnWaiting(() => true, 'worker left')
+    this.handlers.onLoad()
+  }
+
+  /** Takes an entry's task. Its end is reported once. */
+  submit (order: TaskOrder): void {
+    const key = taskKey(order.task)
+    const held = this.session?.find(key)
+    if (held?.order.owner === order.owner && held.order.attempt === order.attempt) return
+    if (held !== undefined) this.stopRun(held, 'task was ordered again')
+    this.waiting.push(order)
+    this.waiting.sort(compareOrders)
+    this.startNext()
+  }
+
+  /** Ends an entry's tasks of a job. */
+  stop (owner: string, matches: (order: TaskOrder) => boolean, reason: string): void {
+    const isMeant = (order: TaskOrder): boolean => order.owner === owner && matches(order)
+    this.returnWaiting(isMeant, reason)
+    for (const run of this.session?.runs ?? []) {
+      if (isMeant(run.order)) this.stopRun(run, reason)
+    }
+  }
+
+  /** Lists the tasks of an entry that wait or run here. */
+  heldBy (owner: string): TaskOrder[] {
+    const running = [...this.runs].map(run => run.order)
+    return [...this.waiting, ...running].filter(order => order.owner === owner)
+  }
+
+  /** Refuses new tasks and resolves when those that run have ended. */
+  async drain (): Promise<void> {
+    this.isStopping = true
+    this.returnWaiting(() => true, 'agent stops')
+    this.handlers.onLoad()
+    if (this.taskCount > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
+  }
+
+  /** Ends the session with the worker. */
+  async close (): Promise<void> {
+    this.tick.cancel()
+    this.session?.end('agent stops')
+    await this.services.driver.close()
+  }
+
+  private openSession (report: WorkerReport): void {
+    this.services.log.event(events.WorkerJoined, { workerId: report.workerId, bornAtMs: report.bornAtMs, service: report.service, cpuMilli: report.total.cpuMilli, labels: report.labels.join(',') })
+    this.session?.end('another life of the worker')
+    const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing }, {
+      onEnd: ending => { this.finish(ending) },
+      onChange: () => { this.noteChange() }
+    })
+    this.session = session
+    session.run()
+    this.handlers.onLoad()
+  }
+
+  private noteChange (): void {
+    if (this.session?.acceptsRuns !== true) this.returnWaiting(() => true, 'worker does not answer')
+    else this.startNext()
+    this.handlers.onLoad()
+  }
+
+  private noteDraining (report: WorkerReport): void {
+    if (report.isDraining) {
+      this.services.log.event(events.WorkerDraining, { workerId: report.workerId, runs: this.session?.runCount ?? 0 })
+      this.returnWaiting(() => true, 'worker is draining')
+    }
+    this.handlers.onLoad()
+  }
+
+  private get mayStart (): boolean {
+    return !this.isStopping && this.session?.acceptsRuns === true && this.report?.isDraining === false
+  }
+
+  private startNext (): void {
+    if (!this.mayStart) {
+      this.returnWaiting(() => true, 'worker takes no runs')
+      return
+    }
+    const session = this.session!
+    const kept: TaskOrder[] = []
+    for (const order of this.waiting) {
+      if (order.age.ms > order.expiresAfterMs) this.giveBack(order, 'expired')
+      else if (session.find(taskKey(order.task)) === undefined && fits(session.free, order.size)) session.start(order)
+      else kept.push(order)
+    }
+    this.waiting = kept
+    this.handlers.onLoad()
+  }
+
+  /** Returns tasks that have waited too long, and gives up a worker that has stopped reporting. */
+  private review (): void {
+    this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.queueLimitMs), 'no room in time')
+    if (this.report === undefined || this.services.timers.nowMs() - this.reportedAtMs < this.options.reportTimeoutMs) return
+    this.services.log.event(events.ReportTimeout, { workerId: this.report.workerId })
+    this.session?.end('worker stopped reporting')
+    this.session = undefined
+    this.report = undefined
+    this.handlers.onLoad()
+  }
+
+  private returnWaiting (matches: (order: TaskOrder) => boolean, reason: string): void {
+    if (this.waiting.length === 0) return
+    const returned = this.waiting.filter(matches)
+    if (returned.length === 0) return
+    this.waiting = this.waiting.filter(order => !returned.includes(order))
+    for (const order of returned) this.giveBack(order, reason)
+    this.handlers.onLoad()
+  }
+
+  private giveBack (order: TaskOrder, reason: string): void {
+    const { jobId, step, index } = order.task
+    this.services.log.event(events.TaskReturned, { jobId, step, index, attempt: order.attempt, reason, ageMs: Math.round(order.age.ms) })
+    this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason })
+    this.noteIdle()
+  }
+
+  private finish (ending: TaskEnding): void {
+    this.handlers.onEnd(ending)
+    if (this.waiting.length > 0) this.startNext()
+    this.noteIdle()
+  }
+
+  private stopRun (run: HeldRun, reason: string): void {
+    this.session?.stop(run, reason)
+  }
+
+  private noteIdle (): void {
+    if (this.taskCount === 0) this.onIdle?.()
+  }
+}
+
+/** A report of an earlier life, or one that was overtaken, describes a worker that is gone. */
+function isOlder (report: WorkerReport, known: WorkerReport): boolean {
+  if (report.bornAtMs !== known.bornAtMs) return report.bornAtMs < known.bornAtMs
+  return report.workerId === known.workerId && report.sequence <= known.sequence
+}
--- /dev/null
+++ b/packages/workers/src/order.ts
@@ -0,0 +1,45 @@
+/** A task that an entry ordered. */
+import type { RunSize, TaskRef } from './driver.ts'
+import type { Age } from './clock.ts'
+
+/** A task on its way through the agent. */
+export interface TaskOrder {
+  /** Life of the entry that ordered the task; its end is reported there. */
+  owner: string
+  task: TaskRef
+  attempt: number
+  spec: string
+  size: RunSize
+  estimatedMs: number
+  /** 0 goes first. */
+  priority: number
+  /** Steady time at which the job misses its objective. */
+  dueAtMs: number
+  /** Time since the order arrived. */
+  age: Age
+  /** Age from which the task must not start. */
+  expiresAfterMs: number
+}
+
+/** How a task ended at this agent. */
+export enum TaskEnd {
+  Done = 'done',
+  Failed = 'failed',
+  /** Ended without a result and certain not to run here any more. */
+  Lost = 'lost',
+  /** Did not start here and won't. */
+  NotStarted = 'not-started'
+}
+
+/** The end of a task. */
+export interface TaskEnding {
+  order: TaskOrder
+  end: TaskEnd
+  runMs: number
+  reason: string
+}
+
+/** Negative when the left task goes first: by priority, then by the time at which it misses its objective. */
+export function compareOrders (left: TaskOrder, right: TaskOrder): number {
+  return left.priority - right.priority || left.dueAtMs - right.dueAtMs
+}
--- /dev/null
+++ b/packages/workers/src/session.ts
@@ -0,0 +1,465 @@
+/** The runs on one life of a worker: starts, stops, the lease that holds them and the ends that the worker lists. */
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import { WorkerClock } from './clock.ts'
+import type { WorkerOptions } from './defaults.ts'
+import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, taskKey, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
+import { events } from './events.ts'
+import { type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
+import { addSize, NO_SIZE, subtractSize } from './size.ts'
+import type { FencingToken } from './fencing.ts'
+
+/** What is known of the connection to the worker. */
+export enum SessionState {
+  /** Runs of an earlier life of the agent are being stopped. */
+  TakingOver = 'taking-over',
+  Ready = 'ready',
+  /** No answer for too long. */
+  Silent = 'silent',
+  /** Nothing listens at its address. */
+  Down = 'down',
+  /** Another life of the worker has taken its place. */
+  Ended = 'ended'
+}
+
+/** What a run has been asked to do. */
+enum RunPhase {
+  Starting = 'starting',
+  Running = 'running',
+  Stopping = 'stopping'
+}
+
+/** A run that takes room on the worker. */
+export interface HeldRun {
+  readonly order: TaskOrder
+  ref: RunRef
+  phase: RunPhase
+  startedAtMs: number
+  percent: number
+  /** Steady time at which the percentage last rose. */
+  progressAtMs: number
+  /** Answers in a row, asked for after the start, that did not list the run. */
+  missedAnswers: number
+  /** True when the worker refuses a late arrival of the start. */
+  isStopAcknowledged: boolean
+}
+
+/** What the session tells its agent. */
+export interface SessionHandlers {
+  onEnd: (ending: TaskEnding) => void
+  onChange: () => void
+}
+
+/** Services of a session. */
+export interface SessionServices {
+  timers: settings.Timers
+  log: settings.Log
+  driver: WorkerDriver
+  fencing: FencingToken
+  options: WorkerOptions
+}
+
+/** Starts that are repeated with another number or token before the task goes back. */
+const MAX_START_TRIES = 4
+/** Distance between the numbers of repeated starts: an entry that took the job over counts its own starts from 1. */
+const RUN_NUMBER_STEP = 8
+/** Answers without a run after which it is taken for gone. */
+const MAX_MISSED_ANSWERS = 3
+/** Time for which ended runs are remembered, so that an answer that was overtaken names no stray run. */
+const ENDED_MEMORY_MS = 3_000
+/** Pause before a stop or a question is repeated. */
+const RETRY_PAUSE_MS = 40
+
+/** Runs on one life of a worker. */
+export class WorkerSession {
+  state = SessionState.TakingOver
+  private readonly held = new Map<string, HeldRun>()
+  private readonly recentEnds = new Map<string, number>()
+  private readonly clock: WorkerClock
+  private readonly abort = new AbortController()
+  private used: RunSize = NO_SIZE
+  private acknowledgedEnd = 0
+  private unacknowledged = false
+  private lastAnswerAtMs: number
+  private leaseSentAtMs = Number.NEGATIVE_INFINITY
+  private wake: (() => void) | undefined
+
+  constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
+    this.clock = new WorkerClock(services.timers)
+    this.lastAnswerAtMs = services.timers.nowMs()
+  }
+
+  /** Room that no run takes. */
+  get free (): RunSize {
+    return subtractSize(this.worker.total, this.used)
+  }
+
+  /** Runs that take room. */
+  get runs (): Iterable<HeldRun> {
+    return this.held.values()
+  }
+
+  get runCount (): number {
+    return this.held.size
+  }
+
+  /** True while runs may start. */
+  get acceptsRuns (): boolean {
+    return this.state === SessionState.Ready
+  }
+
+  find (key: string): HeldRun | undefined {
+    return this.held.get(key)
+  }
+
+  /** Takes over the worker, then holds its runs and collects their ends until `end`. */
+  async run (): Promise<void> {
+    await this.takeOver()
+    await Promise.all([this.collectEnds(), this.keepLease()])
+  }
+
+  /** Ends the session: whatever ran is gone, or will be when the lease lapses. */
+  end (reason: string): void {
+    if (this.state === SessionState.Ended) return
+    this.state = SessionState.Ended
+    this.abort.abort()
+    this.wake?.()
+    for (const run of [...this.held.values()]) this.settle(run, TaskEnd.Lost, reason)
+  }
+
+  /** Starts a task. Its end is reported once, whatever happens. */
+  async start (order: TaskOrder): Promise<void> {
+    const nowMs = this.services.timers.nowMs()
+    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, missedAnswers: 0, isStopAcknowledged: false }
+    this.held.set(taskKey(order.task), run)
+    this.used = addSize(this.used, order.size)
+    this.wake?.()
+    await this.sendStart(run)
+  }
+
+  /** Stops a run. The room is free when the worker lists the end. */
+  async stop (run: HeldRun, reason: string): Promise<void> {
+    const wasStarting = run.phase === RunPhase.Starting
+    if (run.phase === RunPhase.Stopping) return
+    run.phase = RunPhase.Stopping
+    this.services.log.event(events.RunStopping, { jobId: run.order.task.jobId, step: run.order.task.step, index: run.order.task.index, run: run.ref.run, reason })
+    if (!wasStarting) await this.sendStop(run)
+  }
+
+  private isHeld (run: HeldRun): boolean {
+    return this.held.get(taskKey(run.order.task)) === run
+  }
+
+  private get scope (): CallScope {
+    return { workerId: this.worker.workerId, fencingToken: this.services.fencing.value }
+  }
+
+  private async sendStart (run: HeldRun): Promise<void> {
+    for (let tries = 0; tries < MAX_START_TRIES && this.isHeld(run); tries++) {
+      run.startedAtMs = this.services.timers.nowMs()
+      this.noteLease()
+      const outcome = await this.services.driver.start({ ...this.scope, ref: run.ref, spec: run.order.spec, leaseUntilMs: this.clock.at(this.services.options.leaseMs) })
+      if (!this.isHeld(run)) return
+      switch (outcome.kind) {
+        case 'started': return await this.noteStarted(run)
+        case 'unanswered': return await this.resolveUnanswered(run, outcome.reason)
+        case 'refused':
+          if (!await this.prepareRetry(run, outcome.refusal)) return
+          break
+        default: protocol.assertNever(outcome)
+      }
+    }
+    if (this.isHeld(run)) this.settle(run, TaskEnd.NotStarted, 'start refused repeatedly')
+  }
+
+  private async noteStarted (run: HeldRun): Promise<void> {
+    const { task } = run.order
+    this.services.log.event(events.RunStarted, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, ageMs: Math.round(run.order.age.ms), runs: this.held.size })
+    if (run.phase === RunPhase.Stopping) await this.sendStop(run)
+    else run.phase = RunPhase.Running
+  }
+
+  /** Returns whether the start is to be sent again; otherwise the run is settled. */
+  private async prepareRetry (run: HeldRun, refusal: StartRefusal): Promise<boolean> {
+    const { task } = run.order
+    this.services.log.event(events.RunRefused, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, refusal })
+    if (run.phase === RunPhase.Stopping) {
+      this.settle(run, TaskEnd.NotStarted, refusal)
+      return false
+    }
+    switch (refusal) {
+      case StartRefusal.Fenced:
+        this.services.fencing.raise()
+        return true
+      case StartRefusal.Superseded:
+        run.ref = { ...run.ref, run: run.ref.run + RUN_NUMBER_STEP }
+        return true
+      case StartRefusal.LeaseExpired:
+        await this.ask(0, false)
+        return true
+      case StartRefusal.Replaced:
+        this.replace()
+        return false
+      case StartRefusal.NoRoom:
+      case StartRefusal.Unhealthy:
+      case StartRefusal.Invalid:
+        this.settle(run, TaskEnd.NotStarted, refusal)
+        return false
+      default: return protocol.assertNever(refusal)
+    }
+  }
+
+  /**
+   * A start without an answer may be carried out later. It is stopped, which also refuses a late arrival, before the task
+   * may start elsewhere; when the stop isn't acknowledged either, the lease that the start carried ends it.
+   */
+  private async resolveUnanswered (run: HeldRun, reason: string): Promise<void> {
+    const { task } = run.order
+    this.services.log.event(events.RunUnanswered, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, reason })
+    await this.ask(0, false)
+    if (!this.isHeld(run)) return
+    if (run.phase === RunPhase.Running) return
+    run.phase = RunPhase.Stopping
+    await this.sendStop(run)
+  }
+
+  private async sendStop (run: HeldRun): Promise<void> {
+    const { options, driver, timers, log } = this.services
+    for (let attempt = 0; attempt < options.stopAttempts && this.isHeld(run); attempt++) {
+      if (await driver.stop(this.scope, run.ref)) {
+        run.isStopAcknowledged = true
+        return await this.confirmStop(run)
+      }
+      await timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
+    }
+    if (!this.isHeld(run)) return
+    const { task } = run.order
+    log.event(events.StopUnacknowledged, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run })
+  }
+
+  /** Waits until the worker lists the end of a stopped run, or shows that it doesn't hold the run. */
+  private async confirmStop (run: HeldRun): Promise<void> {
+    for (let attempt = 0; attempt < MAX_MISSED_ANSWERS && this.isHeld(run); attempt++) {
+      await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
+      if (this.isHeld(run)) await this.ask(0, false)
+    }
+  }
+
+  /** Stops what an earlier life of the agent started and takes note of all ends. */
+  private async takeOver (): Promise<void> {
+    while (this.state === SessionState.TakingOver) {
+      const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd: this.acknowledgedEnd, waitMs: 0 })
+      if (outcome.kind === 'answered' && outcome.runs.bornAtMs === this.worker.bornAtMs) {
+        this.noteAnswer(outcome.runs)
+        const last = outcome.runs.ended.at(-1)
+        if (last !== undefined) this.acknowledgedEnd = Math.max(this.acknowledgedEnd, last.number)
+        if (outcome.runs.running.length === 0 && last === undefined) return this.becomeReady()
+        await Promise.all(outcome.runs.running.map(async each => await this.services.driver.stop(this.scope, each.ref)))
+      } else if (outcome.kind === 'answered') this.replace()
+      else this.noteFailure(outcome)
+      await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
+    }
+  }
+
+  private becomeReady (): void {
+    this.state = SessionState.Ready
+    this.services.log.event(events.TakenOver, { workerId: this.worker.workerId, acknowledgedEnd: this.acknowledgedEnd })
+    this.handlers.onChange()
+  }
+
+  /** Asks for the next end again and again while runs are present or ends are not acknowledged. */
+  private async collectEnds (): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      if (this.held.size === 0 && !this.unacknowledged) {
+        await new Promise<void>(resolve => { this.wake = resolve })
+        this.wake = undefined
+        continue
+      }
+      const mayWait = this.held.size > 0 && !this.abort.signal.aborted
+      const wasAnswered = await this.ask(mayWait ? this.services.options.endWaitMs : 0, this.state === SessionState.Ready)
+      if (!wasAnswered) await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
+    }
+  }
+
+  /** Renews the lease while runs are present; leaves it to lapse when the worker does not answer. */
+  private async keepLease (): Promise<void> {
+    const { timers, options } = this.services
+    while (!this.abort.signal.aborted) {
+      await timers.sleep(options.renewPeriodMs, this.abort.signal)
+      if (this.held.size === 0 && this.state === SessionState.Ready) {
+        this.lastAnswerAtMs = timers.nowMs()
+        continue
+      }
+      this.ask(0, this.state === SessionState.Ready)
+      this.judgeSilence()
+    }
+  }
+
+  private judgeSilence (): void {
+    const { timers, options, log } = this.services
+    const nowMs = timers.nowMs()
+    if (this.state === SessionState.Ready && nowMs - this.lastAnswerAtMs > options.silentAfterMs) {
+      this.state = SessionState.Silent
+      log.event(events.WorkerSilent, { workerId: this.worker.workerId, silentMs: Math.round(nowMs - this.lastAnswerAtMs), runs: this.held.size })
+      this.handlers.onChange()
+    }
+    if (this.state === SessionState.Silent && nowMs > this.leaseSentAtMs + options.leaseMs * options.clockDrift) this.loseAll('lease lapsed on a silent worker')
+  }
+
+  private loseAll (reason: string): void {
+    for (const run of [...this.held.values()]) this.settle(run, TaskEnd.Lost, reason)
+  }
+
+  /** Asks what the worker holds. Returns whether it answered. */
+  private async ask (waitMs: number, renews: boolean): Promise<boolean> {
+    const askedAtMs = this.services.timers.nowMs()
+    const acknowledgedEnd = this.acknowledgedEnd
+    const isRenewal = renews && this.clock.isKnown && this.held.size > 0
+    if (isRenewal) this.noteLease()
+    const leaseUntilMs = isRenewal ? this.clock.at(this.services.options.leaseMs) : undefined
+    const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd, leaseUntilMs, waitMs })
+    if (this.state === SessionState.Ended) return false
+    if (outcome.kind !== 'answered') {
+      this.noteFailure(outcome)
+      return false
+    }
+    if (outcome.runs.bornAtMs !== this.worker.bornAtMs) {
+      this.replace()
+      return false
+    }
+    if (acknowledgedEnd === this.acknowledgedEnd) this.unacknowledged = false
+    this.noteAnswer(outcome.runs)
+    this.takeEnds(outcome.runs.ended)
+    this.takeRunning(outcome.runs.running, askedAtMs)
+    return true
+  }
+
+  private noteLease (): void {
+    this.leaseSentAtMs = this.services.timers.nowMs()
+  }
+
+  private noteAnswer (runs: WorkerRuns): void {
+    this.clock.note(runs.clockMs)
+    this.lastAnswerAtMs = this.services.timers.nowMs()
+    if (this.state !== SessionState.Silent && this.state !== SessionState.Down) return
+    this.state = SessionState.Ready
+    this.services.log.event(events.WorkerAnswers, { workerId: this.worker.workerId })
+    this.handlers.onChange()
+  }
+
+  private noteFailure (outcome: Exclude<RenewOutcome, { kind: 'answered' }>): void {
+    switch (outcome.kind) {
+      case 'fenced':
+        this.services.fencing.raise()
+        return
+      case 'replaced':
+        this.replace()
+        return
+      case 'down':
+        if (this.state === SessionState.Down) return
+        this.state = SessionState.Down
+        this.services.log.event(events.WorkerDown, { workerId: this.worker.workerId, reason: outcome.reason, runs: this.held.size })
+        this.unacknowledged = false
+        this.loseAll('worker is down')
+        this.handlers.onChange()
+        return
+      case 'unanswered': return
+      default: protocol.assertNever(outcome)
+    }
+  }
+
+  private replace (): void {
+    if (this.state === SessionState.Ended) return
+    this.services.log.event(events.WorkerReplaced, { workerId: this.worker.workerId, bornAtMs: this.worker.bornAtMs })
+    this.end('another life of the worker')
+    this.handlers.onChange()
+  }
+
+  private takeEnds (ended: readonly EndedRun[]): void {
+    // The worker lists every end that isn't acknowledged, so a gap was acknowledged by an earlier life of the agent.
+    const first = ended[0]
+    if (first !== undefined && first.number > this.acknowledgedEnd + 1) this.acknowledgedEnd = first.number - 1
+    for (const end of ended) {
+      if (end.number !== this.acknowledgedEnd + 1) continue
+      this.acknowledgedEnd = end.number
+      this.unacknowledged = true
+      const run = this.held.get(taskKey(end.ref.task))
+      this.recentEnds.set(refKey(end.ref), this.services.timers.nowMs())
+      if (run === undefined || run.ref.run !== end.ref.run) continue
+      this.settle(run, resolveEnd(end.cause), end.cause)
+    }
+    this.forgetOldEnds()
+  }
+
+  private takeRunning (running: readonly RunningRun[], askedAtMs: number): void {
+    const nowMs = this.services.timers.nowMs()
+    const listed = new Set<HeldRun>()
+    for (const each of running) {
+      const run = this.held.get(taskKey(each.ref.task))
+      if (run === undefined || run.ref.run !== each.ref.run) {
+        this.stopStray(each.ref)
+        continue
+      }
+      listed.add(run)
+      if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running
+      if (each.percent > run.percent) run.progressAtMs = nowMs
+      run.percent = each.percent
+    }
+    for (const run of [...this.held.values()]) this.noteListing(run, listed.has(run), askedAtMs)
+  }
+
+  private noteListing (run: HeldRun, isListed: boolean, askedAtMs: number): void {
+    if (isListed) {
+      run.missedAnswers = 0
+      return
+    }
+    if (askedAtMs <= run.startedAtMs || run.phase === RunPhase.Starting || ++run.missedAnswers < MAX_MISSED_ANSWERS) return
+    if (run.phase === RunPhase.Running || run.isStopAcknowledged || this.hasStartExpired(run)) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
+  }
+
+  /** True when the worker would refuse the run's start if it arrived now. */
+  private hasStartExpired (run: HeldRun): boolean {
+    const { options, timers } = this.services
+    return timers.nowMs() > run.startedAtMs + options.leaseMs * options.clockDrift
+  }
+
+  private stopStray (ref: RunRef): void {
+    if (this.recentEnds.has(refKey(ref))) return
+    this.services.log.event(events.StrayRun, { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run })
+    this.services.driver.stop(this.scope, ref)
+  }
+
+  private settle (run: HeldRun, end: TaskEnd, reason: string): void {
+    if (!this.isHeld(run)) return
+    const { task, size } = run.order
+    this.held.delete(taskKey(task))
+    this.used = subtractSize(this.used, size)
+    this.recentEnds.set(refKey(run.ref), this.services.timers.nowMs())
+    const runMs = this.services.timers.nowMs() - run.startedAtMs
+    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
+    this.handlers.onEnd({ order: run.order, end, runMs, reason })
+  }
+
+  private forgetOldEnds (): void {
+    const limitMs = this.services.timers.nowMs() - ENDED_MEMORY_MS
+    for (const [key, atMs] of this.recentEnds) {
+      if (atMs > limitMs) return
+      this.recentEnds.delete(key)
+    }
+  }
+}
+
+function refKey (ref: RunRef): string {
+  return `${taskKey(ref.task)}#${ref.run}`
+}
+
+function resolveEnd (cause: EndCause): TaskEnd {
+  switch (cause) {
+    case EndCause.Done: return TaskEnd.Done
+    case EndCause.Failed: return TaskEnd.Failed
+    case EndCause.Stopped:
+    case EndCause.LeaseLapsed:
+    case EndCause.GroupBroken: return TaskEnd.Lost
+    default: return protocol.assertNever(cause)
+  }
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,38 @@
+// Bundles one entry point with the libraries that it uses into a single file.
+import { build } from 'esbuild'
+
+// Optional modules of the libraries that are installed but can't run inside the executable.
+const UNUSED_MODULES = new Set(['unix-dgram'])
+
+// Optional modules that a library asks for and that this program never uses become modules that refuse to load,
+// so that the executable doesn't look for them on disk.
+const optionalModules = {
+  name: 'optional-modules',
+  setup (context) {
+    context.onResolve({ filter: /^[@a-z]/ }, async args => {
+      if (args.pluginData === 'checking' || args.kind === 'entry-point') return undefined
+      const found = await context.resolve(args.path, { kind: args.kind, importer: args.importer, resolveDir: args.resolveDir, pluginData: 'checking' })
+      if (found.errors.length === 0 && !UNUSED_MODULES.has(args.path)) return found
+      return { path: args.path, namespace: 'optional-module' }
+    })
+    context.onLoad({ filter: /.*/, namespace: 'optional-module' }, args => {
+      return { contents: `throw new Error('optional module ${args.path} is not part of the executable')` }
+    })
+  }
+}
+
+/** Bundles an entry point; `options` are esbuild's. */
+export async function bundle (entryPoint, outfile, options = {}) {
+  await build({
+    entryPoints: [entryPoint],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    plugins: [optionalModules],
+    alias: { 'ts-results': './node_modules/ts-results/esm/index.js' },
+    logLevel: 'error',
+    ...options
+  })
+}
