Judge a worker's speed by the median over its jobs, and stalls by its pace; fewer wake-ups; tests of runs on a leased worker

Change: progress is measured at answers against the run's own pace; agents report the median over jobs.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -24,12 +24,6 @@
   driver: workers.WorkerDriver
 }
 
-/** A run counts as slow when it takes this many times its estimate, and this much longer at least. */
-const SLOW_FACTOR = 1.6
-const SLOW_MARGIN_MS = 60
-/** A run is told as standing still after this time without progress, in milliseconds. */
-const STILL_MS = 150
-
 /** One agent. */
 export class AgentNode {
   readonly executor: workers.RunExecutor
@@ -39,18 +33,16 @@
   private readonly pendingEnds = new Map<string, workers.TaskEnding[]>()
   private readonly handles: settings.TimerHandle[] = []
   private isFlushScheduled = false
-  private isLoadStale = false
-  private flushedAtMs = 0
+  private loadTimer: settings.TimerHandle | undefined
 
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
     this.owners = new Owners(services.timers)
     this.executor = new workers.RunExecutor(services, {
       onEnd: ending => { this.report(ending) },
-      onLoad: () => { this.isLoadStale = true }
+      onLoad: () => { this.planLoad() }
     })
     this.handles.push(
       watchRegularly(services.timers, () => { this.dropSilentOwners() }),
-      services.timers.every(LOAD_PERIOD_MS, () => { this.flushLoad() }),
       services.timers.every(SLOW_PERIOD_MS, () => { this.reportSlow() })
     )
   }
@@ -85,6 +77,7 @@
   /** Closes all links. */
   async stop (): Promise<void> {
     for (const handle of this.handles) handle.cancel()
+    this.loadTimer?.cancel()
     for (const connection of this.connections.values()) connection.close()
     await this.executor.close()
   }
@@ -179,30 +172,26 @@
       if (ends !== undefined) connection.send({ report: { ends: ends.map(encodeEnd), load: encodeLoad(this.executor.load, connection.received) } })
     }
     this.pendingEnds.clear()
-    this.isLoadStale = true
+    this.planLoad()
   }
 
-  /** Tells all entries the load when it changed. */
-  private flushLoad (): void {
-    const nowMs = this.services.timers.nowMs()
-    if (!this.isLoadStale || nowMs - this.flushedAtMs < LOAD_PERIOD_MS / 2) return
-    this.isLoadStale = false
-    this.flushedAtMs = nowMs
-    for (const connection of this.openConnections()) connection.send({ report: { load: encodeLoad(this.executor.load, connection.received) } })
+  /** Tells all entries the load soon, once for all changes of the period. */
+  private planLoad (): void {
+    this.loadTimer ??= this.services.timers.after(LOAD_PERIOD_MS, () => {
+      this.loadTimer = undefined
+      for (const connection of this.openConnections()) connection.send({ report: { load: encodeLoad(this.executor.load, connection.received) } })
+    })
   }
 
   private reportSlow (): void {
-    const nowMs = this.services.timers.nowMs()
     const slow = new Map<string, protocol.runs.ISlowRun[]>()
     for (const run of this.executor.runs) {
-      const elapsedMs = nowMs - run.startedAtMs
-      const stalledMs = nowMs - run.progressAtMs
-      const isLate = elapsedMs > run.order.estimatedMs * SLOW_FACTOR && elapsedMs > run.order.estimatedMs + SLOW_MARGIN_MS
-      if (!isLate && stalledMs < STILL_MS) continue
-      const of = slow.get(run.order.owner) ?? []
-      of.push({ ...run.order.task, elapsedMs, percent: run.percent, stalledMs })
-      slow.set(run.order.owner, of)
+      if (!workers.isSlow(run)) continue
+      const ofOwner = slow.get(run.order.owner) ?? []
+      ofOwner.push({ ...run.order.task, ...workers.measureProgress(run) })
+      slow.set(run.order.owner, ofOwner)
     }
+    if (slow.size === 0) return
     for (const connection of this.openConnections()) {
       const ofEntry = slow.get(connection.life)
       if (ofEntry !== undefined) connection.send({ report: { slow: ofEntry, load: encodeLoad(this.executor.load, connection.received) } })
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -11,7 +11,7 @@
 /** Silence of an entry after which its runs are stopped. A caller sends its job again 1,300 ms after it lost its answer. */
 export const OWNER_TIMEOUT_MS = 900
 /** Period in which silence is looked at, in milliseconds. */
-export const WATCH_PERIOD_MS = 50
+export const WATCH_PERIOD_MS = 75
 /** A longer pause between two looks means that this process itself stood still; what has arrived is read first. */
 export const STALL_MS = 200
 /** Pause before a link that failed is dialled again, in milliseconds; doubles up to the longest. */
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -15,7 +15,8 @@
     free: clampSize(load.free),
     labels: [...load.labels],
     received,
-    waiting: load.waiting
+    waiting: load.waiting,
+    pace: load.pace
   }
 }
 
@@ -29,7 +30,8 @@
     free: decodeSize(message?.free),
     labels: message?.labels ?? [],
     received: message?.received ?? 0,
-    waiting: message?.waiting ?? 0
+    waiting: message?.waiting ?? 0,
+    pace: message?.pace ?? 0
   }
 }
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -166,6 +166,7 @@
     const agent = this.agents.get(port.agentId)
     if (agent?.port !== port) return
     agent.view.apply(load)
+    this.speeds.note(agent.agentId, load.pace)
     if (agent.life !== port.life && agent.view.takesRuns) this.adoptLife(agent, port.life)
     this.schedulePump()
   }
@@ -208,16 +209,14 @@
     agent.sent.delete(key)
     if (end.end === workers.TaskEnd.NotStarted) sent.job.noteNotStarted()
     this.services.log.event(events.TaskReported, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
-    this.noteOutcome(agent, sent, end)
+    this.noteOutcome(agent, end)
     if (sent.job.hasEnded || sent.task.attempt !== end.attempt || sent.task.phase !== TaskPhase.Sent) return
     this.settleTask(sent, agent, end)
   }
 
-  private noteOutcome (agent: AgentRecord, sent: SentTask, end: ReportedEnd): void {
-    const estimatedMs = sent.job.stepOf(sent.task).estimatedMs
+  private noteOutcome (agent: AgentRecord, end: ReportedEnd): void {
     switch (end.end) {
       case workers.TaskEnd.Done:
-        this.speeds.observe(agent.agentId, end.runMs, estimatedMs, this.nowMs)
         this.ejection.noteOutcome(agent.agentId, false, this.nowMs)
         return
       case workers.TaskEnd.Failed:
@@ -261,13 +260,12 @@
     const sent = agent.sent.get(workers.taskKey(run.ref))
     if (sent === undefined || sent.job.hasEnded || agent.port === undefined) return
     const step = sent.job.stepOf(sent.task)
-    if (run.percent > 0) this.speeds.observeUnfinished(agent.agentId, run.elapsedMs * 100 / run.percent, step.estimatedMs, this.nowMs)
-    if (!isWorthMoving(run, this.speeds.factorOf(agent.agentId, this.nowMs), this.speeds.expectedMs(step.estimatedMs), this.options)) return
+    if (!isWorthMoving(run, this.speeds.factorOf(agent.agentId), this.speeds.expectedMs(step.estimatedMs), this.options)) return
     if (sent.task.avoided.has(agent.agentId)) return
     if (chooseWorker(this.findCandidates(sent.job, sent.task).filter(each => each.agentId !== agent.agentId), step, step.estimatedMs, this.options) === undefined) return
     sent.task.avoided.add(agent.agentId)
     this.counters.moves++
-    this.services.log.event(events.TaskMoved, { jobId: run.ref.jobId, step: run.ref.step, index: run.ref.index, agentId: agent.agentId, elapsedMs: Math.round(run.elapsedMs), percent: run.percent, stalledMs: Math.round(run.stalledMs), estimatedMs: step.estimatedMs, speedFactor: this.speeds.factorOf(agent.agentId, this.nowMs) })
+    this.services.log.event(events.TaskMoved, { jobId: run.ref.jobId, step: run.ref.step, index: run.ref.index, agentId: agent.agentId, elapsedMs: Math.round(run.elapsedMs), percent: run.percent, stalledMs: Math.round(run.stalledMs), estimatedMs: step.estimatedMs, speedFactor: this.speeds.factorOf(agent.agentId) })
     if (run.stalledMs > this.options.stalledMs) this.ejection.noteOutcome(agent.agentId, true, this.nowMs)
     agent.port.stop(run.ref)
   }
@@ -449,7 +447,7 @@
       agentId: agent.agentId,
       free: agent.view.free,
       usedShare: agent.view.usedShare,
-      speedFactor: this.speeds.factorOf(agent.agentId, this.nowMs),
+      speedFactor: this.speeds.factorOf(agent.agentId),
       hasDataRack: step.dataRack !== undefined && agent.view.hasLabel(step.dataRack),
       isOwnDomain: agent.view.failureDomain === this.services.failureDomain
     }
--- a/packages/settings/src/log.ts
+++ b/packages/settings/src/log.ts
@@ -36,6 +36,8 @@
 
 const DROPPED: LogEvent = { code: 1, level: LogLevel.Warn, message: 'log lines were dropped' }
 const SECOND_MS = 1_000
+/** Where winston's transports look for the finished line. */
+const LINE_FIELD = Symbol.for('message')
 
 /** Counts lines and drops those beyond the rate. */
 class LineBudget {
@@ -65,11 +67,17 @@
   }
 }
 
+/** Writes an event as JSON as it is. Fields are flat, so the costlier safe serializer has nothing to guard against. */
+const jsonLine = winston.format(info => {
+  info[LINE_FIELD] = JSON.stringify({ timestamp: new Date().toISOString(), ...info })
+  return info
+})
+
 /** Creates a log that writes JSON lines. */
 export function createLog (program: string, nodeId: string, level: LogLevel, options: LogOptions = {}): Log {
   const logger = winston.createLogger({
     level,
-    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+    format: jsonLine(),
     defaultMeta: { program, nodeId },
     transports: [options.stream === undefined ? new winston.transports.Console({ stderrLevels: Object.values(LogLevel) }) : new winston.transports.Stream({ stream: options.stream })]
   })
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -2,3 +2,4 @@
 export * from './backend/index.ts'
 export * from './network/index.ts'
 export * from './store/index.ts'
+export * from './worker/standinWorker.ts'
--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -4,7 +4,7 @@
 export interface WorkerOptions {
   /** Time for which a renewal holds the runs. Runs of a dead agent end this much later; far below the 1,300 ms after which a caller sends its job again. */
   leaseMs: number
-  /** Period of renewals: three may be lost before the lease ends. */
+  /** Period of renewals: four may be lost before the lease ends. */
   renewPeriodMs: number
   /** Longest time that a question waits for the next end at the worker. */
   endWaitMs: number
@@ -24,10 +24,10 @@
 
 export const DEFAULT_WORKER_OPTIONS: WorkerOptions = {
   leaseMs: 700,
-  renewPeriodMs: 200,
+  renewPeriodMs: 150,
   endWaitMs: 400,
   callTimeoutMs: 150,
-  silentAfterMs: 450,
+  silentAfterMs: 400,
   reportTimeoutMs: 6_000,
   queueLimitMs: 150,
   stopAttempts: 4,
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -32,10 +32,12 @@
   free: RunSize
   labels: readonly string[]
   waiting: number
+  /** Run time of tasks over their estimates; 0 when too little is known. */
+  pace: number
 }
 
 /** Period in which waiting tasks and the worker's reports are looked at, in milliseconds. */
-const TICK_PERIOD_MS = 25
+const TICK_PERIOD_MS = 50
 
 /** Runs the tasks of one worker. */
 export class RunExecutor {
@@ -69,7 +71,7 @@
   get load (): ExecutorLoad {
     const { report, session } = this
     if (report === undefined || session === undefined) {
-      return { isPresent: false, isDraining: false, service: '', total: NO_SIZE, free: NO_SIZE, labels: [], waiting: this.waiting.length }
+      return { isPresent: false, isDraining: false, service: '', total: NO_SIZE, free: NO_SIZE, labels: [], waiting: this.waiting.length, pace: 0 }
     }
     const waitingSize = this.waiting.reduce((sum, order) => addSize(sum, order.size), NO_SIZE)
     return {
@@ -79,7 +81,8 @@
       total: report.total,
       free: subtractSize(session.free, waitingSize),
       labels: report.labels,
-      waiting: this.waiting.length
+      waiting: this.waiting.length,
+      pace: session.pace.value
     }
   }
 
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -6,6 +6,7 @@
 import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, taskKey, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
 import { events } from './events.ts'
 import { type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
+import { PaceEstimate } from './pace.ts'
 import { addSize, NO_SIZE, subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
 
@@ -38,6 +39,8 @@
   percent: number
   /** Steady time at which the percentage last rose. */
   progressAtMs: number
+  /** Steady time of the last answer that listed the run. */
+  observedAtMs: number
   /** Answers in a row, asked for after the start, that did not list the run. */
   missedAnswers: number
   /** True when the worker refuses a late arrival of the start. */
@@ -73,6 +76,8 @@
 /** Runs on one life of a worker. */
 export class WorkerSession {
   state = SessionState.TakingOver
+  /** How long tasks take here against their estimates. */
+  readonly pace: PaceEstimate
   private readonly held = new Map<string, HeldRun>()
   private readonly recentEnds = new Map<string, number>()
   private readonly clock: WorkerClock
@@ -86,6 +91,7 @@
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
     this.clock = new WorkerClock(services.timers)
+    this.pace = new PaceEstimate(services.timers)
     this.lastAnswerAtMs = services.timers.nowMs()
   }
 
@@ -130,7 +136,7 @@
   /** Starts a task. Its end is reported once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
-    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, missedAnswers: 0, isStopAcknowledged: false }
+    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, missedAnswers: 0, isStopAcknowledged: false }
     this.held.set(taskKey(order.task), run)
     this.used = addSize(this.used, order.size)
     this.wake?.()
@@ -290,8 +296,8 @@
         this.lastAnswerAtMs = timers.nowMs()
         continue
       }
-      this.ask(0, this.state === SessionState.Ready)
       this.judgeSilence()
+      this.ask(0, this.state === SessionState.Ready)
     }
   }
 
@@ -404,6 +410,8 @@
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running
       if (each.percent > run.percent) run.progressAtMs = nowMs
       run.percent = each.percent
+      run.observedAtMs = nowMs
+      this.pace.noteRunning(run.order.task.jobId, nowMs - run.startedAtMs, run.percent, run.order.estimatedMs)
     }
     for (const run of [...this.held.values()]) this.noteListing(run, listed.has(run), askedAtMs)
   }
@@ -436,6 +444,7 @@
     this.used = subtractSize(this.used, size)
     this.recentEnds.set(refKey(run.ref), this.services.timers.nowMs())
     const runMs = this.services.timers.nowMs() - run.startedAtMs
+    if (end === TaskEnd.Done) this.pace.noteFinished(task.jobId, runMs, run.order.estimatedMs)
     this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
     this.handlers.onEnd({ order: run.order, end, runMs, reason })
   }
