Compare only tasks of earlier links with what an agent holds

Change: a task counts as not held only when it was sent on an earlier link; the new test fails without it.

--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -6,7 +6,7 @@
 import * as workers from '@egretvalve/workers'
 import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS } from './defaults.ts'
 import { encodeOrder } from './messages.ts'
-import { Heard, watchRegularly } from './watchdog.ts'
+import { Heard } from './watchdog.ts'
 
 /** A stream on which an agent has greeted. */
 export class AgentConnection implements scheduler.AgentPort {
@@ -20,21 +20,19 @@
   private lastSentAtMs = 0
   /** Tasks sent and not reported, by key. */
   private readonly busy = new Set<string>()
-  private readonly watch: settings.TimerHandle
 
   constructor (
     greeting: protocol.runs.IAgentGreeting,
     private readonly outbox: runtime.Outbox<protocol.runs.IFromEntry>,
     private readonly timers: settings.Timers,
-    createBeat: () => protocol.runs.IBeat,
-    onSilent: () => void
+    private readonly createBeat: () => protocol.runs.IBeat,
+    private readonly onSilent: () => void
   ) {
     this.agentId = greeting.agentId ?? ''
     this.life = greeting.life ?? ''
     this.failureDomain = greeting.failureDomain ?? ''
     this.configVersion = greeting.configVersion ?? 0
     this.heard = new Heard(timers)
-    this.watch = watchRegularly(timers, () => { this.keepAlive(createBeat, onSilent) })
   }
 
   silentMs (): number {
@@ -68,7 +66,6 @@
 
   /** Ends the stream. */
   close (): void {
-    this.watch.cancel()
     this.outbox.end()
     this.outbox.close()
   }
@@ -80,9 +77,10 @@
     this.send({ orders: { orders } })
   }
 
-  private keepAlive (createBeat: () => protocol.runs.IBeat, onSilent: () => void): void {
+  /** Sends a beat when nothing else was sent, and ends a stream on which the agent is silent. */
+  keepAlive (): void {
     const isBusy = this.busy.size > 0
-    if (this.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: createBeat() })
-    if (this.silentMs() > (isBusy ? 2 * BUSY_SILENCE_MS : IDLE_SILENCE_MS)) onSilent()
+    if (this.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: this.createBeat() })
+    if (this.silentMs() > (isBusy ? 2 * BUSY_SILENCE_MS : IDLE_SILENCE_MS)) this.onSilent()
   }
 }
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -34,6 +34,8 @@
   private readonly handles: settings.TimerHandle[] = []
   private isFlushScheduled = false
   private loadTimer: settings.TimerHandle | undefined
+  /** Rises with each change of the load. */
+  private loadNumber = 0
 
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
     this.owners = new Owners(services.timers)
@@ -42,7 +44,7 @@
       onLoad: () => { this.planLoad() }
     })
     this.handles.push(
-      watchRegularly(services.timers, () => { this.dropSilentOwners() }),
+      watchRegularly(services.timers, () => { this.watch() }),
       services.timers.every(SLOW_PERIOD_MS, () => { this.reportSlow() })
     )
   }
@@ -103,7 +105,7 @@
     const { life } = connection
     this.owners.noteHeard(life)
     this.pendingEnds.delete(life)
-    connection.send({ report: { ends: this.owners.keptEnds(life).map(encodeEnd), load: encodeLoad(this.executor.load, connection.received) } })
+    this.sendReport(connection, { ends: this.owners.keptEnds(life).map(encodeEnd) })
     connection.send({ held: { runs: this.executor.heldBy(life).map(order => ({ ...order.task, attempt: order.attempt })) } })
     this.learnEntries(greeting.entries ?? [])
     this.shareConfig(connection, greeting.configVersion ?? 0)
@@ -144,6 +146,11 @@
     if (version < this.shelf.version) connection.send({ config: this.shelf.message })
   }
 
+  private watch (): void {
+    for (const connection of this.connections.values()) connection.keepAlive()
+    this.dropSilentOwners()
+  }
+
   private dropSilentOwners (): void {
     for (const life of this.owners.review()) {
       const held = this.executor.heldBy(life).length
@@ -169,17 +176,19 @@
     this.isFlushScheduled = false
     for (const connection of this.openConnections()) {
       const ends = this.pendingEnds.get(connection.life)
-      if (ends !== undefined) connection.send({ report: { ends: ends.map(encodeEnd), load: encodeLoad(this.executor.load, connection.received) } })
+      if (ends !== undefined) this.sendReport(connection, { ends: ends.map(encodeEnd) })
     }
     this.pendingEnds.clear()
-    this.planLoad()
   }
 
   /** Tells all entries the load soon, once for all changes of the period. */
   private planLoad (): void {
+    this.loadNumber++
     this.loadTimer ??= this.services.timers.after(LOAD_PERIOD_MS, () => {
       this.loadTimer = undefined
-      for (const connection of this.openConnections()) connection.send({ report: { load: encodeLoad(this.executor.load, connection.received) } })
+      for (const connection of this.openConnections()) {
+        if (connection.toldLoadNumber < this.loadNumber) this.sendReport(connection, {})
+      }
     })
   }
 
@@ -194,10 +203,15 @@
     if (slow.size === 0) return
     for (const connection of this.openConnections()) {
       const ofEntry = slow.get(connection.life)
-      if (ofEntry !== undefined) connection.send({ report: { slow: ofEntry, load: encodeLoad(this.executor.load, connection.received) } })
+      if (ofEntry !== undefined) this.sendReport(connection, { slow: ofEntry })
     }
   }
 
+  private sendReport (connection: EntryConnection, report: protocol.runs.IRunReport): void {
+    connection.toldLoadNumber = this.loadNumber
+    connection.send({ report: { ...report, load: encodeLoad(this.executor.load, connection.received) } })
+  }
+
   private openConnections (): EntryConnection[] {
     return [...this.connections.values()].filter(connection => connection.isOpen)
   }
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -4,14 +4,14 @@
 export const BUSY_BEAT_MS = 150
 /** Period of beats on a link without tasks, in milliseconds. */
 export const IDLE_BEAT_MS = 400
-/** Silence after which a link is dialled anew, in milliseconds: three beats of a busy link. */
-export const BUSY_SILENCE_MS = 450
+/** Silence after which a link is dialled anew, in milliseconds: the beats of a busy link come 150 to 250 ms apart. */
+export const BUSY_SILENCE_MS = 500
 /** The same for a link without tasks. */
 export const IDLE_SILENCE_MS = 1_300
 /** Silence of an entry after which its runs are stopped. A caller sends its job again 1,300 ms after it lost its answer. */
 export const OWNER_TIMEOUT_MS = 900
 /** Period in which silence is looked at, in milliseconds. */
-export const WATCH_PERIOD_MS = 75
+export const WATCH_PERIOD_MS = 100
 /** A longer pause between two looks means that this process itself stood still; what has arrived is read first. */
 export const STALL_MS = 200
 /** Pause before a link that failed is dialled again, in milliseconds; doubles up to the longest. */
@@ -20,7 +20,7 @@
 /** Time for which ends are kept for a link that comes back, in milliseconds. */
 export const END_MEMORY_MS = 3_000
 /** Period of reports to entries whose tasks did not change, in milliseconds. */
-export const LOAD_PERIOD_MS = 20
+export const LOAD_PERIOD_MS = 40
 /** Period in which slow runs are looked for, in milliseconds. */
 export const SLOW_PERIOD_MS = 100
 /** Lifetime of an entry's key in the store, in milliseconds. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -4,7 +4,7 @@
 import type * as settings from '@egretvalve/settings'
 import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS, MAX_REDIAL_MS, MIN_REDIAL_MS } from './defaults.ts'
 import { events } from './events.ts'
-import { Heard, watchRegularly } from './watchdog.ts'
+import { Heard } from './watchdog.ts'
 
 /** What the agent does for its connections. */
 export interface ConnectionHandler {
@@ -30,6 +30,8 @@
   life = ''
   /** Tasks received on the current stream. */
   received = 0
+  /** Number of the load that the entry was told last. */
+  toldLoadNumber = 0
   /** Steady time at which the address was last listed or linked. */
   wantedAtMs: number
   private readonly heard: Heard
@@ -37,6 +39,7 @@
   private isGreeted = false
   private lastSentAtMs = 0
   private redialMs = MIN_REDIAL_MS
+  private stopStream: () => void = () => {}
   private readonly abort = new AbortController()
 
   constructor (readonly address: string, private readonly handler: ConnectionHandler, private readonly services: ConnectionServices) {
@@ -80,14 +83,13 @@
     this.received = 0
     this.heard.note()
     this.send({ greeting: this.handler.createGreeting(this) })
-    const watch = watchRegularly(this.services.timers, () => { this.keepAlive(stop) })
+    this.stopStream = stop
     let reason = 'ended by the entry'
     try {
       for await (const message of dialed.stream) this.receive(message)
     } catch (thrown) {
       reason = protocol.toStepError(thrown, 'link.read', this.address).describe()
     }
-    watch.cancel()
     this.abort.signal.removeEventListener('abort', stop)
     stop()
     this.noteClosed(reason)
@@ -108,10 +110,11 @@
   }
 
   /** Sends a beat when nothing else was sent, and closes a stream on which the entry is silent. */
-  private keepAlive (stop: () => void): void {
+  keepAlive (): void {
+    if (this.outbox === undefined) return
     const isBusy = this.handler.isBusy(this)
     if (this.services.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: this.handler.createBeat() })
-    if (this.silentMs > (isBusy ? BUSY_SILENCE_MS : IDLE_SILENCE_MS)) stop()
+    if (this.silentMs > (isBusy ? BUSY_SILENCE_MS : IDLE_SILENCE_MS)) this.stopStream()
   }
 
   private noteClosed (reason: string): void {
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -8,6 +8,7 @@
 import { type ConfigShelf, decodeCopy } from './configCopy.ts'
 import { events } from './events.ts'
 import { decodeEnd, decodeLoad, decodeSlow } from './messages.ts'
+import { watchRegularly } from './watchdog.ts'
 
 /** Who the entry is. */
 export interface EntryIdentity {
@@ -33,10 +34,12 @@
   private readonly server: runtime.LinkServer
   private readonly connections = new Map<string, AgentConnection>()
   private entries: protocol.runs.IEntryAddress[] = []
+  private readonly watch: settings.TimerHandle
 
   constructor (readonly identity: EntryIdentity, private readonly services: EntryNodeServices) {
     this.server = new runtime.LinkServer(identity.address)
     this.server.accept('exchange', protocol.runLink.exchange, async (stream, peer) => { await this.serve(stream, peer) })
+    this.watch = watchRegularly(services.timers, () => { for (const connection of this.connections.values()) connection.keepAlive() })
     services.shelf.subscribe(() => { services.timers.after(Math.random() * CONFIG_SPREAD_MS, () => { this.spreadConfig() }) })
   }
 
@@ -46,6 +49,7 @@
   }
 
   stop (): void {
+    this.watch.cancel()
     for (const connection of this.connections.values()) connection.close()
     this.server.stop()
   }
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -8,6 +8,8 @@
   job: Job
   task: Task
   attempt: number
+  /** The link on which the task was sent, or on which the agent said that it holds it. */
+  port: AgentPort
 }
 
 /** The link to an agent. */
--- a/packages/scheduler/src/defaults.ts
+++ b/packages/scheduler/src/defaults.ts
@@ -26,7 +26,7 @@
 }
 
 export const DEFAULT_SCHEDULER: SchedulerOptions = {
-  tickMs: 20,
+  tickMs: 50,
   loadPenaltyMs: 20,
   remoteDataFactor: 1.5,
   suspectAfterMs: 500,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -143,13 +143,16 @@
     this.schedulePump()
   }
 
-  /** Takes the list of tasks that an agent holds for this entry: what it doesn't hold will not start there. */
+  /** Takes the list of tasks that an agent holds for this entry. What was sent on an earlier link and isn't held will not start there. */
   reconcile (port: AgentPort, held: ReadonlySet<string>): void {
     const agent = this.agents.get(port.agentId)
     if (agent?.port !== port || agent.life !== port.life) return
     for (const [key, sent] of [...agent.sent]) {
-      if (!held.has(`${key}#${sent.attempt}`)) this.takeEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
+      if (sent.port === port) continue
+      if (held.has(`${key}#${sent.attempt}`)) sent.port = port
+      else this.takeEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
     }
+    this.schedulePump()
   }
 
   /** Notes that a link has ended. The tasks of the agent may go on for a while. */
@@ -462,7 +465,7 @@
     task.sentAtMs = this.nowMs
     job.noteSent()
     this.counters.starts++
-    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt })
+    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, port: agent.port! })
     agent.view.noteSent(step.size)
     this.ejection.noteSent(agent.agentId)
     this.services.log.event(events.TaskPlaced, { jobId: job.id, step: task.ref.step, index: task.ref.index, attempt: task.attempt, agentId: agent.agentId, freeCpuMilli: chosen.free.cpuMilli, speedFactor: Math.round(chosen.speedFactor * 100) / 100, reportAgeMs: Math.round(agent.port!.silentMs()), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -122,7 +122,7 @@
     const outcome = await this.carryOut<workers.RenewOutcome>('renew', { kind: 'unanswered', reason: 'fault' }, { kind: 'down', reason: 'fault' }, () => this.takeRenewal(call))
     if (outcome.kind !== 'answered' || call.waitMs === 0 || outcome.runs.ended.length > 0) return outcome
     await Promise.race([this.options.timers.sleep(call.waitMs), new Promise<void>(resolve => { this.waiters.push(resolve) })])
-    return { kind: 'answered', runs: this.list() }
+    return this.faults.isSilent ? { kind: 'unanswered', reason: 'fault' } : { kind: 'answered', runs: this.list() }
   }
 
   async close (): Promise<void> {}
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -87,6 +87,8 @@
   private unacknowledged = false
   private lastAnswerAtMs: number
   private leaseSentAtMs = Number.NEGATIVE_INFINITY
+  /** Time at which the newest renewal that was answered had been sent. */
+  private renewedAtMs = Number.NEGATIVE_INFINITY
   private wake: (() => void) | undefined
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
@@ -297,7 +299,7 @@
         continue
       }
       this.judgeSilence()
-      this.ask(0, this.state === SessionState.Ready)
+      if (timers.nowMs() - this.renewedAtMs >= options.renewPeriodMs) this.ask(0, this.state === SessionState.Ready)
     }
   }
 
@@ -334,6 +336,7 @@
       return false
     }
     if (acknowledgedEnd === this.acknowledgedEnd) this.unacknowledged = false
+    if (isRenewal) this.renewedAtMs = Math.max(this.renewedAtMs, askedAtMs)
     this.noteAnswer(outcome.runs)
     this.takeEnds(outcome.runs.ended)
     this.takeRunning(outcome.runs.running, askedAtMs)
--- /dev/null
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -0,0 +1,243 @@
+/** Jobs at one entry: placement, ends, loss of agents, refusal. */
+import { expect } from 'chai'
+import * as scheduler from '@egretvalve/scheduler'
+import * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+import { passTime, settleTurn } from '../../support/simulatedTime.ts'
+
+const SIZE: workers.RunSize = { cpuMilli: 3_000, memoryMb: 64, accelerators: 0 }
+const TERMS: scheduler.JobTerms = { service: 'spares', priority: 0, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
+
+class FakePort implements scheduler.AgentPort {
+  readonly ordered: Array<{ ref: workers.TaskRef, attempt: number }> = []
+  readonly stopped: workers.TaskRef[] = []
+  silence = 0
+
+  constructor (readonly agentId: string, readonly life = 'life-1', readonly failureDomain = 'a') {}
+
+  silentMs (): number {
+    return this.silence
+  }
+
+  order (_job: scheduler.Job, task: scheduler.Task): void {
+    this.ordered.push({ ref: task.ref, attempt: task.attempt })
+  }
+
+  stop (ref: workers.TaskRef): void {
+    this.stopped.push(ref)
+  }
+}
+
+function createLoad (changes: Partial<scheduler.ReportedLoad> = {}): scheduler.ReportedLoad {
+  const total = { cpuMilli: 30_000, memoryMb: 100_000, accelerators: 0 }
+  return { isPresent: true, isDraining: false, service: 'spares', total, free: total, labels: ['a', 'rack-1'], waiting: 0, pace: 0, received: 0, ...changes }
+}
+
+function createJob (jobId: string, count: number, changes: Partial<scheduler.StepSpec> = {}): scheduler.JobSpec {
+  return { jobId, spec: 'x', steps: [{ count, size: SIZE, estimatedMs: 100, after: [], ...changes }] }
+}
+
+interface Bench {
+  timers: settings.FakeTimers
+  scheduler: scheduler.Scheduler
+  submit: (spec: scheduler.JobSpec, terms?: Partial<scheduler.JobTerms>, deadlineMs?: number) => { job: scheduler.Job, outcomes: scheduler.JobOutcome[] }
+}
+
+function createBench (): Bench {
+  const timers = new settings.FakeTimers()
+  const created = new scheduler.Scheduler({ timers, log: settings.createSilentLog(), random: () => 0.5, failureDomain: 'a' })
+  return {
+    timers,
+    scheduler: created,
+    submit: (spec, terms = {}, deadlineMs = 2_000) => {
+      const outcomes: scheduler.JobOutcome[] = []
+      const job = created.submit(spec, { ...TERMS, ...terms }, deadlineMs)
+      job.onOutcome(outcome => { outcomes.push(outcome) })
+      return { job, outcomes }
+    }
+  }
+}
+
+function createEnd (ordered: { ref: workers.TaskRef, attempt: number }, end: workers.TaskEnd, reason = ''): scheduler.ReportedEnd {
+  return { ...ordered, end, runMs: 100, reason }
+}
+
+describe('jobs at an entry', () => {
+  it('ends a job when its last task is done, and only then', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const { outcomes } = submit(createJob('job', 3))
+    await settleTurn()
+    expect(port.ordered).to.have.length(3)
+    created.takeEnds(port, port.ordered.slice(0, 2).map(each => createEnd(each, workers.TaskEnd.Done)))
+    expect(outcomes).to.deep.equal([])
+    created.takeEnds(port, [createEnd(port.ordered[2]!, workers.TaskEnd.Done)])
+    expect(outcomes).to.deep.equal([{ kind: 'succeeded' }])
+  })
+
+  it('starts a step when all tasks of the steps before it are done', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const step = createJob('job', 1).steps[0]!
+    submit({ jobId: 'job', spec: 'x', steps: [step, { ...step, after: [0] }] })
+    await settleTurn()
+    expect(port.ordered.map(({ ref }) => ref.step)).to.deep.equal([0])
+    created.takeEnds(port, [createEnd(port.ordered[0]!, workers.TaskEnd.Done)])
+    await settleTurn()
+    expect(port.ordered.map(({ ref }) => ref.step)).to.deep.equal([0, 1])
+  })
+
+  it('keeps an order that crossed the list of held tasks of a new link', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    submit(createJob('job', 1))
+    await settleTurn()
+    created.reconcile(port, new Set())
+    await passTime(timers, 200)
+    expect(port.ordered.map(({ attempt }) => attempt)).to.deep.equal([1])
+  })
+
+  it('places a task again that an agent did not receive before its link broke', async () => {
+    const { scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    submit(createJob('job', 1))
+    await settleTurn()
+    created.disconnect(first, 'test')
+    const second = new FakePort('agent-1')
+    created.connect(second, createLoad())
+    created.reconcile(second, new Set())
+    await settleTurn()
+    expect(second.ordered.map(({ attempt }) => attempt)).to.deep.equal([2])
+  })
+
+  it('places the tasks of a lost agent again only when they are certain to be gone', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const lost = new FakePort('agent-1')
+    created.connect(lost, createLoad())
+    submit(createJob('job', 1), {}, 10_000)
+    await settleTurn()
+    const other = new FakePort('agent-2')
+    created.connect(other, createLoad())
+    created.disconnect(lost, 'test')
+    await passTime(timers, scheduler.DEFAULT_SCHEDULER.goneAfterMs - 100)
+    expect(other.ordered).to.deep.equal([])
+    await passTime(timers, 200)
+    expect(other.ordered).to.have.length(1)
+  })
+
+  it('places the tasks of an agent again as soon as its next life has stopped them', async () => {
+    const { scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    submit(createJob('job', 1))
+    await settleTurn()
+    created.disconnect(first, 'test')
+    const second = new FakePort('agent-1', 'life-2')
+    created.connect(second, createLoad({ isPresent: false }))
+    await settleTurn()
+    expect(second.ordered).to.deep.equal([])
+    created.takeLoad(second, createLoad())
+    await settleTurn()
+    expect(second.ordered.map(({ attempt }) => attempt)).to.deep.equal([2])
+  })
+
+  it('calls a job failed after the attempts of one task, each on another worker', async () => {
+    const { scheduler: created, submit } = createBench()
+    const ports = [new FakePort('agent-1'), new FakePort('agent-2')]
+    for (const port of ports) created.connect(port, createLoad())
+    const { outcomes } = submit(createJob('job', 1))
+    await settleTurn()
+    for (let attempt = 1; attempt <= 2; attempt++) {
+      const port = ports.find(each => each.ordered.at(-1)?.attempt === attempt)!
+      created.takeEnds(port, [createEnd(port.ordered.at(-1)!, workers.TaskEnd.Failed)])
+      await settleTurn()
+    }
+    expect(ports.map(port => port.ordered.length)).to.deep.equal([1, 1])
+    expect(outcomes.map(({ kind }) => kind)).to.deep.equal(['failed'])
+  })
+
+  it('refuses at once what no worker can take, and says when to come back', async () => {
+    const { scheduler: created, submit } = createBench()
+    expect(submit(createJob('early', 1)).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+    created.connect(new FakePort('agent-1'), createLoad())
+    expect(submit(createJob('large', 1, { size: { ...SIZE, cpuMilli: 31_000 } })).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+    expect(submit(createJob('label', 1, { requirement: 'gpu' })).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+  })
+
+  it('refuses a job whose tasks all came back without a start, and not one of which a task may have started', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const returned = submit(createJob('returned', 1), {}, 300)
+    await settleTurn()
+    created.takeLoad(port, createLoad({ isDraining: true, received: 1 }))
+    created.takeEnds(port, [createEnd(port.ordered[0]!, workers.TaskEnd.NotStarted)])
+    await passTime(timers, 400)
+    expect(returned.outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+    created.takeLoad(port, createLoad({ received: 1 }))
+    const started = submit(createJob('started', 1), {}, 300)
+    await passTime(timers, 400)
+    expect(started.outcomes.map(({ kind }) => kind)).to.deep.equal(['expired'])
+    expect(port.stopped.map(({ jobId }) => jobId)).to.deep.equal(['started'])
+  })
+
+  it('joins a job that is submitted again and stops the tasks of one that is cancelled', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const first = submit(createJob('job', 2))
+    const second = submit(createJob('job', 2))
+    await settleTurn()
+    expect(second.job).to.equal(first.job)
+    expect(port.ordered).to.have.length(2)
+    created.cancel(first.job)
+    expect(port.stopped).to.have.length(2)
+    expect(second.outcomes.map(({ kind }) => kind)).to.deep.equal(['cancelled'])
+  })
+
+  it('gives no task to a silent agent, and none beyond the room that it reported', async () => {
+    const { scheduler: created, submit } = createBench()
+    const silent = new FakePort('agent-1')
+    silent.silence = scheduler.DEFAULT_SCHEDULER.suspectAfterMs + 1
+    const small = new FakePort('agent-2')
+    created.connect(silent, createLoad())
+    created.connect(small, createLoad({ free: { cpuMilli: 7_000, memoryMb: 1_000, accelerators: 0 } }))
+    submit(createJob('job', 5))
+    await settleTurn()
+    expect(silent.ordered).to.deep.equal([])
+    expect(small.ordered).to.have.length(2)
+  })
+
+  it('keeps room for a large task instead of filling it with later small ones', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad({ free: { cpuMilli: 2_000, memoryMb: 1_000, accelerators: 0 } }))
+    submit(createJob('large', 1, { size: { ...SIZE, cpuMilli: 4_000 } }))
+    submit(createJob('small', 1, { size: { ...SIZE, cpuMilli: 1_000 }, estimatedMs: 500 }))
+    await settleTurn()
+    expect(port.ordered).to.deep.equal([])
+  })
+
+  it('moves a run that stands still, and one on a slow worker that would end sooner elsewhere', async () => {
+    const { scheduler: created, submit } = createBench()
+    const slow = new FakePort('agent-1')
+    created.connect(slow, createLoad({ pace: 6 }))
+    submit(createJob('job', 2), {}, 10_000)
+    await settleTurn()
+    const [first, second] = slow.ordered
+    created.takeSlow(slow, [{ ref: first!.ref, elapsedMs: 300, percent: 40, stalledMs: 250 }])
+    expect(slow.stopped, 'nowhere else to go').to.deep.equal([])
+    for (const name of ['agent-2', 'agent-3']) {
+      const port = new FakePort(name)
+      created.connect(port, createLoad({ pace: 1 }))
+      created.takeLoad(port, createLoad({ pace: 1 }))
+    }
+    created.takeLoad(slow, createLoad({ pace: 6, received: 2 }))
+    created.takeSlow(slow, [{ ref: first!.ref, elapsedMs: 300, percent: 40, stalledMs: 250 }, { ref: second!.ref, elapsedMs: 200, percent: 30, stalledMs: 0 }])
+    expect(slow.stopped.map(({ index }) => index)).to.deep.equal([first!.ref.index, second!.ref.index])
+  })
+})
