--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -127,7 +127,8 @@
 
   async close (): Promise<void> {}
 
-  private get clockMs (): number {
+  /** Steady clock of the worker, in milliseconds. */
+  get clockMs (): number {
     return this.options.timers.nowMs() * (this.options.clockRate ?? 1)
   }
 
--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -14,7 +14,7 @@
 
 /** Selects the files named on the command line by a part of their path, or all files. */
 function selectTestFiles (patterns: readonly string[]): string[] {
-  const files = listTestFiles('test')
+  const files = [...listTestFiles('test'), ...listTestFiles('platform/test')]
   if (patterns.length === 0) return files
   return files.filter(file => patterns.some(pattern => file.includes(pattern)))
 }
