--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -34,6 +34,7 @@
   readonly deadlineAtMs: number
   readonly tasks: Task[][]
   outcome: JobOutcome | undefined
+  endedAtMs = 0
   /** Tasks sent to agents, less those that came back without a start. */
   private possibleStarts = 0
   private readonly waiters = new Set<(outcome: JobOutcome) => void>()
@@ -69,7 +70,18 @@
 
   /** Tasks that look for a worker. */
   waitingTasks (): Task[] {
-    return this.tasks.flat().filter(task => task.phase === TaskPhase.Waiting)
+    const waiting: Task[] = []
+    for (const tasks of this.tasks) {
+      for (const task of tasks) {
+        if (task.phase === TaskPhase.Waiting) waiting.push(task)
+      }
+    }
+    return waiting
+  }
+
+  /** True while a task looks for a worker. */
+  get hasWaitingTask (): boolean {
+    return this.tasks.some(tasks => tasks.some(task => task.phase === TaskPhase.Waiting))
   }
 
   /** Tasks that agents have. */
@@ -124,8 +136,9 @@
   }
 
   /** Ends the job and tells everyone who waits. */
-  finish (outcome: JobOutcome): void {
+  finish (outcome: JobOutcome, nowMs: number): void {
     this.outcome = outcome
+    this.endedAtMs = nowMs
     for (const waiter of this.waiters) waiter(outcome)
     this.waiters.clear()
   }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -58,7 +58,10 @@
 export class Scheduler {
   readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, starts: 0, moves: 0 }
   private readonly options: SchedulerOptions
-  private readonly jobs = new Map<string, Job>()
+  /** Jobs that have not ended. */
+  private readonly open = new Map<string, Job>()
+  /** Jobs that have ended, for submissions that are repeated. */
+  private readonly ended = new Map<string, Job>()
   private readonly agents = new Agents()
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
@@ -74,15 +77,13 @@
 
   /** Number of jobs that have not ended. */
   get openCount (): number {
-    let count = 0
-    for (const job of this.jobs.values()) count += job.hasEnded ? 0 : 1
-    return count
+    return this.open.size
   }
 
   /** Number of open jobs of which no task has started, by service. */
   countPending (service: string): number {
     let count = 0
-    for (const job of this.jobs.values()) count += !job.hasEnded && !job.mayHaveStarted && job.terms.service === service ? 1 : 0
+    for (const job of this.open.values()) count += !job.mayHaveStarted && job.terms.service === service ? 1 : 0
     return count
   }
 
@@ -103,13 +104,13 @@
   }
 
   find (jobId: string): Job | undefined {
-    return this.jobs.get(jobId)
+    return this.open.get(jobId) ?? this.ended.get(jobId)
   }
 
   /** Accepts or refuses a job. A job that is known shares the outcome of the first submission. */
   submit (spec: JobSpec, terms: JobTerms, deadlineMs: number): Job {
-    const known = this.jobs.get(spec.jobId)
-    if (known !== undefined && (!known.hasEnded || known.mayHaveStarted)) {
+    const known = this.find(spec.jobId)
+    if (known !== undefined) {
       this.services.log.event(events.JobJoined, { jobId: spec.jobId, outcome: known.outcome?.kind ?? 'open' })
       return known
     }
@@ -119,7 +120,7 @@
       this.refuse(job, refusal.reason, refusal.waitMs)
       return job
     }
-    this.jobs.set(job.id, job)
+    this.open.set(job.id, job)
     this.counters.accepted++
     job.advance()
     this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount })
@@ -265,7 +266,7 @@
     const step = sent.job.stepOf(sent.task)
     if (!isWorthMoving(run, this.speeds.factorOf(agent.agentId), this.speeds.expectedMs(step.estimatedMs), this.options)) return
     if (sent.task.avoided.has(agent.agentId)) return
-    if (chooseWorker(this.findCandidates(sent.job, sent.task).filter(each => each.agentId !== agent.agentId), step, step.estimatedMs, this.options) === undefined) return
+    if (chooseWorker(this.filterFor(sent.job, sent.task, this.findCandidates(sent.job, run.ref.step)).filter(each => each.agentId !== agent.agentId), step, step.estimatedMs, this.options) === undefined) return
     sent.task.avoided.add(agent.agentId)
     this.counters.moves++
     this.services.log.event(events.TaskMoved, { jobId: run.ref.jobId, step: run.ref.step, index: run.ref.index, agentId: agent.agentId, elapsedMs: Math.round(run.elapsedMs), percent: run.percent, stalledMs: Math.round(run.stalledMs), estimatedMs: step.estimatedMs, speedFactor: this.speeds.factorOf(agent.agentId) })
@@ -276,7 +277,8 @@
   /** Looks at deadlines and at agents that are away. */
   private review (): void {
     for (const agent of [...this.agents.all]) this.reviewAgent(agent)
-    for (const job of [...this.jobs.values()]) this.reviewJob(job)
+    for (const job of [...this.open.values()]) this.reviewJob(job)
+    this.forgetEnded()
     this.schedulePump()
   }
 
@@ -292,10 +294,6 @@
   }
 
   private reviewJob (job: Job): void {
-    if (job.hasEnded) {
-      if (this.nowMs - job.deadlineAtMs > this.options.outcomeMemoryMs) this.jobs.delete(job.id)
-      return
-    }
     if (this.hasPassedDeadline(job)) {
       if (job.mayHaveStarted) this.end(job, { kind: 'expired', reason: 'deadline passed' }, 'deadline passed')
       else this.refuse(job, 'no room before the deadline', 0)
@@ -305,6 +303,14 @@
     if (isHopeless) this.refuse(job, 'can not end before the deadline', this.expectedWaitFor(job))
   }
 
+  /** Forgets the jobs that ended first; they stand in that order. */
+  private forgetEnded (): void {
+    for (const job of this.ended.values()) {
+      if (this.nowMs - job.endedAtMs < this.options.outcomeMemoryMs) return
+      this.ended.delete(job.id)
+    }
+  }
+
   private hasPassedDeadline (job: Job): boolean {
     return this.nowMs >= job.deadlineAtMs || job.age.ms >= job.deadlineMs
   }
@@ -313,8 +319,8 @@
     this.counters.refused++
     const retryMs = retryAfterMs(waitMs, this.services.random(), this.options)
     this.services.log.event(events.JobRefused, { jobId: job.id, reason, retryAfterMs: retryMs, workers: this.workerCount, ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
-    this.jobs.delete(job.id)
-    job.finish({ kind: 'refused', reason, retryAfterMs: retryMs })
+    this.open.delete(job.id)
+    job.finish({ kind: 'refused', reason, retryAfterMs: retryMs }, this.nowMs)
     this.noteIdle()
   }
 
@@ -322,7 +328,9 @@
     for (const task of job.sentTasks()) this.agents.get(task.agentId ?? '')?.port?.stop(task.ref)
     this.countOutcome(outcome)
     this.services.log.event(events.JobEnded, { jobId: job.id, outcome: outcome.kind, reason, ageMs: Math.round(this.nowMs - job.arrivedAtMs), objectiveMs: Math.round(job.dueAtMs - job.arrivedAtMs) })
-    job.finish(outcome)
+    this.open.delete(job.id)
+    this.ended.set(job.id, job)
+    job.finish(outcome, this.nowMs)
     this.noteIdle()
   }
 
@@ -364,8 +372,8 @@
   /** Work of waiting tasks with the same or a more urgent priority, in core-milliseconds. */
   private workAhead (job: Job): number {
     let work = 0
-    for (const other of this.jobs.values()) {
-      if (other.hasEnded || other === job || other.terms.priority > job.terms.priority) continue
+    for (const other of this.open.values()) {
+      if (other === job || other.terms.priority > job.terms.priority) continue
       for (const task of other.waitingTasks()) {
         const step = other.stepOf(task)
         work += step.size.cpuMilli / 1000 * this.speeds.expectedMs(step.estimatedMs)
@@ -401,8 +409,8 @@
   private pump (): void {
     const { nowMs } = this
     const queue: QueuedJob[] = []
-    for (const job of this.jobs.values()) {
-      if (job.hasEnded || job.waitingTasks().length === 0) continue
+    for (const job of this.open.values()) {
+      if (!job.hasWaitingTask) continue
       queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()) })
     }
     if (queue.length === 0) return
@@ -413,38 +421,61 @@
 
   private placeJob (job: Job, reserved: Set<string>): void {
     if (this.hasPassedDeadline(job)) return
+    let step = -1
+    let candidates: Candidate[] = []
     for (const task of job.waitingTasks()) {
-      const step = job.stepOf(task)
-      const candidates = this.findCandidates(job, task).filter(each => !reserved.has(each.agentId))
-      const chosen = chooseWorker(candidates, step, this.speeds.expectedMs(step.estimatedMs), this.options)
-      if (chosen !== undefined) {
-        this.send(job, task, chosen)
-        continue
+      if (task.ref.step !== step) {
+        step = task.ref.step
+        candidates = this.findCandidates(job, step).filter(each => !reserved.has(each.agentId))
       }
-      const kept = chooseReserved(candidates)
-      if (kept === undefined) return
-      reserved.add(kept.agentId)
+      if (!this.placeTask(job, task, candidates, reserved)) return
     }
   }
 
-  private findCandidates (job: Job, task: Task): Candidate[] {
+  /** Sends a task, or keeps the emptiest worker for it. Returns false when no worker is left to look at. */
+  private placeTask (job: Job, task: Task, candidates: Candidate[], reserved: Set<string>): boolean {
+    const step = job.stepOf(task)
+    const usable = this.filterFor(job, task, candidates)
+    const chosen = chooseWorker(usable, step, this.speeds.expectedMs(step.estimatedMs), this.options)
+    if (chosen !== undefined) {
+      this.send(job, task, chosen)
+      Object.assign(chosen, this.createCandidate(this.agents.get(chosen.agentId)!, step))
+      return true
+    }
+    const kept = chooseReserved(usable)
+    if (kept === undefined) return false
+    reserved.add(kept.agentId)
+    candidates.splice(candidates.indexOf(kept), 1)
+    return true
+  }
+
+  /** Lists the workers that take tasks of a step. */
+  private findCandidates (job: Job, number: number): Candidate[] {
+    const step = job.spec.steps[number]!
     const candidates: Candidate[] = []
     for (const agent of this.agents.all) {
-      if (this.isEligible(agent, job, task)) candidates.push(this.createCandidate(agent, job.stepOf(task)))
+      if (this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
     }
-    const preferred = candidates.filter(each => !task.avoided.has(each.agentId))
-    return preferred.length > 0 ? preferred : candidates
+    return candidates
   }
 
-  private isEligible (agent: AgentRecord, job: Job, task: Task): boolean {
-    const step = job.stepOf(task)
+  private isEligible (agent: AgentRecord, job: Job, step: StepSpec): boolean {
     if (agent.port === undefined || agent.view.service !== job.terms.service || !agent.view.takesRuns) return false
     if (agent.port.silentMs() > this.options.suspectAfterMs) return false
     if (step.requirement !== undefined && !agent.view.hasLabel(step.requirement)) return false
-    if (step.maxPerWorker !== undefined && job.countOn(agent.agentId, task.ref.step) >= step.maxPerWorker) return false
     return this.ejection.accepts(agent.agentId, this.nowMs)
   }
 
+  /** Leaves out the workers that may not take the task, and those on which it failed unless there is no other. */
+  private filterFor (job: Job, task: Task, candidates: Candidate[]): Candidate[] {
+    const { maxPerWorker } = job.stepOf(task)
+    const allowed = maxPerWorker === undefined ? candidates : candidates.filter(each => job.countOn(each.agentId, task.ref.step) < maxPerWorker)
+    const accepting = allowed.filter(each => this.ejection.accepts(each.agentId, this.nowMs))
+    if (task.avoided.size === 0) return accepting
+    const preferred = accepting.filter(each => !task.avoided.has(each.agentId))
+    return preferred.length > 0 ? preferred : accepting
+  }
+
   private createCandidate (agent: AgentRecord, step: StepSpec): Candidate {
     return {
       agentId: agent.agentId,
--- a/packages/settings/src/log.ts
+++ b/packages/settings/src/log.ts
@@ -1,5 +1,6 @@
 /** Structured logs: one JSON line for each numbered event. */
 import * as winston from 'winston'
+import { LineBuffer } from './lineBuffer.ts'
 
 /** How severe an event is. */
 export enum LogLevel {
@@ -75,11 +76,12 @@
 
 /** Creates a log that writes JSON lines. */
 export function createLog (program: string, nodeId: string, level: LogLevel, options: LogOptions = {}): Log {
+  const buffer = options.stream === undefined ? undefined : new LineBuffer(options.stream)
   const logger = winston.createLogger({
     level,
     format: jsonLine(),
     defaultMeta: { program, nodeId },
-    transports: [options.stream === undefined ? new winston.transports.Console({ stderrLevels: Object.values(LogLevel) }) : new winston.transports.Stream({ stream: options.stream })]
+    transports: [options.stream === undefined ? new winston.transports.Console({ stderrLevels: Object.values(LogLevel) }) : new winston.transports.Stream({ stream: buffer! })]
   })
   const budget = new LineBudget(options.maxLinesPerS ?? Number.POSITIVE_INFINITY)
   const write = (event: LogEvent, fields?: LogFields): void => { logger.log({ level: event.level, message: event.message, event: event.code, ...fields }) }
@@ -87,14 +89,25 @@
     event: (event, fields) => {
       // winston formats an event before its transports drop it, so drop it here.
       if (!logger.isLevelEnabled(event.level) || !budget.take()) return
-      const lines = budget.takeDropped()
+      const lines = budget.takeDropped() + takeUnread(buffer)
       if (lines > 0) write(DROPPED, { lines })
       write(event, fields)
     },
-    close: async () => { logger.end() }
+    close: async () => {
+      logger.end()
+      buffer?.flush()
+    }
   }
 }
 
+/** Returns the lines that a slow reader lost since the last call. */
+function takeUnread (buffer: LineBuffer | undefined): number {
+  if (buffer === undefined) return 0
+  const { droppedCount } = buffer
+  buffer.droppedCount = 0
+  return droppedCount
+}
+
 /** Creates a log that discards everything, for tests and embedded use. */
 export function createSilentLog (): Log {
   return { event: () => {}, close: async () => {} }
--- a/packages/workers/src/pace.ts
+++ b/packages/workers/src/pace.ts
@@ -5,6 +5,8 @@
 const WINDOW_MS = 4_000
 /** Fewest jobs from which the pace is judged: one job with much more work than estimated says nothing about the worker. */
 const MIN_JOBS = 3
+/** Time for which a computed pace is used again, in milliseconds. */
+const CACHE_MS = 100
 /** Lowest percentage from which the whole time of a run is predicted. */
 const MIN_PERCENT = 4
 
@@ -16,6 +18,8 @@
 /** Median over jobs of run time against estimate. Estimates are off by job, so each job counts once. */
 export class PaceEstimate {
   private readonly jobs = new Map<string, JobPace>()
+  private computed = 0
+  private computedAtMs = Number.NEGATIVE_INFINITY
 
   constructor (private readonly timers: settings.Timers) {}
 
@@ -31,6 +35,14 @@
 
   /** Returns the factor of run time over estimate, or 0 when too little is known. */
   get value (): number {
+    if (this.timers.nowMs() - this.computedAtMs > CACHE_MS) {
+      this.computed = this.compute()
+      this.computedAtMs = this.timers.nowMs()
+    }
+    return this.computed
+  }
+
+  private compute (): number {
     const limitMs = this.timers.nowMs() - WINDOW_MS
     for (const [jobId, { atMs }] of this.jobs) {
       if (atMs < limitMs) this.jobs.delete(jobId)
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -13,6 +13,6 @@
 copyFileSync('platform/loader.cjs', LOADER)
 
 // The engine takes a cache only under the flags that it was made with.
-const flags = /node (--\S+) target\/egretvalve\.cjs/.exec(readFileSync('deploy/system.toml', 'utf8'))?.[1]
+const flags = /node (.*?)target\/egretvalve\.cjs/.exec(readFileSync('deploy/system.toml', 'utf8'))[1].split(' ').filter(Boolean)
 const createCache = `const loader = require('./${LOADER}'); require('fs').writeFileSync(loader.CACHE, loader.loadProgram().script.createCachedData()); process.exit(0)`
-execFileSync(process.execPath, [...(flags === undefined ? [] : [flags]), '-e', createCache])
+execFileSync(process.execPath, [...flags, '-e', createCache])
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,6 +4,10 @@
 // Optional modules of the libraries that are installed but can't run inside the executable.
 const UNUSED_MODULES = new Set(['unix-dgram'])
 
+// Modules that libraries load at their start and call only for features that this program leaves off: body parsers, metrics
+// reporters, TextDecoder for old runtimes. They are half of the bundle, and start-up pays for its size.
+const EMPTY_MODULES = new Set(['iconv-lite', 'node-fetch', 'text-decoding', 'tr46'])
+
 // Optional modules that a library asks for and that this program never uses become modules that refuse to load,
 // so that the executable doesn't look for them on disk.
 const optionalModules = {
@@ -11,10 +15,12 @@
   setup (context) {
     context.onResolve({ filter: /^[@a-z]/ }, async args => {
       if (args.pluginData === 'checking' || args.kind === 'entry-point') return undefined
+      if (EMPTY_MODULES.has(args.path)) return { path: args.path, namespace: 'empty-module' }
       const found = await context.resolve(args.path, { kind: args.kind, importer: args.importer, resolveDir: args.resolveDir, pluginData: 'checking' })
       if (found.errors.length === 0 && !UNUSED_MODULES.has(args.path)) return found
       return { path: args.path, namespace: 'optional-module' }
     })
+    context.onLoad({ filter: /.*/, namespace: 'empty-module' }, () => ({ contents: 'module.exports = {}' }))
     context.onLoad({ filter: /.*/, namespace: 'optional-module' }, args => {
       return { contents: `throw new Error('optional module ${args.path} is not part of the executable')` }
     })
