--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -51,6 +51,8 @@
   job: Job
 }
 
+/** Time without any worker, as after a start of the whole system, in which jobs wait for the first one instead of being refused. */
+const WORKER_WAIT_MS = 1_500
 /** Smallest share of the fleet's processors that an entry counts on, so that a start after idleness refuses nothing. */
 const MIN_SHARE = 0.2
 
@@ -67,11 +69,14 @@
   private readonly ejection: placement.Ejection
   private readonly tick: settings.TimerHandle
   private isPumpScheduled = false
+  /** Time at which a worker was last known to take runs, or the start. */
+  private workerSeenAtMs: number
   private onIdle: (() => void) | undefined
 
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logStanding(change) })
+    this.workerSeenAtMs = services.timers.nowMs()
     this.tick = services.timers.every(this.options.tickMs, () => { this.review() })
   }
 
@@ -212,7 +217,7 @@
     if (sent === undefined || sent.attempt !== end.attempt) return
     agent.sent.delete(key)
     if (end.end === workers.TaskEnd.NotStarted) sent.job.noteNotStarted()
-    this.services.log.event(events.TaskReported, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
+    if (end.end !== workers.TaskEnd.Done) this.services.log.event(events.TaskReported, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
     this.noteOutcome(agent, end)
     if (sent.job.hasEnded || sent.task.attempt !== end.attempt || sent.task.phase !== TaskPhase.Sent) return
     this.settleTask(sent, agent, end)
@@ -276,6 +281,7 @@
 
   /** Looks at deadlines and at agents that are away. */
   private review (): void {
+    if (this.workerCount > 0) this.workerSeenAtMs = this.nowMs
     for (const agent of [...this.agents.all]) this.reviewAgent(agent)
     for (const job of [...this.open.values()]) this.reviewJob(job)
     this.forgetEnded()
@@ -350,7 +356,10 @@
   }
 
   private findRefusal (job: Job): { reason: string, waitMs: number } | undefined {
-    if (this.workerCount === 0) return { reason: 'no worker takes runs', waitMs: 0 }
+    if (this.workerCount === 0) {
+      const isWaiting = this.nowMs - this.workerSeenAtMs < WORKER_WAIT_MS
+      return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
+    }
     const unplaceable = job.spec.steps.find(step => !this.fitsSomewhere(job, step))
     if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
     const state: ArrivalState = { workAhead: this.workAhead(job), cores: this.ownCores(job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), deadlineInMs: job.deadlineMs }
@@ -421,6 +430,13 @@
 
   private placeJob (job: Job, reserved: Set<string>): void {
     if (this.hasPassedDeadline(job)) return
+    const placed: string[] = []
+    this.placeTasks(job, reserved, placed)
+    if (placed.length > 0) this.services.log.event(events.TasksPlaced, { jobId: job.id, tasks: placed.join(' '), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+  }
+
+  /** Places waiting tasks and describes each: step, index, attempt, agent, its free cores, its speed factor and the age of its report. */
+  private placeTasks (job: Job, reserved: Set<string>, placed: string[]): void {
     let step = -1
     let candidates: Candidate[] = []
     for (const task of job.waitingTasks()) {
@@ -429,9 +445,16 @@
         candidates = this.findCandidates(job, step).filter(each => !reserved.has(each.agentId))
       }
       if (!this.placeTask(job, task, candidates, reserved)) return
+      if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
     }
   }
 
+  private describePlacement (task: Task): string {
+    const agent = this.agents.get(task.agentId!)!
+    const freeCores = Math.round(agent.view.free.cpuMilli / 1_000)
+    return `${task.ref.step}.${task.ref.index}#${task.attempt}@${agent.agentId},free=${freeCores},speed=${this.speeds.factorOf(agent.agentId).toFixed(2)},age=${Math.round(agent.port?.silentMs() ?? 0)}`
+  }
+
   /** Sends a task, or keeps the emptiest worker for it. Returns false when no worker is left to look at. */
   private placeTask (job: Job, task: Task, candidates: Candidate[], reserved: Set<string>): boolean {
     const step = job.stepOf(task)
@@ -499,7 +522,6 @@
     agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, port: agent.port! })
     agent.view.noteSent(step.size)
     this.ejection.noteSent(agent.agentId)
-    this.services.log.event(events.TaskPlaced, { jobId: job.id, step: task.ref.step, index: task.ref.index, attempt: task.attempt, agentId: agent.agentId, freeCpuMilli: chosen.free.cpuMilli, speedFactor: Math.round(chosen.speedFactor * 100) / 100, reportAgeMs: Math.round(agent.port!.silentMs()), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
     agent.port!.order(job, task, job.deadlineAtMs - this.nowMs)
   }
 
--- a/packages/workers/src/events.ts
+++ b/packages/workers/src/events.ts
@@ -14,7 +14,6 @@
   ReportIgnored: { code: 2108, level: Warn, message: 'report of a worker was ignored' },
   ReportTimeout: { code: 2109, level: Warn, message: 'worker has not reported for too long' },
   FenceRaised: { code: 2110, level: Warn, message: 'fencing token was refused and is raised' },
-  RunStarted: { code: 2111, level: Info, message: 'run started' },
   RunRefused: { code: 2112, level: Info, message: 'worker refused a start' },
   RunUnanswered: { code: 2113, level: Warn, message: 'start was not answered; the run is stopped before it may start elsewhere' },
   RunEnded: { code: 2114, level: Info, message: 'run ended' },
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -41,6 +41,8 @@
   progressAtMs: number
   /** Steady time of the last answer that listed the run. */
   observedAtMs: number
+  /** Age of the order when the worker acknowledged the start. */
+  waitedMs: number
   /** Answers in a row, asked for after the start, that did not list the run. */
   missedAnswers: number
   /** True when the worker refuses a late arrival of the start. */
@@ -138,7 +140,7 @@
   /** Starts a task. Its end is reported once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
-    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, missedAnswers: 0, isStopAcknowledged: false }
+    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, isStopAcknowledged: false }
     this.held.set(taskKey(order.task), run)
     this.used = addSize(this.used, order.size)
     this.wake?.()
@@ -181,8 +183,7 @@
   }
 
   private async noteStarted (run: HeldRun): Promise<void> {
-    const { task } = run.order
-    this.services.log.event(events.RunStarted, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, ageMs: Math.round(run.order.age.ms), runs: this.held.size })
+    run.waitedMs = run.order.age.ms
     if (run.phase === RunPhase.Stopping) await this.sendStop(run)
     else run.phase = RunPhase.Running
   }
@@ -448,7 +449,7 @@
     this.recentEnds.set(refKey(run.ref), this.services.timers.nowMs())
     const runMs = this.services.timers.nowMs() - run.startedAtMs
     if (end === TaskEnd.Done) this.pace.noteFinished(task.jobId, runMs, run.order.estimatedMs)
-    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
+    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
     this.handlers.onEnd({ order: run.order, end, runMs, reason })
   }
 
