--- /dev/null
+++ b/test/failure/runLinks.test.ts
@@ -0,0 +1,133 @@
+/** Links between entries and agents that break, fall silent and come back, while tasks run. */
+import { expect } from 'chai'
+import * as fleet from '@egretvalve/fleet'
+import * as scheduler from '@egretvalve/scheduler'
+import * as settings from '@egretvalve/settings'
+import * as standin from '@egretvalve/standin'
+import * as workers from '@egretvalve/workers'
+
+const SIZE: workers.RunSize = { cpuMilli: 3_000, memoryMb: 64, accelerators: 0 }
+const TERMS: scheduler.JobTerms = { service: 'spares', priority: 0, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
+const FIRST_PORT = 17_700
+const WORK_MS = 1_200
+const REPORT_PERIOD_MS = 500
+const timers = new settings.TimerService()
+const log = settings.createSilentLog()
+
+class LinkBench {
+  readonly witness = new standin.RunWitness()
+  readonly scheduler = new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' })
+  readonly shelf = new fleet.ConfigShelf()
+  readonly entry: fleet.EntryNode
+  readonly proxies: standin.NetworkProxy[] = []
+  readonly agents: fleet.AgentNode[] = []
+  readonly workers: standin.StandinWorker[] = []
+  private readonly reports: settings.TimerHandle[] = []
+
+  constructor (port: number) {
+    this.entry = new fleet.EntryNode({ entryId: 'entry', life: 'entry-life', address: `127.0.0.1:${port}` }, { timers, log, scheduler: this.scheduler, shelf: this.shelf })
+  }
+
+  async start (agentCount: number): Promise<void> {
+    await this.entry.start()
+    for (let number = 0; number < agentCount; number++) await this.startAgent(number)
+    await this.waitFor(() => this.scheduler.workerCount === agentCount)
+  }
+
+  async stop (): Promise<void> {
+    for (const report of this.reports) report.cancel()
+    for (const agent of this.agents) await agent.stop()
+    this.scheduler.stop()
+    this.entry.stop()
+    for (const proxy of this.proxies) await proxy.stop()
+  }
+
+  submit (jobId: string, count: number, deadlineMs = 6_000): { job: scheduler.Job, outcome: Promise<scheduler.JobOutcome> } {
+    const job = this.scheduler.submit({ jobId, spec: '', steps: [{ count, size: SIZE, estimatedMs: WORK_MS, after: [] }] }, TERMS, deadlineMs)
+    return { job, outcome: new Promise(resolve => { job.onOutcome(resolve) }) }
+  }
+
+  async waitFor (condition: () => boolean, limitMs = 5_000): Promise<number> {
+    const startedAtMs = timers.nowMs()
+    while (!condition()) {
+      if (timers.nowMs() - startedAtMs > limitMs) throw new Error('condition not met in time')
+      await timers.sleep(10)
+    }
+    return timers.nowMs() - startedAtMs
+  }
+
+  private async startAgent (number: number): Promise<void> {
+    const proxy = standin.createNetworkProxy({ listen: '127.0.0.1:0', target: this.entry.identity.address, timers, log })
+    await proxy.start()
+    const worker = new standin.StandinWorker({ workerId: `w-${number}`, total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf: () => WORK_MS, sizeOf: () => SIZE, timers, witness: this.witness })
+    const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: 'a' }, { timers, log, driver: worker })
+    agent.executor.takeReport(worker.report())
+    this.reports.push(timers.every(REPORT_PERIOD_MS, () => { agent.executor.takeReport(worker.report()) }))
+    agent.setEntries([proxy.address])
+    this.proxies.push(proxy)
+    this.workers.push(worker)
+    this.agents.push(agent)
+  }
+
+  get runCount (): number {
+    return this.workers.reduce((sum, worker) => sum + worker.runCount, 0)
+  }
+}
+
+describe('links between entries and agents', () => {
+  let bench: LinkBench
+  let port = FIRST_PORT
+
+  beforeEach(async () => {
+    bench = new LinkBench(port++)
+    await bench.start(2)
+  })
+
+  afterEach(async () => { await bench.stop() })
+
+  it('go on with the same runs after a reset', async () => {
+    const { outcome } = bench.submit('job', 6)
+    await bench.waitFor(() => bench.runCount === 6)
+    for (const proxy of bench.proxies) proxy.resetAll()
+    expect((await outcome).kind).to.equal('succeeded')
+    expect([...bench.witness.starts.values()]).to.deep.equal(Array(6).fill(1))
+  })
+
+  it('deliver ends that were reported while the link was away', async () => {
+    const { outcome } = bench.submit('job', 6)
+    await bench.waitFor(() => bench.runCount === 6)
+    await timers.sleep(WORK_MS - 400)
+    for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.CutToTarget })
+    await bench.waitFor(() => bench.runCount === 0)
+    for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.None })
+    expect((await outcome).kind).to.equal('succeeded')
+    expect([...bench.witness.starts.values()]).to.deep.equal(Array(6).fill(1))
+  })
+
+  it('that are cut let the runs end before a caller may ask again, and the tasks run elsewhere only then', async () => {
+    const { outcome } = bench.submit('job', 6)
+    await bench.waitFor(() => bench.runCount === 6)
+    const cut = bench.workers.findIndex(worker => worker.runCount > 0)
+    bench.proxies[cut]!.setFault({ kind: standin.LinkFaultKind.CutBothWays })
+    const endedMs = await bench.waitFor(() => bench.workers[cut]!.runCount === 0)
+    expect(endedMs).to.be.lessThan(1_300)
+    expect((await outcome).kind).to.equal('succeeded')
+    expect(bench.witness.doubled).to.deep.equal([])
+  })
+
+  it('carry the newest configuration to an entry that lacks it', async () => {
+    const shelf = new fleet.ConfigShelf()
+    const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}` }, { timers, log, scheduler: new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' }), shelf })
+    const received: number[] = []
+    shelf.subscribe(copy => { received.push(copy.version) })
+    await other.start()
+    for (const agent of bench.agents) agent.setEntries([other.identity.address])
+    bench.shelf.offer({ version: 4, document: Buffer.from('four') })
+    await bench.waitFor(() => received.includes(4), 2_000)
+    bench.shelf.offer({ version: 9, document: Buffer.from('nine') })
+    bench.shelf.offer({ version: 7, document: Buffer.from('seven') })
+    await bench.waitFor(() => received.includes(9), 2_000)
+    expect(received).to.deep.equal([4, 9])
+    other.stop()
+  })
+})
