--- a/packages/settings/src/log.ts
+++ b/packages/settings/src/log.ts
@@ -35,7 +35,8 @@
   maxLinesPerS?: number
 }
 
-const DROPPED: LogEvent = { code: 1, level: LogLevel.Warn, message: 'log lines were dropped' }
+/** Logged with the count of the lines that were dropped. */
+const DROPPED: LogEvent = { code: 14001, level: LogLevel.Warn, message: 'log lines were dropped' }
 const SECOND_MS = 1_000
 /** Where winston's transports look for the finished line. */
 const LINE_FIELD = Symbol.for('message')
--- a/scripts/eventCatalogue.ts
+++ b/scripts/eventCatalogue.ts
@@ -6,6 +6,8 @@
 
 export const CATALOGUE_FILE = 'docs/EVENTS.md'
 
+const ADAPTER_EVENTS_FILE = 'platform/src/events.ts'
+
 /** An event with the package that declares it. */
 export interface CatalogueEntry extends settings.LogEvent {
   packageName: string
@@ -24,6 +26,8 @@
       entries.push(...events.map(event => ({ ...event, packageName })))
     }
   }
+  const adapter = await import(pathToFileURL(path.resolve(ADAPTER_EVENTS_FILE)).href) as EventModule
+  entries.push(...Object.values(adapter).flatMap(exported => Object.values(exported)).map(event => ({ ...event, packageName: 'adapter' })))
   return entries.sort((a, b) => a.code - b.code)
 }
 
@@ -44,7 +48,7 @@
   return [
     '# Log events',
     '',
-    'Each log line is a JSON object on standard error. Its field `event` holds the code below; the other fields carry their unit in their name.',
+    'Each log line is a JSON object, on standard output for the programs on the platform and on standard error otherwise. Its field `event` holds the code below; the other fields carry their unit in their name.',
     'This page is written by `npm run catalogue`.',
     '',
     '| code | level | package | message |',
--- a/test/unit/docs/events.test.ts
+++ b/test/unit/docs/events.test.ts
@@ -12,7 +12,11 @@
   standin: 6000,
   bench: 7000,
   cli: 8000,
-  placement: 9000
+  placement: 9000,
+  workers: 10_000,
+  scheduler: 11_000,
+  fleet: 12_000,
+  adapter: 13_000
 }
 const CODES_PER_PACKAGE = 1000
 
