--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -29,6 +29,8 @@
   /** Tasks that ran twice at the same time. */
   readonly doubled: string[] = []
   readonly starts = new Map<string, number>()
+  /** Tasks that ended done, by key. */
+  readonly done = new Set<string>()
   private readonly present = new Map<string, number>()
 
   noteStart (key: string): void {
@@ -209,6 +211,7 @@
   private end (key: string, run: StandinRun, cause: workers.EndCause): void {
     this.runs.delete(key)
     this.options.witness.noteEnd(key)
+    if (cause === workers.EndCause.Done) this.options.witness.done.add(key)
     this.highestEnded.set(key, Math.max(run.ref.run, this.highestEnded.get(key) ?? 0))
     this.ended.push({ number: ++this.endCount, ref: run.ref, cause })
     for (const wake of this.waiters.splice(0)) wake()
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -4,7 +4,7 @@
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
 import { events } from './events.ts'
 import { FencingToken } from './fencing.ts'
-import { compareOrders, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { compareOrders, HoldBack, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
 import { type HeldRun, WorkerSession } from './session.ts'
 import { addSize, fits, NO_SIZE, subtractSize } from './size.ts'
 
@@ -36,6 +36,11 @@
   pace: number
 }
 
+interface HeldBackEnd {
+  ending: TaskEnding
+  untilMs: number
+}
+
 /** Period in which waiting tasks and the worker's reports are looked at, in milliseconds. */
 const TICK_PERIOD_MS = 50
 
@@ -47,6 +52,7 @@
   private report: WorkerReport | undefined
   private reportedAtMs = 0
   private waiting: TaskOrder[] = []
+  private heldBack: HeldBackEnd[] = []
   private isStopping = false
   private onIdle: (() => void) | undefined
   private readonly tick: settings.TimerHandle
@@ -59,7 +65,7 @@
 
   /** Tasks that wait or run. */
   get taskCount (): number {
-    return this.waiting.length + (this.session?.runCount ?? 0)
+    return this.waiting.length + this.heldBack.length + (this.session?.runCount ?? 0)
   }
 
   /** Runs that take room, for reports on slow ones. */
@@ -133,7 +139,7 @@
   /** Lists the tasks of an entry that wait or run here. */
   heldBy (owner: string): TaskOrder[] {
     const running = [...this.runs].map(run => run.order)
-    return [...this.waiting, ...running].filter(order => order.owner === owner)
+    return [...this.waiting, ...running, ...this.heldBack.map(each => each.ending.order)].filter(order => order.owner === owner)
   }
 
   /** Refuses new tasks and resolves when those that run have ended. */
@@ -164,6 +170,7 @@
   }
 
   private noteChange (): void {
+    if (this.session?.acceptsRuns === true) this.releaseHeldBack(true)
     if (this.session?.acceptsRuns !== true) this.returnWaiting(() => true, 'worker does not answer')
     else this.startNext()
     this.handlers.onLoad()
@@ -199,6 +206,7 @@
 
   /** Returns tasks that have waited too long, and gives up a worker that has stopped reporting. */
   private review (): void {
+    this.releaseHeldBack(false)
     this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.queueLimitMs), 'no room in time')
     if (this.report === undefined || this.services.timers.nowMs() - this.reportedAtMs < this.options.reportTimeoutMs) return
     this.services.log.event(events.ReportTimeout, { workerId: this.report.workerId })
@@ -220,16 +228,30 @@
   private giveBack (order: TaskOrder, reason: string): void {
     const { jobId, step, index } = order.task
     this.services.log.event(events.TaskReturned, { jobId, step, index, attempt: order.attempt, reason, ageMs: Math.round(order.age.ms) })
-    this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason })
+    this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason, holdBack: HoldBack.None })
     this.noteIdle()
   }
 
   private finish (ending: TaskEnding): void {
+    if (ending.holdBack !== HoldBack.None) {
+      this.heldBack.push({ ending, untilMs: this.services.timers.nowMs() + this.options.leaseMs * this.options.clockDrift })
+      return
+    }
     this.handlers.onEnd(ending)
     if (this.waiting.length > 0) this.startNext()
     this.noteIdle()
   }
 
+  /** Tells the ends of tasks that can't run any more. */
+  private releaseHeldBack (isTakenOver: boolean): void {
+    if (this.heldBack.length === 0) return
+    const nowMs = this.services.timers.nowMs()
+    const isOver = ({ ending, untilMs }: HeldBackEnd): boolean => nowMs > untilMs || (isTakenOver && ending.holdBack === HoldBack.UntilTakenOver)
+    const over = this.heldBack.filter(isOver)
+    this.heldBack = this.heldBack.filter(each => !isOver(each))
+    for (const { ending } of over) this.finish({ ...ending, holdBack: HoldBack.None })
+  }
+
   private stopRun (run: HeldRun, reason: string): void {
     this.session?.stop(run, reason)
   }
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -31,8 +31,18 @@
   NotStarted = 'not-started'
 }
 
+/** Until when an end must not be told, because the task might still run. */
+export enum HoldBack {
+  None = 'none',
+  /** Until the next life of the worker has been asked what it runs. */
+  UntilTakenOver = 'until-taken-over',
+  /** Until the lease that the start carried has passed. */
+  UntilLeaseEnds = 'until-lease-ends'
+}
+
 /** The end of a task. */
 export interface TaskEnding {
+  holdBack: HoldBack
   order: TaskOrder
   end: TaskEnd
   runMs: number
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -5,7 +5,7 @@
 import type { WorkerOptions } from './defaults.ts'
 import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, taskKey, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
 import { events } from './events.ts'
-import { type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
+import { HoldBack, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
 import { PaceEstimate } from './pace.ts'
 import { addSize, NO_SIZE, subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
@@ -128,13 +128,13 @@
     await Promise.all([this.collectEnds(), this.keepLease()])
   }
 
-  /** Ends the session: whatever ran is gone, or will be when the lease lapses. */
+  /** Ends the session. What ran is gone when the next life of the worker has been asked, or the lease has lapsed; until then its end is held back. */
   end (reason: string): void {
     if (this.state === SessionState.Ended) return
     this.state = SessionState.Ended
     this.abort.abort()
     this.wake?.()
-    for (const run of [...this.held.values()]) this.settle(run, TaskEnd.Lost, reason)
+    for (const run of [...this.held.values()]) this.settle(run, TaskEnd.Lost, reason, run.phase === RunPhase.Starting ? HoldBack.UntilLeaseEnds : HoldBack.UntilTakenOver)
   }
 
   /** Starts a task. Its end is reported once, whatever happens. */
@@ -441,7 +441,7 @@
     this.services.driver.stop(this.scope, ref)
   }
 
-  private settle (run: HeldRun, end: TaskEnd, reason: string): void {
+  private settle (run: HeldRun, end: TaskEnd, reason: string, holdBack = HoldBack.None): void {
     if (!this.isHeld(run)) return
     const { task, size } = run.order
     this.held.delete(taskKey(task))
@@ -450,7 +450,7 @@
     const runMs = this.services.timers.nowMs() - run.startedAtMs
     if (end === TaskEnd.Done) this.pace.noteFinished(task.jobId, runMs, run.order.estimatedMs)
     this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
-    this.handlers.onEnd({ order: run.order, end, runMs, reason })
+    this.handlers.onEnd({ order: run.order, end, runMs, reason, holdBack })
   }
 
   private forgetOldEnds (): void {
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -185,6 +185,30 @@
     expect(worker.runCount).to.equal(0)
   })
 
+  it('calls runs lost only when the next life of the worker under the same name does not run them', async () => {
+    const timers = new settings.FakeTimers()
+    const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => 5_000, sizeOf: () => TASK_SIZE, timers, witness: new standin.RunWitness() })
+    const runsAtLoss: number[] = []
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: () => { runsAtLoss.push(worker.runCount) }, onLoad: () => {} })
+    executor.takeReport(worker.report())
+    await passTime(timers, 20)
+    worker.restart()
+    executor.submit({ owner: 'e', task: { jobId: 'job', step: 0, index: 0 }, attempt: 1, spec: '', size: TASK_SIZE, estimatedMs: 5_000, priority: 0, dueAtMs: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 })
+    executor.takeReport(worker.report())
+    await passTime(timers, 1_000)
+    expect(runsAtLoss).to.deep.equal([0])
+  })
+
+  it('calls runs lost only after the lease when the worker stops reporting', async () => {
+    const { timers, worker, executor, endings, order } = await createBench()
+    worker.faults.isStalled = true
+    executor.submit(order(0, { expiresAfterMs: 60_000 }))
+    await passTime(timers, workers.DEFAULT_WORKER_OPTIONS.reportTimeoutMs + 100)
+    expect([endings.length, worker.runCount]).to.deep.equal([0, 1])
+    await passTime(timers, workers.DEFAULT_WORKER_OPTIONS.leaseMs + 200)
+    expect([endings.length, worker.runCount]).to.deep.equal([1, 0])
+  })
+
   it('starts nothing on a worker that drains, and ignores a late report of an earlier life', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     const late = worker.report()
