--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -62,6 +62,11 @@
   return { status, body: JSON.stringify(value), contentType: 'application/json', headers }
 }
 
+/** Creates a response of plain text. */
+export function textResponse (status: number, text: string): WebResponse {
+  return { status, body: text, contentType: 'text/plain; charset=utf-8' }
+}
+
 /** Creates an error response with a stable code. */
 export function errorResponse (status: number, code: protocol.ErrorCode, message: string, field?: string): WebResponse {
   return jsonResponse(status, { error: { code, message, field } })
--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -9,6 +9,8 @@
   cores: number
   /** Expected time of the job once it has room. */
   expectedMs: number
+  /** How far the entry is behind its own work, in milliseconds. */
+  lagMs: number
   /** Time until the caller leaves. */
   deadlineInMs: number
 }
@@ -18,9 +20,12 @@
   return state.cores <= 0 ? Number.POSITIVE_INFINITY : state.workAhead / state.cores
 }
 
+/** Times that a job waits for its entry: to be placed, for its last end, and for its answer; and once before it was read. */
+const ENTRY_PASSES = 4
+
 /** Returns true when a job that arrives now is expected to end before its caller leaves. */
 export function canServe (state: ArrivalState): boolean {
-  return expectedWaitMs(state) + state.expectedMs <= state.deadlineInMs
+  return expectedWaitMs(state) + state.expectedMs + ENTRY_PASSES * state.lagMs <= state.deadlineInMs
 }
 
 /** Returns when a refused caller may come back: when the work ahead is done, spread so that callers don't return together. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -23,6 +23,10 @@
   /** Returns a number from 0 to 1; spreads the times at which refused callers return. */
   random: () => number
   failureDomain: string
+  /** Returns how far this process is behind its work, in milliseconds. */
+  lagMs?: () => number
+  /** Called for each job that has ended or was refused. */
+  onEnded?: (outcome: JobOutcome, durationMs: number) => void
 }
 
 /** The end of a task as an agent reports it. */
@@ -326,8 +330,7 @@
     const retryMs = retryAfterMs(waitMs, this.services.random(), this.options)
     this.services.log.event(events.JobRefused, { jobId: job.id, reason, retryAfterMs: retryMs, workers: this.workerCount, ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
     this.open.delete(job.id)
-    job.finish({ kind: 'refused', reason, retryAfterMs: retryMs }, this.nowMs)
-    this.noteIdle()
+    this.finish(job, { kind: 'refused', reason, retryAfterMs: retryMs })
   }
 
   private end (job: Job, outcome: JobOutcome, reason: string): void {
@@ -336,7 +339,12 @@
     this.services.log.event(events.JobEnded, { jobId: job.id, outcome: outcome.kind, reason, ageMs: Math.round(this.nowMs - job.arrivedAtMs), objectiveMs: Math.round(job.dueAtMs - job.arrivedAtMs) })
     this.open.delete(job.id)
     this.ended.set(job.id, job)
+    this.finish(job, outcome)
+  }
+
+  private finish (job: Job, outcome: JobOutcome): void {
     job.finish(outcome, this.nowMs)
+    this.services.onEnded?.(outcome, this.nowMs - job.arrivedAtMs)
     this.noteIdle()
   }
 
@@ -362,7 +370,7 @@
     }
     const unplaceable = job.spec.steps.find(step => !this.fitsSomewhere(job, step))
     if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
-    const state: ArrivalState = { workAhead: this.workAhead(job), cores: this.ownCores(job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), deadlineInMs: job.deadlineMs }
+    const state: ArrivalState = { workAhead: this.workAhead(job), cores: this.ownCores(job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), lagMs: this.services.lagMs?.() ?? 0, deadlineInMs: job.deadlineMs }
     return canServe(state) ? undefined : { reason: 'can not end before the deadline', waitMs: expectedWaitMs(state) }
   }
 
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,4 +1,5 @@
 /** Flags and environment variables, logs, metrics and the timer service. */
+export * from './instruments.ts'
 export * from './kinds.ts'
 export * from './log.ts'
 export * from './metrics.ts'
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -1,4 +1,5 @@
 /** Takes orders of entries, lets them wait for room, and starts them on the worker beside the agent. */
+import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import { DEFAULT_WORKER_OPTIONS, type WorkerOptions } from './defaults.ts'
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
@@ -46,6 +47,8 @@
 
 /** Runs the tasks of one worker. */
 export class RunExecutor {
+  /** Ends since the process began. */
+  readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0 }
   private readonly options: WorkerOptions
   private readonly fencing: FencingToken
   private session: WorkerSession | undefined
@@ -228,6 +231,7 @@
   private giveBack (order: TaskOrder, reason: string): void {
     const { jobId, step, index } = order.task
     this.services.log.event(events.TaskReturned, { jobId, step, index, attempt: order.attempt, reason, ageMs: Math.round(order.age.ms) })
+    this.count(TaskEnd.NotStarted)
     this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason, holdBack: HoldBack.None })
     this.noteIdle()
   }
@@ -237,11 +241,22 @@
       this.heldBack.push({ ending, untilMs: this.services.timers.nowMs() + this.options.leaseMs * this.options.clockDrift })
       return
     }
+    this.count(ending.end)
     this.handlers.onEnd(ending)
     if (this.waiting.length > 0) this.startNext()
     this.noteIdle()
   }
 
+  private count (end: TaskEnd): void {
+    switch (end) {
+      case TaskEnd.Done: this.counters.runsDone++; return
+      case TaskEnd.Failed: this.counters.runsFailed++; return
+      case TaskEnd.Lost: this.counters.runsLost++; return
+      case TaskEnd.NotStarted: this.counters.tasksReturned++; return
+      default: protocol.assertNever(end)
+    }
+  }
+
   /** Tells the ends of tasks that can't run any more. */
   private releaseHeldBack (isTakenOver: boolean): void {
     if (this.heldBack.length === 0) return
