--- a/packages/scheduler/src/choice.ts
+++ b/packages/scheduler/src/choice.ts
@@ -58,9 +58,9 @@
 }
 
 /** Fewest workers among which a task is placed. */
-const MIN_SAMPLE = 6
+const MIN_SAMPLE = 4
 /** Workers in the sample for each worker that falls to an entry. */
-const SAMPLE_FACTOR = 2
+const SAMPLE_FACTOR = 1
 
 /**
  * Returns how many workers an entry looks at for one step. Entries see the same reports, so if each looked at all workers they
