Give tasks back sooner whose start was not answered

Change: 100 ms for an answer on the same VM; after an acknowledged stop one answer without the run is enough. A test bounds it at 160 ms.

--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -26,7 +26,7 @@
   leaseMs: 700,
   renewPeriodMs: 150,
   endWaitMs: 400,
-  callTimeoutMs: 150,
+  callTimeoutMs: 100,
   silentAfterMs: 400,
   reportTimeoutMs: 6_000,
   queueLimitMs: 60,
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -45,8 +45,8 @@
   waitedMs: number
   /** Answers in a row, asked for after the start, that did not list the run. */
   missedAnswers: number
-  /** True when the worker refuses a late arrival of the start. */
-  isStopAcknowledged: boolean
+  /** Steady time at which the worker acknowledged a stop: it refuses a late arrival of the start from then on. Infinite before. */
+  stopAcknowledgedAtMs: number
 }
 
 /** What the session tells its agent. */
@@ -72,6 +72,8 @@
 const MAX_MISSED_ANSWERS = 3
 /** Time for which ended runs are remembered, so that an answer that was overtaken names no stray run. */
 const ENDED_MEMORY_MS = 3_000
+/** Pause before the worker is asked for the end of a stopped run, in milliseconds; a stop takes at most 50 ms. */
+const CONFIRM_PAUSE_MS = 20
 /** Pause before a stop or a question is repeated. */
 const RETRY_PAUSE_MS = 40
 
@@ -140,7 +142,7 @@
   /** Starts a task. Its end is reported once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
-    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, isStopAcknowledged: false }
+    const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
     this.held.set(taskKey(order.task), run)
     this.used = addSize(this.used, order.size)
     this.wake?.()
@@ -236,7 +238,7 @@
     const { options, driver, timers, log } = this.services
     for (let attempt = 0; attempt < options.stopAttempts && this.isHeld(run); attempt++) {
       if (await driver.stop(this.scope, run.ref)) {
-        run.isStopAcknowledged = true
+        run.stopAcknowledgedAtMs = this.services.timers.nowMs()
         return await this.confirmStop(run)
       }
       await timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
@@ -249,7 +251,7 @@
   /** Waits until the worker lists the end of a stopped run, or shows that it doesn't hold the run. */
   private async confirmStop (run: HeldRun): Promise<void> {
     for (let attempt = 0; attempt < MAX_MISSED_ANSWERS && this.isHeld(run); attempt++) {
-      await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
+      await this.services.timers.sleep(CONFIRM_PAUSE_MS, this.abort.signal)
       if (this.isHeld(run)) await this.ask(0, false)
     }
   }
@@ -425,8 +427,11 @@
       run.missedAnswers = 0
       return
     }
-    if (askedAtMs <= run.startedAtMs || run.phase === RunPhase.Starting || ++run.missedAnswers < MAX_MISSED_ANSWERS) return
-    if (run.phase === RunPhase.Running || run.isStopAcknowledged || this.hasStartExpired(run)) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
+    if (askedAtMs <= run.startedAtMs || run.phase === RunPhase.Starting) return
+    // After an acknowledged stop the worker refuses a late start, so one answer is enough.
+    const needed = askedAtMs > run.stopAcknowledgedAtMs ? 1 : MAX_MISSED_ANSWERS
+    if (++run.missedAnswers < needed) return
+    if (run.phase === RunPhase.Running || run.stopAcknowledgedAtMs < Number.POSITIVE_INFINITY || this.hasStartExpired(run)) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
   }
 
   /** True when the worker would refuse the run's start if it arrived now. */
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -123,6 +123,16 @@
     expect(endings.at(-1)?.end).to.equal(workers.TaskEnd.Done)
   })
 
+  it('gives a task back within 160 ms whose start is not answered, so that it can still be in time elsewhere', async () => {
+    const { timers, worker, executor, endings, order } = await createBench()
+    worker.faults.late.start = 1
+    executor.submit(order(0))
+    await passTime(timers, 160)
+    expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Lost])
+    await passTime(timers, 3_000)
+    expect(worker.runCount).to.equal(0)
+  })
+
   it('keeps a task whose start was carried out and whose answer was lost', async () => {
     const { timers, worker, witness, executor, endings, order } = await createBench()
     worker.faults.lost.start = 1
