--- /dev/null
+++ b/packages/scheduler/src/placer.ts
@@ -0,0 +1,145 @@
+/** Places tasks on the workers of the linked agents. */
+import type * as placement from '@egretvalve/placement'
+import type * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+import type { AgentRecord, Agents } from './agents.ts'
+import { type Candidate, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './choice.ts'
+import type { SchedulerOptions } from './defaults.ts'
+import { events } from './events.ts'
+import { type Job, type Task, TaskPhase } from './job.ts'
+import type { StepSpec } from './model.ts'
+import type { SpeedEstimate } from './speed.ts'
+
+/** What the placer shares with its scheduler. */
+export interface PlacerContext {
+  timers: settings.Timers
+  log: settings.Log
+  options: SchedulerOptions
+  agents: Agents
+  speeds: SpeedEstimate
+  ejection: placement.Ejection
+  failureDomain: string
+  random: () => number
+  /** Returns the number of entries that share the workers. */
+  entryCount: () => number
+}
+
+/** Chooses workers and sends tasks. */
+export class Placer {
+  /** Tasks sent since the process began. */
+  sentCount = 0
+
+  constructor (private readonly context: PlacerContext) {}
+
+  /** Returns true when another worker has room for a task that runs on an agent. */
+  hasAlternative (job: Job, task: Task): boolean {
+    const step = job.stepOf(task)
+    const others = this.filterFor(job, task, this.findCandidates(job, task.ref.step)).filter(each => each.agentId !== task.agentId)
+    return chooseWorker(others, step, step.estimatedMs, this.context.options) !== undefined
+  }
+
+  /** Sends as many waiting tasks of a job as find room. `reserved` names the workers that are kept free for more urgent tasks. */
+  place (job: Job, reserved: Set<string>): void {
+    const placed: string[] = []
+    this.placeTasks(job, reserved, placed)
+    if (placed.length > 0) this.context.log.event(events.TasksPlaced, { jobId: job.id, tasks: placed.join(' '), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+  }
+
+  /** Places waiting tasks and describes each: step, index, attempt, agent, its free cores, its speed factor and the age of its report. */
+  private placeTasks (job: Job, reserved: Set<string>, placed: string[]): void {
+    let step = -1
+    let candidates: Candidate[] = []
+    let sample: Candidate[] = []
+    for (const task of job.waitingTasks()) {
+      if (task.ref.step !== step) {
+        step = task.ref.step
+        candidates = this.findCandidates(job, step).filter(each => !reserved.has(each.agentId))
+        sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.context.entryCount()), this.context.random)
+      }
+      if (!this.placeTask(job, task, sample, candidates, reserved)) return
+      if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
+    }
+  }
+
+  private describePlacement (task: Task): string {
+    const agent = this.context.agents.get(task.agentId!)!
+    const freeCores = Math.round(agent.view.free.cpuMilli / 1_000)
+    return `${task.ref.step}.${task.ref.index}#${task.attempt}@${agent.agentId},free=${freeCores},speed=${this.context.speeds.factorOf(agent.agentId).toFixed(2)},age=${Math.round(agent.port?.silentMs() ?? 0)}`
+  }
+
+  /** Sends a task to a worker of the sample, or to any other with room, or keeps the emptiest worker for it. Returns false when no worker is left to look at. */
+  private placeTask (job: Job, task: Task, sample: Candidate[], candidates: Candidate[], reserved: Set<string>): boolean {
+    const step = job.stepOf(task)
+    const usable = this.filterFor(job, task, candidates)
+    const expectedMs = this.context.speeds.expectedMs(step.estimatedMs)
+    const chosen = chooseWorker(this.filterFor(job, task, sample), step, expectedMs, this.context.options) ?? chooseWorker(usable, step, expectedMs, this.context.options)
+    if (chosen !== undefined) {
+      this.send(job, task, chosen)
+      Object.assign(chosen, this.createCandidate(this.context.agents.get(chosen.agentId)!, step), { hasSibling: true })
+      return true
+    }
+    const kept = chooseReserved(usable)
+    if (kept === undefined) return false
+    reserved.add(kept.agentId)
+    candidates.splice(candidates.indexOf(kept), 1)
+    return true
+  }
+
+  /** Lists the workers that take tasks of a step. */
+  private findCandidates (job: Job, number: number): Candidate[] {
+    const step = job.spec.steps[number]!
+    const candidates: Candidate[] = []
+    for (const agent of this.context.agents.all) {
+      if (this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
+    }
+    return candidates
+  }
+
+  private isEligible (agent: AgentRecord, job: Job, step: StepSpec): boolean {
+    if (agent.port === undefined || agent.view.service !== job.terms.service || !agent.view.takesRuns) return false
+    if (agent.port.silentMs() > this.context.options.suspectAfterMs) return false
+    if (step.requirement !== undefined && !agent.view.hasLabel(step.requirement)) return false
+    return this.context.ejection.accepts(agent.agentId, this.nowMs)
+  }
+
+  /** Leaves out the workers that may not take the task, and those on which it failed unless there is no other. */
+  private filterFor (job: Job, task: Task, candidates: Candidate[]): Candidate[] {
+    const { maxPerWorker } = job.stepOf(task)
+    const allowed = maxPerWorker === undefined ? candidates : candidates.filter(each => job.countOn(each.agentId, task.ref.step) < maxPerWorker)
+    const accepting = allowed.filter(each => this.context.ejection.accepts(each.agentId, this.nowMs))
+    if (task.avoided.size === 0) return accepting
+    const preferred = accepting.filter(each => !task.avoided.has(each.agentId))
+    return preferred.length > 0 ? preferred : accepting
+  }
+
+  private createCandidate (agent: AgentRecord, step: StepSpec): Candidate {
+    return {
+      agentId: agent.agentId,
+      free: agent.view.free,
+      usedShare: agent.view.usedShare,
+      speedFactor: this.context.speeds.factorOf(agent.agentId),
+      hasDataRack: step.dataRack !== undefined && agent.view.hasLabel(step.dataRack),
+      isOwnDomain: agent.view.failureDomain === this.context.failureDomain,
+      hasSibling: false
+    }
+  }
+
+  private send (job: Job, task: Task, chosen: Candidate): void {
+    const agent = this.context.agents.get(chosen.agentId)!
+    const step = job.stepOf(task)
+    task.attempt++
+    task.phase = TaskPhase.Sent
+    task.agentId = agent.agentId
+    task.sentAtMs = this.nowMs
+    job.noteSent()
+    this.sentCount++
+    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, port: agent.port! })
+    agent.view.noteSent(step.size)
+    this.context.ejection.noteSent(agent.agentId)
+    agent.port!.order(job, task, job.deadlineAtMs - this.nowMs)
+  }
+
+  private get nowMs (): number {
+    return this.context.timers.nowMs()
+  }
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,12 +5,13 @@
 import * as workers from '@egretvalve/workers'
 import { type ArrivalState, canServe, expectedWaitMs, retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
-import { type Candidate, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './choice.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
 import { events } from './events.ts'
-import { Job, type Task, TaskPhase } from './job.ts'
-import { estimatedWork, type JobOutcome, type JobSpec, type JobTerms, type StepSpec } from './model.ts'
+import { fitsSomewhere, ownCores, workAhead } from './fleetCapacity.ts'
+import { Job, TaskPhase } from './job.ts'
+import type { JobOutcome, JobSpec, JobTerms } from './model.ts'
 import { compareJobs, type OrderKey } from './order.ts'
+import { Placer } from './placer.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { SpeedEstimate } from './speed.ts'
 import type { ReportedLoad } from './workerView.ts'
@@ -48,7 +49,6 @@
   failed: number
   expired: number
   cancelled: number
-  starts: number
   moves: number
 }
 
@@ -59,12 +59,9 @@
 
 /** Time without any worker, as after a start of the whole system, in which jobs wait for the first one instead of being refused. */
 const WORKER_WAIT_MS = 1_500
-/** Smallest share of the fleet's processors that an entry counts on, so that a start after idleness refuses nothing. */
-const MIN_SHARE = 0.2
-
 /** Schedules the jobs of one entry. */
 export class Scheduler {
-  readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, starts: 0, moves: 0 }
+  readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, moves: 0 }
   private readonly options: SchedulerOptions
   /** Jobs that have not ended. */
   private readonly open = new Map<string, Job>()
@@ -73,6 +70,7 @@
   private readonly agents = new Agents()
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
+  private readonly placer: Placer
   private readonly tick: settings.TimerHandle
   private isPumpScheduled = false
   /** Time at which a worker was last known to take runs, or the start. */
@@ -82,10 +80,26 @@
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logStanding(change) })
+    this.placer = new Placer({
+      timers: services.timers,
+      log: services.log,
+      options: this.options,
+      agents: this.agents,
+      speeds: this.speeds,
+      ejection: this.ejection,
+      failureDomain: services.failureDomain,
+      random: services.random,
+      entryCount: () => services.entryCount?.() ?? 1
+    })
     this.workerSeenAtMs = services.timers.nowMs()
     this.tick = services.timers.every(this.options.tickMs, () => { this.review() })
   }
 
+  /** Tasks sent since the process began. */
+  get sentCount (): number {
+    return this.placer.sentCount
+  }
+
   /** Number of jobs that have not ended. */
   get openCount (): number {
     return this.open.size
@@ -277,7 +291,7 @@
     const step = sent.job.stepOf(sent.task)
     if (!isWorthMoving(run, this.speeds.factorOf(agent.agentId), this.speeds.expectedMs(step.estimatedMs), this.options)) return
     if (sent.task.avoided.has(agent.agentId)) return
-    if (chooseWorker(this.filterFor(sent.job, sent.task, this.findCandidates(sent.job, run.ref.step)).filter(each => each.agentId !== agent.agentId), step, step.estimatedMs, this.options) === undefined) return
+    if (!this.placer.hasAlternative(sent.job, sent.task)) return
     sent.task.avoided.add(agent.agentId)
     this.counters.moves++
     this.services.log.event(events.TaskMoved, { jobId: run.ref.jobId, step: run.ref.step, index: run.ref.index, agentId: agent.agentId, elapsedMs: Math.round(run.elapsedMs), percent: run.percent, stalledMs: Math.round(run.stalledMs), estimatedMs: step.estimatedMs, speedFactor: this.speeds.factorOf(agent.agentId) })
@@ -370,50 +384,14 @@
       const isWaiting = this.nowMs - this.workerSeenAtMs < WORKER_WAIT_MS
       return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
     }
-    const unplaceable = job.spec.steps.find(step => !this.fitsSomewhere(job, step))
+    const unplaceable = job.spec.steps.find(step => !fitsSomewhere(this.agents, job, step))
     if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
-    const state: ArrivalState = { workAhead: this.workAhead(job), cores: this.ownCores(job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), lagMs: this.services.lagMs?.() ?? 0, deadlineInMs: job.deadlineMs }
+    const state: ArrivalState = { workAhead: workAhead(this.open.values(), job, this.speeds), cores: ownCores(this.agents, job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), lagMs: this.services.lagMs?.() ?? 0, deadlineInMs: job.deadlineMs }
     return canServe(state) ? undefined : { reason: 'can not end before the deadline', waitMs: expectedWaitMs(state) }
   }
 
   private expectedWaitFor (job: Job): number {
-    return this.workAhead(job) / Math.max(1, this.ownCores(job.terms.service))
-  }
-
-  private fitsSomewhere (job: Job, step: StepSpec): boolean {
-    for (const { view } of this.agents.all) {
-      const hasLabel = step.requirement === undefined || view.hasLabel(step.requirement)
-      if (view.service === job.terms.service && hasLabel && workers.fits(view.total, step.size)) return true
-    }
-    return false
-  }
-
-  /** Work of waiting tasks with the same or a more urgent priority, in core-milliseconds. */
-  private workAhead (job: Job): number {
-    let work = 0
-    for (const other of this.open.values()) {
-      if (other === job || other.terms.priority > job.terms.priority) continue
-      for (const task of other.waitingTasks()) {
-        const step = other.stepOf(task)
-        work += step.size.cpuMilli / 1000 * this.speeds.expectedMs(step.estimatedMs)
-      }
-    }
-    return work + estimatedWork(job.spec.steps)
-  }
-
-  /** Cores that this entry can count on: the fleet's, by its share of what is in use. */
-  private ownCores (service: string): number {
-    let total = 0
-    let used = 0
-    let own = 0
-    for (const agent of this.agents.all) {
-      if (agent.port === undefined || agent.view.service !== service || !agent.view.takesRuns) continue
-      total += agent.view.total.cpuMilli
-      used += agent.view.total.cpuMilli * agent.view.usedShare
-      for (const sent of agent.sent.values()) own += sent.job.stepOf(sent.task).size.cpuMilli
-    }
-    const share = used === 0 ? 1 : Math.min(1, Math.max(MIN_SHARE, own / used))
-    return total / 1000 * share
+    return workAhead(this.open.values(), job, this.speeds) / Math.max(1, ownCores(this.agents, job.terms.service))
   }
 
   private schedulePump (): void {
@@ -435,110 +413,11 @@
     if (queue.length === 0) return
     queue.sort((left, right) => compareJobs(left, right, nowMs))
     const reserved = new Set<string>()
-    for (const { job } of queue) this.placeJob(job, reserved)
-  }
-
-  private placeJob (job: Job, reserved: Set<string>): void {
-    if (this.hasPassedDeadline(job)) return
-    const placed: string[] = []
-    this.placeTasks(job, reserved, placed)
-    if (placed.length > 0) this.services.log.event(events.TasksPlaced, { jobId: job.id, tasks: placed.join(' '), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
-  }
-
-  /** Places waiting tasks and describes each: step, index, attempt, agent, its free cores, its speed factor and the age of its report. */
-  private placeTasks (job: Job, reserved: Set<string>, placed: string[]): void {
-    let step = -1
-    let candidates: Candidate[] = []
-    let sample: Candidate[] = []
-    for (const task of job.waitingTasks()) {
-      if (task.ref.step !== step) {
-        step = task.ref.step
-        candidates = this.findCandidates(job, step).filter(each => !reserved.has(each.agentId))
-        sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.services.entryCount?.() ?? 1), this.services.random)
-      }
-      if (!this.placeTask(job, task, sample, candidates, reserved)) return
-      if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
+    for (const { job } of queue) {
+      if (!this.hasPassedDeadline(job)) this.placer.place(job, reserved)
     }
   }
 
-  private describePlacement (task: Task): string {
-    const agent = this.agents.get(task.agentId!)!
-    const freeCores = Math.round(agent.view.free.cpuMilli / 1_000)
-    return `${task.ref.step}.${task.ref.index}#${task.attempt}@${agent.agentId},free=${freeCores},speed=${this.speeds.factorOf(agent.agentId).toFixed(2)},age=${Math.round(agent.port?.silentMs() ?? 0)}`
-  }
-
-  /** Sends a task to a worker of the sample, or to any other with room, or keeps the emptiest worker for it. Returns false when no worker is left to look at. */
-  private placeTask (job: Job, task: Task, sample: Candidate[], candidates: Candidate[], reserved: Set<string>): boolean {
-    const step = job.stepOf(task)
-    const usable = this.filterFor(job, task, candidates)
-    const expectedMs = this.speeds.expectedMs(step.estimatedMs)
-    const chosen = chooseWorker(this.filterFor(job, task, sample), step, expectedMs, this.options) ?? chooseWorker(usable, step, expectedMs, this.options)
-    if (chosen !== undefined) {
-      this.send(job, task, chosen)
-      Object.assign(chosen, this.createCandidate(this.agents.get(chosen.agentId)!, step), { hasSibling: true })
-      return true
-    }
-    const kept = chooseReserved(usable)
-    if (kept === undefined) return false
-    reserved.add(kept.agentId)
-    candidates.splice(candidates.indexOf(kept), 1)
-    return true
-  }
-
-  /** Lists the workers that take tasks of a step. */
-  private findCandidates (job: Job, number: number): Candidate[] {
-    const step = job.spec.steps[number]!
-    const candidates: Candidate[] = []
-    for (const agent of this.agents.all) {
-      if (this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
-    }
-    return candidates
-  }
-
-  private isEligible (agent: AgentRecord, job: Job, step: StepSpec): boolean {
-    if (agent.port === undefined || agent.view.service !== job.terms.service || !agent.view.takesRuns) return false
-    if (agent.port.silentMs() > this.options.suspectAfterMs) return false
-    if (step.requirement !== undefined && !agent.view.hasLabel(step.requirement)) return false
-    return this.ejection.accepts(agent.agentId, this.nowMs)
-  }
-
-  /** Leaves out the workers that may not take the task, and those on which it failed unless there is no other. */
-  private filterFor (job: Job, task: Task, candidates: Candidate[]): Candidate[] {
-    const { maxPerWorker } = job.stepOf(task)
-    const allowed = maxPerWorker === undefined ? candidates : candidates.filter(each => job.countOn(each.agentId, task.ref.step) < maxPerWorker)
-    const accepting = allowed.filter(each => this.ejection.accepts(each.agentId, this.nowMs))
-    if (task.avoided.size === 0) return accepting
-    const preferred = accepting.filter(each => !task.avoided.has(each.agentId))
-    return preferred.length > 0 ? preferred : accepting
-  }
-
-  private createCandidate (agent: AgentRecord, step: StepSpec): Candidate {
-    return {
-      agentId: agent.agentId,
-      free: agent.view.free,
-      usedShare: agent.view.usedShare,
-      speedFactor: this.speeds.factorOf(agent.agentId),
-      hasDataRack: step.dataRack !== undefined && agent.view.hasLabel(step.dataRack),
-      isOwnDomain: agent.view.failureDomain === this.services.failureDomain,
-      hasSibling: false
-    }
-  }
-
-  private send (job: Job, task: Task, chosen: Candidate): void {
-    const agent = this.agents.get(chosen.agentId)!
-    const step = job.stepOf(task)
-    task.attempt++
-    task.phase = TaskPhase.Sent
-    task.agentId = agent.agentId
-    task.sentAtMs = this.nowMs
-    job.noteSent()
-    this.counters.starts++
-    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, port: agent.port! })
-    agent.view.noteSent(step.size)
-    this.ejection.noteSent(agent.agentId)
-    agent.port!.order(job, task, job.deadlineAtMs - this.nowMs)
-  }
-
   private logStanding (change: placement.StandingChange): void {
     const event = change.standing === placement.ServerStanding.Ejected ? events.WorkerEjected : events.WorkerRestored
     this.services.log.event(event, { agentId: change.agentId, failureRate: change.failureRate })
