--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -6,7 +6,8 @@
 import { events } from './events.ts'
 import { FencingToken } from './fencing.ts'
 import { compareOrders, HoldBack, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
-import { type HeldRun, WorkerSession } from './session.ts'
+import type { HeldRun } from './runBook.ts'
+import { WorkerSession } from './session.ts'
 import { addSize, fits, NO_SIZE, subtractSize } from './size.ts'
 
 /** What the executor tells the links. */
--- a/packages/workers/src/progress.ts
+++ b/packages/workers/src/progress.ts
@@ -1,5 +1,5 @@
 /** Which runs are far slower than estimated, judged by the worker's own percentages. */
-import type { HeldRun } from './session.ts'
+import type { HeldRun } from './runBook.ts'
 
 /** A run counts as slow when it is expected to take this many times its estimate, and this much longer at least. */
 const SLOW_FACTOR = 1.6
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -3,11 +3,12 @@
 import type * as settings from '@egretvalve/settings'
 import { WorkerClock } from './clock.ts'
 import type { WorkerOptions } from './defaults.ts'
-import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, taskKey, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
+import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
 import { events } from './events.ts'
 import { HoldBack, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
 import { PaceEstimate } from './pace.ts'
-import { addSize, NO_SIZE, subtractSize } from './size.ts'
+import { type HeldRun, RunBook, RunPhase } from './runBook.ts'
+import { subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
 
 /** What is known of the connection to the worker. */
@@ -23,32 +24,6 @@
   Ended = 'ended'
 }
 
-/** What a run has been asked to do. */
-enum RunPhase {
-  Starting = 'starting',
-  Running = 'running',
-  Stopping = 'stopping'
-}
-
-/** A run that takes room on the worker. */
-export interface HeldRun {
-  readonly order: TaskOrder
-  ref: RunRef
-  phase: RunPhase
-  startedAtMs: number
-  percent: number
-  /** Steady time at which the percentage last rose. */
-  progressAtMs: number
-  /** Steady time of the last answer that listed the run. */
-  observedAtMs: number
-  /** Age of the order when the worker acknowledged the start. */
-  waitedMs: number
-  /** Answers in a row, asked for after the start, that did not list the run. */
-  missedAnswers: number
-  /** Steady time at which the worker acknowledged a stop: it refuses a late arrival of the start from then on. Infinite before. */
-  stopAcknowledgedAtMs: number
-}
-
 /** What the session tells its agent. */
 export interface SessionHandlers {
   onEnd: (ending: TaskEnding) => void
@@ -70,8 +45,6 @@
 const RUN_NUMBER_STEP = 8
 /** Answers without a run after which it is taken for gone. */
 const MAX_MISSED_ANSWERS = 3
-/** Time for which ended runs are remembered, so that an answer that was overtaken names no stray run. */
-const ENDED_MEMORY_MS = 3_000
 /** Pause before the worker is asked for the end of a stopped run, in milliseconds; a stop takes at most 50 ms. */
 const CONFIRM_PAUSE_MS = 20
 /** Pause before a stop or a question is repeated. */
@@ -82,13 +55,9 @@
   state = SessionState.TakingOver
   /** How long tasks take here against their estimates. */
   readonly pace: PaceEstimate
-  private readonly held = new Map<string, HeldRun>()
-  private readonly recentEnds = new Map<string, number>()
+  private readonly book = new RunBook()
   private readonly clock: WorkerClock
   private readonly abort = new AbortController()
-  private used: RunSize = NO_SIZE
-  private acknowledgedEnd = 0
-  private unacknowledged = false
   private lastAnswerAtMs: number
   private leaseSentAtMs = Number.NEGATIVE_INFINITY
   /** Time at which the newest renewal that was answered had been sent. */
@@ -103,16 +72,16 @@
 
   /** Room that no run takes. */
   get free (): RunSize {
-    return subtractSize(this.worker.total, this.used)
+    return subtractSize(this.worker.total, this.book.used)
   }
 
   /** Runs that take room. */
   get runs (): Iterable<HeldRun> {
-    return this.held.values()
+    return this.book.all
   }
 
   get runCount (): number {
-    return this.held.size
+    return this.book.count
   }
 
   /** True while runs may start. */
@@ -121,7 +90,7 @@
   }
 
   find (key: string): HeldRun | undefined {
-    return this.held.get(key)
+    return this.book.find(key)
   }
 
   /** Takes over the worker, then holds its runs and collects their ends until `end`. */
@@ -136,15 +105,14 @@
     this.state = SessionState.Ended
     this.abort.abort()
     this.wake?.()
-    for (const run of [...this.held.values()]) this.settle(run, TaskEnd.Lost, reason, run.phase === RunPhase.Starting ? HoldBack.UntilLeaseEnds : HoldBack.UntilTakenOver)
+    for (const run of this.book.all) this.settle(run, TaskEnd.Lost, reason, run.phase === RunPhase.Starting ? HoldBack.UntilLeaseEnds : HoldBack.UntilTakenOver)
   }
 
   /** Starts a task. Its end is reported once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
     const run: HeldRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
-    this.held.set(taskKey(order.task), run)
-    this.used = addSize(this.used, order.size)
+    this.book.add(run)
     this.wake?.()
     await this.sendStart(run)
   }
@@ -159,7 +127,7 @@
   }
 
   private isHeld (run: HeldRun): boolean {
-    return this.held.get(taskKey(run.order.task)) === run
+    return this.book.holds(run)
   }
 
   private get scope (): CallScope {
@@ -259,11 +227,11 @@
   /** Stops what an earlier life of the agent started and takes note of all ends. */
   private async takeOver (): Promise<void> {
     while (this.state === SessionState.TakingOver) {
-      const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd: this.acknowledgedEnd, waitMs: 0 })
+      const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd: this.book.acknowledgedEnd, waitMs: 0 })
       if (outcome.kind === 'answered' && outcome.runs.bornAtMs === this.worker.bornAtMs) {
         this.noteAnswer(outcome.runs)
         const last = outcome.runs.ended.at(-1)
-        if (last !== undefined) this.acknowledgedEnd = Math.max(this.acknowledgedEnd, last.number)
+        if (last !== undefined) this.book.acknowledgedEnd = Math.max(this.book.acknowledgedEnd, last.number)
         if (outcome.runs.running.length === 0 && last === undefined) return this.becomeReady()
         await Promise.all(outcome.runs.running.map(async each => await this.services.driver.stop(this.scope, each.ref)))
       } else if (outcome.kind === 'answered') this.replace()
@@ -274,19 +242,19 @@
 
   private becomeReady (): void {
     this.state = SessionState.Ready
-    this.services.log.event(events.TakenOver, { workerId: this.worker.workerId, acknowledgedEnd: this.acknowledgedEnd })
+    this.services.log.event(events.TakenOver, { workerId: this.worker.workerId, acknowledgedEnd: this.book.acknowledgedEnd })
     this.handlers.onChange()
   }
 
   /** Asks for the next end again and again while runs are present or ends are not acknowledged. */
   private async collectEnds (): Promise<void> {
     while (!this.abort.signal.aborted) {
-      if (this.held.size === 0 && !this.unacknowledged) {
+      if (this.book.count === 0 && !this.book.hasUnacknowledged) {
         await new Promise<void>(resolve => { this.wake = resolve })
         this.wake = undefined
         continue
       }
-      const mayWait = this.held.size > 0 && !this.abort.signal.aborted
+      const mayWait = this.book.count > 0 && !this.abort.signal.aborted
       const wasAnswered = await this.ask(mayWait ? this.services.options.endWaitMs : 0, this.state === SessionState.Ready)
       if (!wasAnswered) await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
     }
@@ -297,7 +265,7 @@
     const { timers, options } = this.services
     while (!this.abort.signal.aborted) {
       await timers.sleep(options.renewPeriodMs, this.abort.signal)
-      if (this.held.size === 0 && this.state === SessionState.Ready) {
+      if (this.book.count === 0 && this.state === SessionState.Ready) {
         this.lastAnswerAtMs = timers.nowMs()
         continue
       }
@@ -311,21 +279,21 @@
     const nowMs = timers.nowMs()
     if (this.state === SessionState.Ready && nowMs - this.lastAnswerAtMs > options.silentAfterMs) {
       this.state = SessionState.Silent
-      log.event(events.WorkerSilent, { workerId: this.worker.workerId, silentMs: Math.round(nowMs - this.lastAnswerAtMs), runs: this.held.size })
+      log.event(events.WorkerSilent, { workerId: this.worker.workerId, silentMs: Math.round(nowMs - this.lastAnswerAtMs), runs: this.book.count })
       this.handlers.onChange()
     }
     if (this.state === SessionState.Silent && nowMs > this.leaseSentAtMs + options.leaseMs * options.clockDrift) this.loseAll('lease lapsed on a silent worker')
   }
 
   private loseAll (reason: string): void {
-    for (const run of [...this.held.values()]) this.settle(run, TaskEnd.Lost, reason)
+    for (const run of this.book.all) this.settle(run, TaskEnd.Lost, reason)
   }
 
   /** Asks what the worker holds. Returns whether it answered. */
   private async ask (waitMs: number, renews: boolean): Promise<boolean> {
     const askedAtMs = this.services.timers.nowMs()
-    const acknowledgedEnd = this.acknowledgedEnd
-    const isRenewal = renews && this.clock.isKnown && this.held.size > 0
+    const acknowledgedEnd = this.book.acknowledgedEnd
+    const isRenewal = renews && this.clock.isKnown && this.book.count > 0
     if (isRenewal) this.noteLease()
     const leaseUntilMs = isRenewal ? this.clock.at(this.services.options.leaseMs) : undefined
     const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd, leaseUntilMs, waitMs })
@@ -338,7 +306,7 @@
       this.replace()
       return false
     }
-    if (acknowledgedEnd === this.acknowledgedEnd) this.unacknowledged = false
+    if (acknowledgedEnd === this.book.acknowledgedEnd) this.book.hasUnacknowledged = false
     if (isRenewal) this.renewedAtMs = Math.max(this.renewedAtMs, askedAtMs)
     this.noteAnswer(outcome.runs)
     this.takeEnds(outcome.runs.ended)
@@ -370,8 +338,8 @@
       case 'down':
         if (this.state === SessionState.Down) return
         this.state = SessionState.Down
-        this.services.log.event(events.WorkerDown, { workerId: this.worker.workerId, reason: outcome.reason, runs: this.held.size })
-        this.unacknowledged = false
+        this.services.log.event(events.WorkerDown, { workerId: this.worker.workerId, reason: outcome.reason, runs: this.book.count })
+        this.book.hasUnacknowledged = false
         this.loseAll('worker is down')
         this.handlers.onChange()
         return
@@ -388,27 +356,15 @@
   }
 
   private takeEnds (ended: readonly EndedRun[]): void {
-    // The worker lists every end that isn't acknowledged, so a gap was acknowledged by an earlier life of the agent.
-    const first = ended[0]
-    if (first !== undefined && first.number > this.acknowledgedEnd + 1) this.acknowledgedEnd = first.number - 1
-    for (const end of ended) {
-      if (end.number !== this.acknowledgedEnd + 1) continue
-      this.acknowledgedEnd = end.number
-      this.unacknowledged = true
-      const run = this.held.get(taskKey(end.ref.task))
-      this.recentEnds.set(refKey(end.ref), this.services.timers.nowMs())
-      if (run === undefined || run.ref.run !== end.ref.run) continue
-      this.settle(run, resolveEnd(end.cause), end.cause)
-    }
-    this.forgetOldEnds()
+    for (const { run, cause } of this.book.takeEnds(ended, this.services.timers.nowMs())) this.settle(run, resolveEnd(cause), cause)
   }
 
   private takeRunning (running: readonly RunningRun[], askedAtMs: number): void {
     const nowMs = this.services.timers.nowMs()
     const listed = new Set<HeldRun>()
     for (const each of running) {
-      const run = this.held.get(taskKey(each.ref.task))
-      if (run === undefined || run.ref.run !== each.ref.run) {
+      const run = this.book.findRef(each.ref)
+      if (run === undefined) {
         this.stopStray(each.ref)
         continue
       }
@@ -419,7 +375,7 @@
       run.observedAtMs = nowMs
       this.pace.noteRunning(run.order.task.jobId, nowMs - run.startedAtMs, run.percent, run.order.estimatedMs)
     }
-    for (const run of [...this.held.values()]) this.noteListing(run, listed.has(run), askedAtMs)
+    for (const run of this.book.all) this.noteListing(run, listed.has(run), askedAtMs)
   }
 
   private noteListing (run: HeldRun, isListed: boolean, askedAtMs: number): void {
@@ -441,34 +397,21 @@
   }
 
   private stopStray (ref: RunRef): void {
-    if (this.recentEnds.has(refKey(ref))) return
+    if (this.book.hasEndedLately(ref)) return
     this.services.log.event(events.StrayRun, { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run })
     this.services.driver.stop(this.scope, ref)
   }
 
   private settle (run: HeldRun, end: TaskEnd, reason: string, holdBack = HoldBack.None): void {
     if (!this.isHeld(run)) return
-    const { task, size } = run.order
-    this.held.delete(taskKey(task))
-    this.used = subtractSize(this.used, size)
-    this.recentEnds.set(refKey(run.ref), this.services.timers.nowMs())
-    const runMs = this.services.timers.nowMs() - run.startedAtMs
+    const { task } = run.order
+    const nowMs = this.services.timers.nowMs()
+    this.book.remove(run, nowMs)
+    const runMs = nowMs - run.startedAtMs
     if (end === TaskEnd.Done) this.pace.noteFinished(task.jobId, runMs, run.order.estimatedMs)
     this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
     this.handlers.onEnd({ order: run.order, end, runMs, reason, holdBack })
   }
-
-  private forgetOldEnds (): void {
-    const limitMs = this.services.timers.nowMs() - ENDED_MEMORY_MS
-    for (const [key, atMs] of this.recentEnds) {
-      if (atMs > limitMs) return
-      this.recentEnds.delete(key)
-    }
-  }
-}
-
-function refKey (ref: RunRef): string {
-  return `${taskKey(ref.task)}#${ref.run}`
 }
 
 function resolveEnd (cause: EndCause): TaskEnd {
