--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -201,6 +201,21 @@
     expect(second.outcomes.map(({ kind }) => kind)).to.deep.equal(['cancelled'])
   })
 
+  it('sends no task of a job whose deadline passed while the VM was suspended', async () => {
+    const timers = new settings.FakeTimers()
+    let suspendedMs = 0
+    const suspendable: settings.Timers = { nowMs: () => timers.nowMs(), wallClockMs: () => timers.wallClockMs() + suspendedMs, after: (delayMs, callback) => timers.after(delayMs, callback), every: (periodMs, callback) => timers.every(periodMs, callback), sleep: async (delayMs, signal) => { await timers.sleep(delayMs, signal) } }
+    const created = new scheduler.Scheduler({ timers: suspendable, log: settings.createSilentLog(), random: () => 0.5, failureDomain: 'a' })
+    const outcomes: scheduler.JobOutcome[] = []
+    created.submit(createJob('job', 1), TERMS, 1_000).onOutcome(outcome => { outcomes.push(outcome) })
+    suspendedMs = 5_000
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    await passTime(timers, 200)
+    expect(port.ordered).to.deep.equal([])
+    expect(outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+  })
+
   it('gives no task to a silent agent, and none beyond the room that it reported', async () => {
     const { scheduler: created, submit } = createBench()
     const silent = new FakePort('agent-1')
