Run a job again whose caller lost its connection

Change: only an outcome that a caller could have got is shared; starts of the second submission count on from the first. The test fails without it.

--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -39,18 +39,23 @@
   private possibleStarts = 0
   private readonly waiters = new Set<(outcome: JobOutcome) => void>()
 
-  constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age) {
+  constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0) {
     this.arrivedAtMs = nowMs
     this.age = age
     this.dueAtMs = nowMs + terms.slackFactor * longestChainMs(spec.steps) + terms.targetLatencyMs
     this.deadlineAtMs = nowMs + deadlineMs
-    this.tasks = spec.steps.map((step, number) => createTasks(spec.jobId, step, number))
+    this.tasks = spec.steps.map((step, number) => createTasks(spec.jobId, step, number, earlierAttempts))
   }
 
   get id (): string {
     return this.spec.jobId
   }
 
+  /** Highest number of a start of any task. A later submission of the job counts on, so that late reports are told apart. */
+  get lastAttempt (): number {
+    return Math.max(0, ...this.tasks.flat().map(task => task.attempt))
+  }
+
   get hasEnded (): boolean {
     return this.outcome !== undefined
   }
@@ -148,11 +153,11 @@
   }
 }
 
-function createTasks (jobId: string, step: StepSpec, number: number): Task[] {
+function createTasks (jobId: string, step: StepSpec, number: number, earlierAttempts: number): Task[] {
   return Array.from({ length: step.count }, (_, index) => ({
     ref: { jobId, step: number, index },
     phase: TaskPhase.Blocked,
-    attempt: 0,
+    attempt: earlierAttempts,
     failures: 0,
     agentId: undefined,
     sentAtMs: 0,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -59,6 +59,7 @@
 
 /** Time without any worker, as after a start of the whole system, in which jobs wait for the first one instead of being refused. */
 const WORKER_WAIT_MS = 1_500
+
 /** Schedules the jobs of one entry. */
 export class Scheduler {
   readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, moves: 0 }
@@ -132,19 +133,23 @@
     return this.open.get(jobId) ?? this.ended.get(jobId)
   }
 
-  /** Accepts or refuses a job. A job that is known shares the outcome of the first submission. */
+  /**
+   * Accepts or refuses a job. A job that is open, or has succeeded or failed, shares the outcome of the first submission. One that
+   * ended without an outcome, since its caller's connection broke, runs again; its earlier runs were stopped then.
+   */
   submit (spec: JobSpec, terms: JobTerms, deadlineMs: number): Job {
     const known = this.find(spec.jobId)
-    if (known !== undefined) {
+    if (known !== undefined && !isRepeatable(known)) {
       this.services.log.event(events.JobJoined, { jobId: spec.jobId, outcome: known.outcome?.kind ?? 'open' })
       return known
     }
-    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers))
+    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0)
     const refusal = this.findRefusal(job)
     if (refusal !== undefined) {
       this.refuse(job, refusal.reason, refusal.waitMs)
       return job
     }
+    this.ended.delete(job.id)
     this.open.set(job.id, job)
     this.counters.accepted++
     job.advance()
@@ -423,3 +428,8 @@
     this.services.log.event(event, { agentId: change.agentId, failureRate: change.failureRate })
   }
 }
+
+/** Returns true for a job that ended without an outcome for its caller. */
+function isRepeatable (job: Job): boolean {
+  return job.outcome?.kind === 'cancelled' || job.outcome?.kind === 'expired'
+}
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -216,6 +216,22 @@
     expect(outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
   })
 
+  it('runs a job again whose caller lost its connection, and tells late reports of the first submission apart', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const first = submit(createJob('job', 1))
+    await settleTurn()
+    created.cancel(first.job)
+    const second = submit(createJob('job', 1))
+    await settleTurn()
+    expect(port.ordered.map(({ attempt }) => attempt)).to.deep.equal([1, 2])
+    created.takeEnds(port, [createEnd(port.ordered[0]!, workers.TaskEnd.Lost)])
+    created.takeEnds(port, [createEnd(port.ordered[1]!, workers.TaskEnd.Done)])
+    expect(second.outcomes).to.deep.equal([{ kind: 'succeeded' }])
+    expect(submit(createJob('job', 1)).outcomes).to.deep.equal([{ kind: 'succeeded' }])
+  })
+
   it('gives no task to a silent agent, and none beyond the room that it reported', async () => {
     const { scheduler: created, submit } = createBench()
     const silent = new FakePort('agent-1')
