--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -89,7 +89,6 @@
       createGreeting: () => this.createGreeting(),
       onOpen: (opened, greeting) => { this.greet(opened, greeting) },
       onMessage: (from, message) => { this.receive(from, message) },
-      onClose: () => {},
       isBusy: of => this.executor.heldBy(of.life).length > 0,
       createBeat: () => ({ configVersion: this.shelf.version })
     }, this.services)
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -12,7 +12,6 @@
   /** Called once the entry has greeted. */
   onOpen: (connection: EntryConnection, greeting: protocol.runs.IEntryGreeting) => void
   onMessage: (connection: EntryConnection, message: protocol.runs.IFromEntry) => void
-  onClose: (connection: EntryConnection) => void
   /** True while the agent holds tasks of the entry. */
   isBusy: (connection: EntryConnection) => boolean
   createBeat: () => protocol.runs.IBeat
@@ -123,7 +122,6 @@
     if (!this.isGreeted) return
     this.isGreeted = false
     this.services.log.event(events.LinkClosed, { peer: this.address, step: 'link.read', reason, silentMs: Math.round(this.silentMs) })
-    this.handler.onClose(this)
   }
 
   private nextRedialMs (): number {
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -1,6 +1,6 @@
 /** Keeps entries listed in the store, and reads the list. */
 import type * as platform from '@egretvalve/platform'
-import type * as protocol from '@egretvalve/protocol'
+import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import * as zod from 'zod'
 import { ENTRY_PREFIX, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS } from './defaults.ts'
@@ -24,9 +24,9 @@
     return undefined
   }
   return listed.val.values.flatMap(({ key, value }) => {
-    const parsed = memberSchema.safeParse(parseJson(value))
-    if (!parsed.success) services.log.event(events.ListUnreadable, { key, reason: 'the value names no entry' })
-    return parsed.success ? [parsed.data] : []
+    const parsed = protocol.parseJson(Buffer.from(value), memberSchema)
+    if (parsed.err) services.log.event(events.ListUnreadable, { key, reason: protocol.describeInputProblem(parsed.val) })
+    return parsed.ok ? [parsed.val] : []
   })
 }
 
@@ -111,11 +111,3 @@
     this.onEntries(entries)
   }
 }
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -98,10 +98,6 @@
     return this.spec.steps[task.ref.step]!
   }
 
-  find (ref: workers.TaskRef): Task | undefined {
-    return this.tasks[ref.step]?.[ref.index]
-  }
-
   /** Lets the tasks of steps wait for room whose earlier steps are done. Returns true when all tasks are done. */
   advance (): boolean {
     const done = this.tasks.map(tasks => tasks.every(task => task.phase === TaskPhase.Done))
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -41,7 +41,7 @@
   reason: string
 }
 
-/** Counts since the process began. */
+/** Counts since the process began; jobs that have ended by the kind of their outcome. */
 export interface SchedulerCounters {
   accepted: number
   refused: number
@@ -347,7 +347,6 @@
   }
 
   private refuse (job: Job, reason: string, waitMs: number): void {
-    this.counters.refused++
     const retryMs = retryAfterMs(waitMs, this.services.random(), this.options)
     this.services.log.event(events.JobRefused, { jobId: job.id, reason, retryAfterMs: retryMs, workers: this.workerCount, ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
     this.open.delete(job.id)
@@ -356,7 +355,6 @@
 
   private end (job: Job, outcome: JobOutcome, reason: string): void {
     for (const task of job.sentTasks()) this.agents.get(task.agentId ?? '')?.port?.stop(task.ref)
-    this.countOutcome(outcome)
     this.services.log.event(events.JobEnded, { jobId: job.id, outcome: outcome.kind, reason, ageMs: Math.round(this.nowMs - job.arrivedAtMs), objectiveMs: Math.round(job.dueAtMs - job.arrivedAtMs) })
     this.open.delete(job.id)
     this.ended.set(job.id, job)
@@ -364,22 +362,12 @@
   }
 
   private finish (job: Job, outcome: JobOutcome): void {
+    this.counters[outcome.kind]++
     job.finish(outcome, this.nowMs)
     this.services.onEnded?.(outcome, this.nowMs - job.arrivedAtMs)
     this.noteIdle()
   }
 
-  private countOutcome (outcome: JobOutcome): void {
-    switch (outcome.kind) {
-      case 'succeeded': this.counters.succeeded++; return
-      case 'failed': this.counters.failed++; return
-      case 'refused': this.counters.refused++; return
-      case 'expired': this.counters.expired++; return
-      case 'cancelled': this.counters.cancelled++; return
-      default: protocol.assertNever(outcome)
-    }
-  }
-
   private noteIdle (): void {
     if (this.onIdle !== undefined && this.openCount === 0) this.onIdle()
   }
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -174,9 +174,10 @@
   }
 
   private noteChange (): void {
-    if (this.session?.acceptsRuns === true) this.releaseHeldBack(true)
-    if (this.session?.acceptsRuns !== true) this.returnWaiting(() => true, 'worker does not answer')
-    else this.startNext()
+    if (this.session?.acceptsRuns === true) {
+      this.releaseHeldBack(true)
+      this.startNext()
+    } else this.returnWaiting(() => true, 'worker does not answer')
     this.handlers.onLoad()
   }
 
