--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -2,6 +2,9 @@
 import * as workers from '@egretvalve/workers'
 import { type JobOutcome, type JobSpec, type JobTerms, longestChainMs, type StepSpec } from './model.ts'
 
+/** An answer that is later than this many objectives is of little use. */
+const USELESS_FACTOR = 3
+
 /** Where a task stands. */
 export enum TaskPhase {
   /** Steps before it are not done. */
@@ -31,6 +34,8 @@
   readonly age: workers.Age
   /** Time at which the job misses its objective. */
   readonly dueAtMs: number
+  /** Time from which an answer is of little use to the caller. */
+  readonly uselessAtMs: number
   readonly deadlineAtMs: number
   readonly tasks: Task[][]
   outcome: JobOutcome | undefined
@@ -42,7 +47,9 @@
   constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0) {
     this.arrivedAtMs = nowMs
     this.age = age
-    this.dueAtMs = nowMs + terms.slackFactor * longestChainMs(spec.steps) + terms.targetLatencyMs
+    const objectiveMs = terms.slackFactor * longestChainMs(spec.steps) + terms.targetLatencyMs
+    this.dueAtMs = nowMs + objectiveMs
+    this.uselessAtMs = nowMs + objectiveMs * USELESS_FACTOR
     this.deadlineAtMs = nowMs + deadlineMs
     this.tasks = spec.steps.map((step, number) => createTasks(spec.jobId, step, number, earlierAttempts))
   }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -401,7 +401,7 @@
     const queue: QueuedJob[] = []
     for (const job of this.open.values()) {
       if (!job.hasWaitingTask) continue
-      queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()) })
+      queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, uselessAtMs: job.uselessAtMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()), hasStarted: job.mayHaveStarted })
     }
     if (queue.length === 0) return
     queue.sort((left, right) => compareJobs(left, right, nowMs))
