Give freed room to the most urgent task of all entries; return tasks without room at once

Cause: three entries that see the same reports send into the same rooms; a quarter of the tasks then waited 10 to 60 ms in an agent's queue, and an entry's less urgent task took a room that another entry's urgent one waited for. Ends were told to their own entry only, so the others saw old room. Change: entries tell agents the most urgent task that waits; agents keep freed room for the most urgent of all entries for 25 ms and tell that entry at once; a task without room goes back at once; jobs in time are ordered by their latest start with a head start of 60 ms for each priority; all entries hear of ends with the next load.

--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -5,7 +5,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS } from './defaults.ts'
-import { encodeOrder } from './messages.ts'
+import { encodeDemand, encodeOrder } from './messages.ts'
 import { Heard } from './watchdog.ts'
 
 /** A stream on which an agent has greeted. */
@@ -46,7 +46,7 @@
   /** Sends a task soon, with the others of this turn. */
   order (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): void {
     this.busy.add(workers.taskKey(task.ref))
-    this.orders.push(encodeOrder(job, task, this.timers.nowMs(), expiresInMs))
+    this.orders.push(encodeOrder(job, task, expiresInMs))
     if (this.orders.length === 1) setImmediate(() => { this.flush() })
   }
 
@@ -55,6 +55,11 @@
     this.send({ stop: { jobId: ref.jobId, step: ref.step, indexes: [ref.index] } })
   }
 
+  tellDemand (demand: workers.Demand | undefined): void {
+    this.flush()
+    this.send({ demand: encodeDemand(demand, this.timers.nowMs()) })
+  }
+
   /** Notes the tasks that have ended. */
   noteEnds (ends: readonly scheduler.ReportedEnd[]): void {
     for (const end of ends) this.busy.delete(workers.taskKey(end.ref))
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -6,7 +6,7 @@
 import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, FORGET_ENTRY_MS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
 import { EntryConnection } from './entryConnection.ts'
 import { events } from './events.ts'
-import { decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
+import { decodeDemand, decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
 import { Owners } from './owners.ts'
 import { watchRegularly } from './watchdog.ts'
 
@@ -31,6 +31,8 @@
   private readonly owners: Owners
   private readonly connections = new Map<string, EntryConnection>()
   private readonly pendingEnds = new Map<string, workers.TaskEnding[]>()
+  /** Lives of entries that must be told of room that is kept for them. */
+  private readonly owedRoom = new Set<string>()
   private readonly handles: settings.TimerHandle[] = []
   private isFlushScheduled = false
   private loadTimer: settings.TimerHandle | undefined
@@ -41,7 +43,8 @@
     this.owners = new Owners(services.timers)
     this.executor = new workers.RunExecutor(services, {
       onEnd: ending => { this.report(ending) },
-      onLoad: () => { this.planLoad() }
+      onLoad: () => { this.planLoad() },
+      onRoom: owners => { this.tellRoom(owners) }
     })
     this.handles.push(
       watchRegularly(services.timers, () => { this.watch() }),
@@ -114,6 +117,7 @@
     this.owners.noteHeard(connection.life)
     if (message.orders != null) this.takeOrders(connection, message.orders.orders ?? [])
     else if (message.stop != null) this.takeStop(connection, message.stop)
+    else if (message.demand != null) this.executor.takeDemand(connection.life, decodeDemand(message.demand, this.services.timers.nowMs()))
     else if (message.config != null) this.shelf.offer(decodeCopy(message.config))
     else if (message.entries != null) this.learnEntries(message.entries.entries ?? [])
     else if (message.beat != null) this.shareConfig(connection, message.beat.configVersion ?? 0)
@@ -121,9 +125,8 @@
 
   private takeOrders (connection: EntryConnection, orders: readonly protocol.runs.IRunOrder[]): void {
     const age = new workers.Age(this.services.timers)
-    const nowMs = this.services.timers.nowMs()
     for (const message of orders) {
-      for (const order of decodeOrder(message, connection.life, nowMs, age)) {
+      for (const order of decodeOrder(message, connection.life, age)) {
         connection.received++
         this.executor.submit(order)
       }
@@ -165,19 +168,24 @@
     const pending = this.pendingEnds.get(owner)
     if (pending === undefined) this.pendingEnds.set(owner, [ending])
     else pending.push(ending)
+    this.planFlush()
+  }
+
+  private planFlush (): void {
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => { this.flushEnds() })
   }
 
-  /** Sends ends at once to the entries that wait for them. Ends for a link that is away follow when it is back. */
+  /** Sends ends at once to the entries that wait for them, and the load to those for which room is kept. Ends for a link that is away follow when it is back. */
   private flushEnds (): void {
     this.isFlushScheduled = false
     for (const connection of this.openConnections()) {
       const ends = this.pendingEnds.get(connection.life)
-      if (ends !== undefined) this.sendReport(connection, { ends: ends.map(encodeEnd) })
+      if (ends !== undefined || this.owedRoom.has(connection.life)) this.sendReport(connection, { ends: ends?.map(encodeEnd) })
     }
     this.pendingEnds.clear()
+    this.owedRoom.clear()
   }
 
   /** Tells all entries the load soon, once for all changes of the period. */
@@ -191,6 +199,12 @@
     })
   }
 
+  /** Tells entries at once of room that is kept for them, with the ends of this turn. */
+  private tellRoom (owners: readonly string[]): void {
+    for (const owner of owners) this.owedRoom.add(owner)
+    this.planFlush()
+  }
+
   private get loadPeriodMs (): number {
     const { free, total } = this.executor.load
     return free.cpuMilli >= total.cpuMilli * CALM_FREE_SHARE ? CALM_LOAD_PERIOD_MS : LOAD_PERIOD_MS
@@ -213,7 +227,7 @@
 
   private sendReport (connection: EntryConnection, report: protocol.runs.IRunReport): void {
     connection.toldLoadNumber = this.loadNumber
-    connection.send({ report: { ...report, load: encodeLoad(this.executor.load, connection.received) } })
+    connection.send({ report: { ...report, load: encodeLoad(this.executor.loadFor(connection.life), connection.received) } })
   }
 
   private openConnections (): EntryConnection[] {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -36,7 +36,7 @@
 }
 
 /** Creates the order of one task. */
-export function encodeOrder (job: scheduler.Job, task: scheduler.Task, nowMs: number, expiresInMs: number): protocol.runs.IRunOrder {
+export function encodeOrder (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): protocol.runs.IRunOrder {
   const step = job.stepOf(task)
   return {
     jobId: job.id,
@@ -44,15 +44,13 @@
     spec: job.spec.spec,
     size: step.size,
     estimatedMs: step.estimatedMs,
-    dueInMs: job.dueAtMs - nowMs,
     expiresInMs,
-    priority: job.terms.priority,
     tasks: [{ index: task.ref.index, attempt: task.attempt }]
   }
 }
 
 /** Reads the tasks of an order. */
-export function decodeOrder (message: protocol.runs.IRunOrder, owner: string, nowMs: number, age: workers.Age): workers.TaskOrder[] {
+export function decodeOrder (message: protocol.runs.IRunOrder, owner: string, age: workers.Age): workers.TaskOrder[] {
   return (message.tasks ?? []).map(task => ({
     owner,
     task: { jobId: message.jobId ?? '', step: message.step ?? 0, index: task.index ?? 0 },
@@ -60,13 +58,22 @@
     spec: message.spec ?? '',
     size: decodeSize(message.size),
     estimatedMs: message.estimatedMs ?? 0,
-    priority: message.priority ?? 0,
-    dueAtMs: nowMs + (message.dueInMs ?? 0),
     age,
     expiresAfterMs: message.expiresInMs ?? 0
   }))
 }
 
+/** Creates the message of a demand; without one, that no task waits. */
+export function encodeDemand (demand: workers.Demand | undefined, nowMs: number): protocol.runs.IDemand {
+  return demand === undefined ? { count: 0 } : { rank: demand.rank, latestStartInMs: demand.latestStartAtMs - nowMs, size: demand.size, count: demand.count }
+}
+
+/** Reads the message of a demand. Undefined when no task waits. */
+export function decodeDemand (message: protocol.runs.IDemand, nowMs: number): workers.Demand | undefined {
+  const count = message.count ?? 0
+  return count === 0 ? undefined : { rank: message.rank ?? 0, latestStartAtMs: nowMs + (message.latestStartInMs ?? 0), size: decodeSize(message.size), count }
+}
+
 /** Creates the message of an end. */
 export function encodeEnd (ending: workers.TaskEnding): protocol.runs.IRunEnd {
   const { task, attempt } = ending.order
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -21,6 +21,8 @@
   silentMs: () => number
   order: (job: Job, task: Task, expiresInMs: number) => void
   stop: (ref: workers.TaskRef) => void
+  /** Tells the agent of the most urgent tasks that wait for room, or that none waits. */
+  tellDemand: (demand: workers.Demand | undefined) => void
 }
 
 /** One agent. */
--- a/packages/scheduler/src/order.ts
+++ b/packages/scheduler/src/order.ts
@@ -31,14 +31,31 @@
 }
 
 /**
- * Negative when the left job goes first. Jobs that can meet their objective go before those that can't, then by priority,
- * then by the latest start that meets the objective. Late jobs go shortest first, which serves the most callers.
+ * Negative when the left job goes first. Jobs that can meet their objective go before those that can't, by the latest start
+ * that meets it, with a head start for urgent ones: a job of lower priority goes first only when it would miss its objective
+ * and the more urgent one can wait. Late jobs go by priority and shortest first, which serves the most callers.
  */
 export function compareJobs (left: OrderKey, right: OrderKey, nowMs: number): number {
   const band = bandOf(left, nowMs)
   const bands = band - bandOf(right, nowMs)
   if (bands !== 0) return bands
-  if (left.priority !== right.priority) return left.priority - right.priority
-  if (band !== Band.InTime) return left.remainingMs - right.remainingMs
-  return (left.dueAtMs - left.remainingMs) - (right.dueAtMs - right.remainingMs)
+  if (band !== Band.InTime) return left.priority - right.priority || left.remainingMs - right.remainingMs
+  return latestStartOf(left) - latestStartOf(right)
+}
+
+/** Priorities that a queue may have: 0 up to, but not including, this. */
+const PRIORITIES = 256
+
+/** Returns the place of a job among those of other entries, before its latest start counts. 0 goes first. */
+export function rankOf (key: OrderKey, nowMs: number): number {
+  const band = bandOf(key, nowMs)
+  return band === Band.InTime ? 0 : band * PRIORITIES + Math.min(key.priority, PRIORITIES - 1)
+}
+
+/** Head start of a job before one whose priority is the next lower, in milliseconds: the latency objective without work. */
+const PRIORITY_HEAD_START_MS = 60
+
+/** Returns the time at which the waiting tasks must start for the job to meet its objective, later by the head start of more urgent jobs. */
+export function latestStartOf (key: OrderKey): number {
+  return key.dueAtMs - key.remainingMs + key.priority * PRIORITY_HEAD_START_MS
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -6,11 +6,12 @@
 import { type ArrivalState, canServe, expectedWaitMs, retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
+import { DemandBoard } from './demandBoard.ts'
 import { events } from './events.ts'
 import { fitsSomewhere, ownCores, workAhead } from './fleetCapacity.ts'
 import { Job, TaskPhase } from './job.ts'
 import type { JobOutcome, JobSpec, JobTerms } from './model.ts'
-import { compareJobs, type OrderKey } from './order.ts'
+import { compareJobs, latestStartOf, type OrderKey, rankOf } from './order.ts'
 import { Placer } from './placer.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { SpeedEstimate } from './speed.ts'
@@ -72,6 +73,7 @@
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
   private readonly placer: Placer
+  private readonly demands = new DemandBoard()
   private readonly tick: settings.TimerHandle
   private isPumpScheduled = false
   /** Time at which a worker was last known to take runs, or the start. */
@@ -403,12 +405,26 @@
       if (!job.hasWaitingTask) continue
       queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, uselessAtMs: job.uselessAtMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()), hasStarted: job.mayHaveStarted })
     }
-    if (queue.length === 0) return
     queue.sort((left, right) => compareJobs(left, right, nowMs))
     const reserved = new Set<string>()
     for (const { job } of queue) {
       if (!this.hasPassedDeadline(job)) this.placer.place(job, reserved)
     }
+    this.tellDemands(queue)
+  }
+
+  /** Tells the agents of each service about the first job of the queue that still waits for room. */
+  private tellDemands (queue: readonly QueuedJob[]): void {
+    const { nowMs } = this
+    const waiting = new Map<string, QueuedJob>()
+    for (const queued of queue) {
+      const { service } = queued.job.terms
+      if (!waiting.has(service) && queued.job.hasWaitingTask) waiting.set(service, queued)
+    }
+    for (const [service, queued] of waiting) this.demands.tell(service, describeDemand(queued, nowMs), this.agents.all, nowMs)
+    for (const service of this.demands.demanded) {
+      if (!waiting.has(service)) this.demands.tell(service, undefined, this.agents.all, nowMs)
+    }
   }
 
   private logStanding (change: placement.StandingChange): void {
@@ -417,6 +433,11 @@
   }
 }
 
+function describeDemand (queued: QueuedJob, nowMs: number): workers.Demand {
+  const tasks = queued.job.waitingTasks()
+  return { rank: rankOf(queued, nowMs), latestStartAtMs: latestStartOf(queued), size: queued.job.stepOf(tasks[0]!).size, count: tasks.length }
+}
+
 /** Returns true for a job that ended without an outcome for its caller. */
 function isRepeatable (job: Job): boolean {
   return job.outcome?.kind === 'cancelled' || job.outcome?.kind === 'expired'
--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -14,7 +14,7 @@
   silentAfterMs: number
   /** Time without a report after which a worker is considered gone; it reports every 1.5 s. */
   reportTimeoutMs: number
-  /** Longest time that a task waits here for room before it goes back to its entry; a part of the shortest objective, so that it may still be met elsewhere. */
+  /** Longest time that a task waits here until an earlier run of the same task has been stopped. */
   queueLimitMs: number
   /** Attempts to stop a run that is not acknowledged. */
   stopAttempts: number
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -1,11 +1,12 @@
-/** Takes orders of entries, lets them wait for room, and starts them on the worker beside the agent. */
+/** Takes orders of entries and starts them on the worker beside the agent, or returns them at once when there is no room. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import { DEFAULT_WORKER_OPTIONS, type WorkerOptions } from './defaults.ts'
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
 import { events } from './events.ts'
 import { FencingToken } from './fencing.ts'
-import { compareOrders, HoldBack, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { HoldBack, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { type Demand, Reservations } from './reservations.ts'
 import type { HeldRun } from './runBook.ts'
 import { WorkerSession } from './session.ts'
 import { addSize, fits, NO_SIZE, subtractSize } from './size.ts'
@@ -14,6 +15,8 @@
 export interface ExecutorHandlers {
   onEnd: (ending: TaskEnding) => void
   onLoad: () => void
+  /** Room has become free that is kept for these entries for a moment. */
+  onRoom: (owners: readonly string[]) => void
 }
 
 /** Services of the executor. */
@@ -52,6 +55,8 @@
   readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0 }
   private readonly options: WorkerOptions
   private readonly fencing: FencingToken
+  private readonly reservations = new Reservations()
+  private reservationTimer: settings.TimerHandle | undefined
   private session: WorkerSession | undefined
   private report: WorkerReport | undefined
   private reportedAtMs = 0
@@ -96,6 +101,18 @@
     }
   }
 
+  /** How much of the worker an entry may use: not the room that is kept for others. */
+  loadFor (owner: string): ExecutorLoad {
+    const { load } = this
+    return { ...load, free: this.reservations.roomFor(owner, load.free) }
+  }
+
+  /** Takes the most urgent tasks of an entry that wait for room, or that none waits. */
+  takeDemand (owner: string, demand: Demand | undefined): void {
+    this.reservations.note(owner, demand, this.services.timers.nowMs())
+    this.reserve()
+  }
+
   /** Takes a worker's report of itself. Returns false when a later life or a later report is known. */
   takeReport (report: WorkerReport): boolean {
     const known = this.report
@@ -117,7 +134,7 @@
     this.services.log.event(events.WorkerLeft, { workerId, runs: this.session?.runCount ?? 0 })
     this.report = { ...this.report, isDraining: true }
     this.returnWaiting(() => true, 'worker left')
-    this.handlers.onLoad()
+    this.noteLoad()
   }
 
   /** Takes an entry's task. Its end is reported once. */
@@ -126,8 +143,8 @@
     const held = this.session?.find(key)
     if (held?.order.owner === order.owner && held.order.attempt === order.attempt) return
     if (held !== undefined) this.stopRun(held, 'task was ordered again')
+    this.reservations.noteOrder(order.owner, order.size)
     this.waiting.push(order)
-    this.waiting.sort(compareOrders)
     this.startNext()
   }
 
@@ -150,13 +167,14 @@
   async drain (): Promise<void> {
     this.isStopping = true
     this.returnWaiting(() => true, 'agent stops')
-    this.handlers.onLoad()
+    this.noteLoad()
     if (this.taskCount > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
   }
 
   /** Ends the session with the worker. */
   async close (): Promise<void> {
     this.tick.cancel()
+    this.reservationTimer?.cancel()
     this.session?.end('agent stops')
     await this.services.driver.close()
   }
@@ -170,15 +188,35 @@
     })
     this.session = session
     session.run()
+    this.noteLoad()
+  }
+
+  private noteLoad (): void {
+    this.reserve()
     this.handlers.onLoad()
   }
 
+  /** Keeps free room for the most urgent demands, and looks again when an entry has not used it. */
+  private reserve (): void {
+    const { load } = this
+    if (!load.isPresent || load.isDraining) return
+    const { timers } = this.services
+    const owners = this.reservations.assign(load.free, timers.nowMs())
+    if (owners.length > 0) this.handlers.onRoom(owners)
+    const untilMs = this.reservations.reservedUntilMs
+    if (untilMs === undefined || this.reservationTimer !== undefined) return
+    this.reservationTimer = timers.after(Math.max(0, untilMs - timers.nowMs()), () => {
+      this.reservationTimer = undefined
+      this.noteLoad()
+    })
+  }
+
   private noteChange (): void {
     if (this.session?.acceptsRuns === true) {
       this.releaseHeldBack(true)
       this.startNext()
     } else this.returnWaiting(() => true, 'worker does not answer')
-    this.handlers.onLoad()
+    this.noteLoad()
   }
 
   private noteDraining (report: WorkerReport): void {
@@ -186,7 +224,7 @@
       this.services.log.event(events.WorkerDraining, { workerId: report.workerId, runs: this.session?.runCount ?? 0 })
       this.returnWaiting(() => true, 'worker is draining')
     }
-    this.handlers.onLoad()
+    this.noteLoad()
   }
 
   private get mayStart (): boolean {
@@ -202,23 +240,24 @@
     const kept: TaskOrder[] = []
     for (const order of this.waiting) {
       if (order.age.ms > order.expiresAfterMs) this.giveBack(order, 'expired')
-      else if (session.find(taskKey(order.task)) === undefined && fits(session.free, order.size)) session.start(order)
-      else kept.push(order)
+      else if (session.find(taskKey(order.task)) !== undefined) kept.push(order)
+      else if (fits(this.reservations.roomFor(order.owner, session.free), order.size)) session.start(order)
+      else this.giveBack(order, 'no room')
     }
     this.waiting = kept
-    this.handlers.onLoad()
+    this.noteLoad()
   }
 
-  /** Returns tasks that have waited too long, and gives up a worker that has stopped reporting. */
+  /** Returns tasks that have waited too long for the end of an earlier run, and gives up a worker that has stopped reporting. */
   private review (): void {
     this.releaseHeldBack(false)
-    this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.queueLimitMs), 'no room in time')
+    this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.queueLimitMs), 'earlier run not ended in time')
     if (this.report === undefined || this.services.timers.nowMs() - this.reportedAtMs < this.options.reportTimeoutMs) return
     this.services.log.event(events.ReportTimeout, { workerId: this.report.workerId })
     this.session?.end('worker stopped reporting')
     this.session = undefined
     this.report = undefined
-    this.handlers.onLoad()
+    this.noteLoad()
   }
 
   private returnWaiting (matches: (order: TaskOrder) => boolean, reason: string): void {
@@ -227,7 +266,7 @@
     if (returned.length === 0) return
     this.waiting = this.waiting.filter(order => !returned.includes(order))
     for (const order of returned) this.giveBack(order, reason)
-    this.handlers.onLoad()
+    this.noteLoad()
   }
 
   private giveBack (order: TaskOrder, reason: string): void {
@@ -246,6 +285,7 @@
     this.count(ending.end)
     this.handlers.onEnd(ending)
     if (this.waiting.length > 0) this.startNext()
+    else this.noteLoad()
     this.noteIdle()
   }
 
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -11,10 +11,6 @@
   spec: string
   size: RunSize
   estimatedMs: number
-  /** 0 goes first. */
-  priority: number
-  /** Steady time at which the job misses its objective. */
-  dueAtMs: number
   /** Time since the order arrived. */
   age: Age
   /** Age from which the task must not start. */
@@ -48,8 +44,3 @@
   runMs: number
   reason: string
 }
-
-/** Negative when the left task goes first: by priority, then by the time at which it misses its objective. */
-export function compareOrders (left: TaskOrder, right: TaskOrder): number {
-  return left.priority - right.priority || left.dueAtMs - right.dueAtMs
-}
--- /dev/null
+++ b/test/unit/bench/jobModel.test.ts
@@ -0,0 +1,62 @@
+/** Crests of demand on the model of a fleet: what callers get beside one queue that knows everything. */
+import { expect } from 'chai'
+import * as bench from '@egretvalve/bench'
+
+function createTerms (priority: number): bench.JobKind['terms'] {
+  return { service: 'spares', priority, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
+}
+
+/** Three kinds of jobs with an equal share of the credit: short urgent ones of many tasks, long ones, and many small ones. */
+const KINDS: bench.JobKind[] = [
+  { name: 'check', terms: createTerms(0), ratePerS: 20, meanCount: 8, maxCount: 32, meanWorkMs: 73, deadlineMs: 1_650, worth: 0.0291 },
+  { name: 'issue', terms: createTerms(2), ratePerS: 3.65, meanCount: 4, maxCount: 16, meanWorkMs: 1_086, deadlineMs: 1_650, worth: 0.16 },
+  { name: 'renew', terms: createTerms(1), ratePerS: 58, meanCount: 2, maxCount: 8, meanWorkMs: 243, deadlineMs: 1_650, worth: 0.01 }
+]
+const WORKER_CORES = [32, 32, 32, 48, 32, 32, 32, 48, 48, 32, 32]
+const CORES = WORKER_CORES.reduce((sum, cores) => sum + cores)
+const ENTRIES = 3
+const LINK_DELAY_MS = 1.5
+const DURATION_MS = 6_000
+const SEEDS = [1, 2]
+/** Share of the omniscient queue's credit that the dispatcher must reach on calm and crest days. */
+const MIN_SHARE = 0.95
+
+interface Shares {
+  credit: number
+  urgent: number
+}
+
+async function playCrest (level: number): Promise<{ dispatcher: Shares, omniscient: Shares, doubled: number }> {
+  const answers: bench.JobAnswer[] = []
+  const best: bench.JobAnswer[] = []
+  let doubled = 0
+  for (const seed of SEEDS) {
+    const shape: bench.LoadShape = { durationMs: DURATION_MS, level: level * CORES / bench.meanCores(KINDS), swing: 0.2, periodMs: 2 * DURATION_MS }
+    const load = bench.createJobLoad(KINDS, shape, seed)
+    const outcome = await bench.playJobLoad(load, { entries: ENTRIES, workerCores: WORKER_CORES, linkDelayMs: LINK_DELAY_MS, seed })
+    answers.push(...outcome.answers)
+    best.push(...bench.computeOmniscient(load, CORES))
+    doubled += outcome.doubled.length
+  }
+  return { dispatcher: measure(answers), omniscient: measure(best), doubled }
+}
+
+function measure (answers: readonly bench.JobAnswer[]): Shares {
+  const table = bench.countCredit(answers)
+  return { credit: bench.creditShare(table.get('')), urgent: bench.creditShare(table.get('check')) }
+}
+
+describe('a fleet under a crest of demand', () => {
+  it('serves a calm load nearly as well as one queue that knows everything', async () => {
+    const { dispatcher, omniscient, doubled } = await playCrest(0.5)
+    expect(dispatcher.credit).to.be.at.least(MIN_SHARE * omniscient.credit)
+    expect(doubled).to.equal(0)
+  })
+
+  it('serves a crest that fills the workers nearly as well, urgent jobs before all', async () => {
+    const { dispatcher, omniscient, doubled } = await playCrest(0.85)
+    expect(dispatcher.credit).to.be.at.least(MIN_SHARE * omniscient.credit)
+    expect(dispatcher.urgent).to.be.at.least(MIN_SHARE * omniscient.urgent)
+    expect(doubled).to.equal(0)
+  })
+})
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -11,6 +11,7 @@
 class FakePort implements scheduler.AgentPort {
   readonly ordered: Array<{ ref: workers.TaskRef, attempt: number }> = []
   readonly stopped: workers.TaskRef[] = []
+  readonly demands: Array<workers.Demand | undefined> = []
   silence = 0
 
   constructor (readonly agentId: string, readonly life = 'life-1', readonly failureDomain = 'a') {}
@@ -26,6 +27,10 @@
   stop (ref: workers.TaskRef): void {
     this.stopped.push(ref)
   }
+
+  tellDemand (demand: workers.Demand | undefined): void {
+    this.demands.push(demand)
+  }
 }
 
 function createLoad (changes: Partial<scheduler.ReportedLoad> = {}): scheduler.ReportedLoad {
