--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -3,7 +3,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { ConfigShelf, decodeCopy } from './configCopy.ts'
-import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, FORGET_ENTRY_MS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
+import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, FORGET_ENTRY_MS, LOAD_PERIOD_LINKS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
 import { EntryConnection } from './entryConnection.ts'
 import { events } from './events.ts'
 import { decodeDemand, decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
@@ -207,7 +207,8 @@
 
   private get loadPeriodMs (): number {
     const { free, total } = this.executor.load
-    return free.cpuMilli >= total.cpuMilli * CALM_FREE_SHARE ? CALM_LOAD_PERIOD_MS : LOAD_PERIOD_MS
+    const periodMs = free.cpuMilli >= total.cpuMilli * CALM_FREE_SHARE ? CALM_LOAD_PERIOD_MS : LOAD_PERIOD_MS
+    return periodMs * Math.max(1, this.openConnections().length / LOAD_PERIOD_LINKS)
   }
 
   private reportSlow (): void {
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -23,6 +23,8 @@
 export const LOAD_PERIOD_MS = 40
 /** The same on a worker with much room, where an old report does no harm. */
 export const CALM_LOAD_PERIOD_MS = 120
+/** Links up to which the two periods above hold; with more they grow in proportion, so that the reports of all agents to an entry stay bounded. */
+export const LOAD_PERIOD_LINKS = 4
 /** Free share of the processors from which a worker has much room. */
 export const CALM_FREE_SHARE = 0.4
 /** Period in which slow runs are looked for, in milliseconds. */
--- a/packages/scheduler/src/demandBoard.ts
+++ b/packages/scheduler/src/demandBoard.ts
@@ -8,22 +8,35 @@
 const MIN_PERIOD_MS = 5
 /** Difference of the latest start from which agents are told again. */
 const LATEST_START_STEP_MS = 15
+/** Most agents that are told: a full worker of 32 cores ends some 30 tasks a second, so room for a job is found among these within milliseconds. */
+const MAX_AGENTS = 16
+/** Time for which the same agents are told. */
+const KEEP_AGENTS_MS = 1_000
 
 interface ToldDemand {
   demand: workers.Demand | undefined
   atMs: number
+  agentIds: ReadonlySet<string>
+  chosenAtMs: number
 }
 
 /** The demand of each service as told last. */
 export class DemandBoard {
   private readonly told = new Map<string, ToldDemand>()
 
-  /** Tells the agents of a service when the demand has changed enough. */
+  /** `random` returns a number from 0 to 1. */
+  constructor (private readonly random: () => number) {}
+
+  /** Tells agents of a service when the demand has changed enough. */
   tell (service: string, demand: workers.Demand | undefined, agents: Iterable<AgentRecord>, nowMs: number): void {
-    if (!this.isDue(this.told.get(service), demand, nowMs)) return
-    this.told.set(service, { demand, atMs: nowMs })
-    for (const agent of agents) {
-      if (agent.view.service === service) agent.port?.tellDemand(demand)
+    const before = this.told.get(service)
+    if (!isDue(before, demand, nowMs)) return
+    const linked = [...agents].filter(agent => agent.port !== undefined && agent.view.service === service)
+    const isKept = before !== undefined && (demand === undefined || nowMs - before.chosenAtMs < KEEP_AGENTS_MS)
+    const agentIds = isKept ? before.agentIds : this.chooseAgents(linked)
+    this.told.set(service, { demand, atMs: nowMs, agentIds, chosenAtMs: isKept ? before.chosenAtMs : nowMs })
+    for (const agent of linked) {
+      if (agentIds.has(agent.agentId)) agent.port?.tellDemand(demand)
     }
   }
 
@@ -32,12 +45,19 @@
     return [...this.told].filter(([, { demand }]) => demand !== undefined).map(([service]) => service)
   }
 
-  private isDue (told: ToldDemand | undefined, demand: workers.Demand | undefined, nowMs: number): boolean {
-    if (demand === undefined) return told?.demand !== undefined
-    if (told === undefined) return true
-    const sinceMs = nowMs - told.atMs
-    if (sinceMs < MIN_PERIOD_MS) return false
-    const { demand: before } = told
-    return before === undefined || sinceMs >= REPEAT_MS || before.rank !== demand.rank || Math.abs(before.latestStartAtMs - demand.latestStartAtMs) > LATEST_START_STEP_MS
+  private chooseAgents (linked: readonly AgentRecord[]): ReadonlySet<string> {
+    const pool = linked.map(agent => agent.agentId)
+    const chosen = new Set<string>()
+    while (chosen.size < MAX_AGENTS && pool.length > 0) chosen.add(pool.splice(Math.min(pool.length - 1, Math.floor(this.random() * pool.length)), 1)[0]!)
+    return chosen
   }
 }
+
+function isDue (told: ToldDemand | undefined, demand: workers.Demand | undefined, nowMs: number): boolean {
+  if (demand === undefined) return told?.demand !== undefined
+  if (told === undefined) return true
+  const sinceMs = nowMs - told.atMs
+  if (sinceMs < MIN_PERIOD_MS) return false
+  const { demand: before } = told
+  return before === undefined || sinceMs >= REPEAT_MS || before.rank !== demand.rank || Math.abs(before.latestStartAtMs - demand.latestStartAtMs) > LATEST_START_STEP_MS
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -73,7 +73,7 @@
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
   private readonly placer: Placer
-  private readonly demands = new DemandBoard()
+  private readonly demands: DemandBoard
   private readonly tick: settings.TimerHandle
   private isPumpScheduled = false
   /** Time at which a worker was last known to take runs, or the start. */
@@ -83,6 +83,7 @@
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logStanding(change) })
+    this.demands = new DemandBoard(services.random)
     this.placer = new Placer({
       timers: services.timers,
       log: services.log,
