Refuse jobs that can't start in useful time

Change: a job is refused at once when the expected wait exceeds half of its caller's time or the use of its answer, and later when it has not started by then; the caller has the rest of its time to try again.

--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -13,6 +13,18 @@
   lagMs: number
   /** Time until the caller leaves. */
   deadlineInMs: number
+  /** Time by which the job must have started. */
+  startLimitMs: number
+}
+
+/** Share of the caller's time after which a job that has not started is refused: the rest is left to the caller to try again. */
+const WAIT_SHARE = 0.5
+/** Estimates are often too low by this factor, and with them the time from which an answer is useless. */
+const ESTIMATE_MARGIN = 1.3
+
+/** Returns the time from the arrival by which a job must have started to be of use to its caller, in milliseconds. */
+export function startLimitMs (deadlineMs: number, uselessInMs: number, expectedMs: number): number {
+  return Math.max(0, Math.min(deadlineMs * WAIT_SHARE, uselessInMs * ESTIMATE_MARGIN - expectedMs))
 }
 
 /** Returns the expected wait for room, in milliseconds. */
@@ -23,9 +35,10 @@
 /** Times that a job waits for its entry: to be placed, for its last end, and for its answer; and once before it was read. */
 const ENTRY_PASSES = 4
 
-/** Returns true when a job that arrives now is expected to end before its caller leaves. */
+/** Returns true when a job that arrives now is expected to start in useful time and to end before its caller leaves. */
 export function canServe (state: ArrivalState): boolean {
-  return expectedWaitMs(state) + state.expectedMs + ENTRY_PASSES * state.lagMs <= state.deadlineInMs
+  const waitMs = expectedWaitMs(state)
+  return waitMs <= state.startLimitMs && waitMs + state.expectedMs + ENTRY_PASSES * state.lagMs <= state.deadlineInMs
 }
 
 /** Returns when a refused caller may come back: when the work ahead is done, spread so that callers don't return together. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -3,7 +3,7 @@
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-import { type ArrivalState, canServe, expectedWaitMs, retryAfterMs } from './admission.ts'
+import { type ArrivalState, canServe, expectedWaitMs, retryAfterMs, startLimitMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
 import { DemandBoard } from './demandBoard.ts'
@@ -333,8 +333,9 @@
       else this.refuse(job, 'no room before the deadline', 0)
       return
     }
-    const isHopeless = !job.mayHaveStarted && this.nowMs + this.speeds.expectedMs(job.remainingEstimateMs()) > job.deadlineAtMs
-    if (isHopeless) this.refuse(job, 'can not end before the deadline', this.expectedWaitFor(job))
+    if (job.mayHaveStarted) return
+    if (this.nowMs + this.speeds.expectedMs(job.remainingEstimateMs()) > job.deadlineAtMs) this.refuse(job, 'can not end before the deadline', this.expectedWaitFor(job))
+    else if (this.nowMs - job.arrivedAtMs > this.startLimitOf(job)) this.refuse(job, 'no room in useful time', this.expectedWaitFor(job))
   }
 
   /** Forgets the jobs that ended first; they stand in that order. */
@@ -382,8 +383,13 @@
     }
     const unplaceable = job.spec.steps.find(step => !fitsSomewhere(this.agents, job, step))
     if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
-    const state: ArrivalState = { workAhead: workAhead(this.open.values(), job, this.speeds), cores: ownCores(this.agents, job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), lagMs: this.services.lagMs?.() ?? 0, deadlineInMs: job.deadlineMs }
-    return canServe(state) ? undefined : { reason: 'can not end before the deadline', waitMs: expectedWaitMs(state) }
+    const state: ArrivalState = { workAhead: workAhead(this.open.values(), job, this.speeds), cores: ownCores(this.agents, job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), lagMs: this.services.lagMs?.() ?? 0, deadlineInMs: job.deadlineMs, startLimitMs: this.startLimitOf(job) }
+    return canServe(state) ? undefined : { reason: 'can not be served in useful time', waitMs: expectedWaitMs(state) }
+  }
+
+  /** Returns the time from its arrival by which a job must have started. */
+  private startLimitOf (job: Job): number {
+    return startLimitMs(job.deadlineMs, job.uselessAtMs - job.arrivedAtMs, this.speeds.expectedMs(job.remainingEstimateMs()))
   }
 
   private expectedWaitFor (job: Job): number {
--- a/test/unit/bench/jobModel.test.ts
+++ b/test/unit/bench/jobModel.test.ts
@@ -18,12 +18,19 @@
 const LINK_DELAY_MS = 1.5
 const DURATION_MS = 6_000
 const SEEDS = [1, 2]
+/** Share of the callers that may get neither an answer in useful time nor a refusal, and the share of their time after which a refusal comes too late. */
+const MAX_LOST_SHARE = 0.01
+const MAX_REFUSAL_SHARE = 0.55
 /** Share of the omniscient queue's credit that the dispatcher must reach on calm and crest days. */
 const MIN_SHARE = 0.95
 
 interface Shares {
   credit: number
   urgent: number
+  /** Share of the callers that were neither served in useful time nor refused. */
+  lost: number
+  /** Longest time until a refusal against the time that the caller had. */
+  longestRefusal: number
 }
 
 async function playCrest (level: number): Promise<{ dispatcher: Shares, omniscient: Shares, doubled: number }> {
@@ -43,7 +50,9 @@
 
 function measure (answers: readonly bench.JobAnswer[]): Shares {
   const table = bench.countCredit(answers)
-  return { credit: bench.creditShare(table.get('')), urgent: bench.creditShare(table.get('check')) }
+  const all = table.get('')!
+  const refusals = answers.map(({ job, refusedAfterMs }) => (refusedAfterMs ?? 0) / job.deadlineMs)
+  return { credit: bench.creditShare(all), urgent: bench.creditShare(table.get('check')), lost: all.lost / all.asked, longestRefusal: Math.max(...refusals) }
 }
 
 describe('a fleet under a crest of demand', () => {
@@ -59,4 +68,11 @@
     expect(dispatcher.urgent).to.be.at.least(MIN_SHARE * omniscient.urgent)
     expect(doubled).to.equal(0)
   })
+
+  it('tells callers early whom it can not serve under too much load', async () => {
+    const { dispatcher, omniscient } = await playCrest(1.3)
+    expect(dispatcher.lost).to.be.at.most(MAX_LOST_SHARE)
+    expect(dispatcher.longestRefusal).to.be.at.most(MAX_REFUSAL_SHARE)
+    expect(dispatcher.urgent).to.be.at.least(MIN_SHARE * omniscient.urgent)
+  })
 })
--- a/test/unit/scheduler/admission.test.ts
+++ b/test/unit/scheduler/admission.test.ts
@@ -3,7 +3,7 @@
 import * as fc from 'fast-check'
 import * as scheduler from '@egretvalve/scheduler'
 
-const STATE: scheduler.ArrivalState = { workAhead: 0, cores: 100, expectedMs: 200, lagMs: 0, deadlineInMs: 1_500 }
+const STATE: scheduler.ArrivalState = { workAhead: 0, cores: 100, expectedMs: 200, lagMs: 0, deadlineInMs: 1_500, startLimitMs: 1_500 }
 
 describe('admission of jobs', () => {
   it('takes what can end in time and refuses what can not, for work ahead and for an entry that is behind', () => {
@@ -14,6 +14,17 @@
     expect(scheduler.canServe({ ...STATE, cores: 0 })).to.equal(false)
   })
 
+  it('refuses what could end in time but not start in useful time', () => {
+    expect(scheduler.canServe({ ...STATE, workAhead: 100 * 700, startLimitMs: 700 })).to.equal(true)
+    expect(scheduler.canServe({ ...STATE, workAhead: 100 * 701, startLimitMs: 700 })).to.equal(false)
+  })
+
+  it('lets a job wait for half of its caller\'s time at most, and not beyond the use of its answer', () => {
+    expect(scheduler.startLimitMs(2_000, 10_000, 100)).to.equal(1_000)
+    expect(scheduler.startLimitMs(2_000, 500, 100)).to.equal(550)
+    expect(scheduler.startLimitMs(2_000, 100, 1_000)).to.equal(0)
+  })
+
   it('never takes more when there is more work ahead, less time or more lag', () => {
     fc.assert(fc.property(fc.nat(200_000), fc.nat(5_000), fc.nat(1_000), fc.nat(1_000), (workAhead, deadlineInMs, lagMs, more) => {
       const state = { ...STATE, workAhead, deadlineInMs, lagMs }
