--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -17,8 +17,8 @@
   startLimitMs: number
 }
 
-/** Share of the caller's time after which a job that has not started is refused: the rest is left to the caller to try again. */
-const WAIT_SHARE = 0.5
+/** Share of the caller's time after which a job that has not started is refused: more than half is left to the caller to try again. */
+const WAIT_SHARE = 0.4
 /** Estimates are often too low by this factor, and with them the time from which an answer is useless. */
 const ESTIMATE_MARGIN = 1.3
 
--- a/test/unit/bench/jobModel.test.ts
+++ b/test/unit/bench/jobModel.test.ts
@@ -20,7 +20,7 @@
 const SEEDS = [1, 2]
 /** Share of the callers that may get neither an answer in useful time nor a refusal, and the share of their time after which a refusal comes too late. */
 const MAX_LOST_SHARE = 0.01
-const MAX_REFUSAL_SHARE = 0.55
+const MAX_REFUSAL_SHARE = 0.5
 /** Share of the omniscient queue's credit that the dispatcher must reach on calm and crest days. */
 const MIN_SHARE = 0.95
 
--- a/test/unit/scheduler/admission.test.ts
+++ b/test/unit/scheduler/admission.test.ts
@@ -19,8 +19,8 @@
     expect(scheduler.canServe({ ...STATE, workAhead: 100 * 701, startLimitMs: 700 })).to.equal(false)
   })
 
-  it('lets a job wait for half of its caller\'s time at most, and not beyond the use of its answer', () => {
-    expect(scheduler.startLimitMs(2_000, 10_000, 100)).to.equal(1_000)
+  it('lets a job wait for less than half of its caller\'s time, and not beyond the use of its answer', () => {
+    expect(scheduler.startLimitMs(2_000, 10_000, 100)).to.equal(800)
     expect(scheduler.startLimitMs(2_000, 500, 100)).to.equal(550)
     expect(scheduler.startLimitMs(2_000, 100, 1_000)).to.equal(0)
   })
