--- a/packages/scheduler/src/demandBoard.ts
+++ b/packages/scheduler/src/demandBoard.ts
@@ -1,6 +1,8 @@
 /** What an entry tells agents of its tasks that wait for room, so that freed room goes to the most urgent task of all entries. */
 import type * as workers from '@egretvalve/workers'
-import type { AgentRecord } from './agents.ts'
+import type { AgentRecord, Agents } from './agents.ts'
+import type { Job } from './job.ts'
+import { latestStartOf, type OrderKey, rankOf } from './order.ts'
 
 /** Time after which a demand is repeated while tasks wait; agents forget it after 250 ms. */
 const REPEAT_MS = 100
@@ -13,6 +15,11 @@
 /** Time for which the same agents are told. */
 const KEEP_AGENTS_MS = 1_000
 
+/** Order key and job, computed once for each pass over the queue. */
+export interface QueuedJob extends OrderKey {
+  job: Job
+}
+
 interface ToldDemand {
   demand: workers.Demand | undefined
   atMs: number
@@ -27,6 +34,19 @@
   /** `random` returns a number from 0 to 1. */
   constructor (private readonly random: () => number) {}
 
+  /** Tells agents of the first job of each service that still waits for room, in the order of the queue. */
+  review (queue: readonly QueuedJob[], agents: Agents, nowMs: number): void {
+    const waiting = new Map<string, QueuedJob>()
+    for (const queued of queue) {
+      const { service } = queued.job.terms
+      if (!waiting.has(service) && queued.job.hasWaitingTask) waiting.set(service, queued)
+    }
+    for (const [service, queued] of waiting) this.tell(service, describeDemand(queued, nowMs), agents.all, nowMs)
+    for (const service of this.demanded) {
+      if (!waiting.has(service)) this.tell(service, undefined, agents.all, nowMs)
+    }
+  }
+
   /** Tells agents of a service when the demand has changed enough. */
   tell (service: string, demand: workers.Demand | undefined, agents: Iterable<AgentRecord>, nowMs: number): void {
     const before = this.told.get(service)
@@ -53,6 +73,11 @@
   }
 }
 
+function describeDemand (queued: QueuedJob, nowMs: number): workers.Demand {
+  const tasks = queued.job.waitingTasks()
+  return { rank: rankOf(queued, nowMs), latestStartAtMs: latestStartOf(queued), size: queued.job.stepOf(tasks[0]!).size, count: tasks.length }
+}
+
 function isDue (told: ToldDemand | undefined, demand: workers.Demand | undefined, nowMs: number): boolean {
   if (demand === undefined) return told?.demand !== undefined
   if (told === undefined) return true
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -3,16 +3,16 @@
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-import { type ArrivalState, canServe, expectedWaitMs, retryAfterMs, startLimitMs } from './admission.ts'
+import { retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
-import { DemandBoard } from './demandBoard.ts'
+import { DemandBoard, type QueuedJob } from './demandBoard.ts'
 import { events } from './events.ts'
-import { fitsSomewhere, ownCores, workAhead } from './fleetCapacity.ts'
 import { Job, TaskPhase } from './job.ts'
 import type { JobOutcome, JobSpec, JobTerms } from './model.ts'
-import { compareJobs, latestStartOf, type OrderKey, rankOf } from './order.ts'
+import { compareJobs } from './order.ts'
 import { Placer } from './placer.ts'
+import { Refusals } from './refusals.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { SpeedEstimate } from './speed.ts'
 import type { ReportedLoad } from './workerView.ts'
@@ -53,14 +53,6 @@
   moves: number
 }
 
-/** Order key and job, computed once for each pass over the queue. */
-interface QueuedJob extends OrderKey {
-  job: Job
-}
-
-/** Time without any worker, as after a start of the whole system, in which jobs wait for the first one instead of being refused. */
-const WORKER_WAIT_MS = 1_500
-
 /** Schedules the jobs of one entry. */
 export class Scheduler {
   readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, moves: 0 }
@@ -74,10 +66,9 @@
   private readonly ejection: placement.Ejection
   private readonly placer: Placer
   private readonly demands: DemandBoard
+  private readonly refusals: Refusals
   private readonly tick: settings.TimerHandle
   private isPumpScheduled = false
-  /** Time at which a worker was last known to take runs, or the start. */
-  private workerSeenAtMs: number
   private onIdle: (() => void) | undefined
 
   constructor (private readonly services: SchedulerServices) {
@@ -95,7 +86,7 @@
       random: services.random,
       entryCount: () => services.entryCount?.() ?? 1
     })
-    this.workerSeenAtMs = services.timers.nowMs()
+    this.refusals = new Refusals({ timers: services.timers, agents: this.agents, speeds: this.speeds, open: this.open, workerCount: () => this.workerCount, lagMs: () => services.lagMs?.() ?? 0 })
     this.tick = services.timers.every(this.options.tickMs, () => { this.review() })
   }
 
@@ -147,7 +138,7 @@
       return known
     }
     const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0)
-    const refusal = this.findRefusal(job)
+    const refusal = this.refusals.findAtArrival(job)
     if (refusal !== undefined) {
       this.refuse(job, refusal.reason, refusal.waitMs)
       return job
@@ -309,7 +300,7 @@
 
   /** Looks at deadlines and at agents that are away. */
   private review (): void {
-    if (this.workerCount > 0) this.workerSeenAtMs = this.nowMs
+    this.refusals.review()
     for (const agent of [...this.agents.all]) this.reviewAgent(agent)
     for (const job of [...this.open.values()]) this.reviewJob(job)
     this.forgetEnded()
@@ -334,8 +325,8 @@
       return
     }
     if (job.mayHaveStarted) return
-    if (this.nowMs + this.speeds.expectedMs(job.remainingEstimateMs()) > job.deadlineAtMs) this.refuse(job, 'can not end before the deadline', this.expectedWaitFor(job))
-    else if (this.nowMs - job.arrivedAtMs > this.startLimitOf(job)) this.refuse(job, 'no room in useful time', this.expectedWaitFor(job))
+    const refusal = this.refusals.findWhileWaiting(job)
+    if (refusal !== undefined) this.refuse(job, refusal.reason, refusal.waitMs)
   }
 
   /** Forgets the jobs that ended first; they stand in that order. */
@@ -376,26 +367,6 @@
     if (this.onIdle !== undefined && this.openCount === 0) this.onIdle()
   }
 
-  private findRefusal (job: Job): { reason: string, waitMs: number } | undefined {
-    if (this.workerCount === 0) {
-      const isWaiting = this.nowMs - this.workerSeenAtMs < WORKER_WAIT_MS
-      return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
-    }
-    const unplaceable = job.spec.steps.find(step => !fitsSomewhere(this.agents, job, step))
-    if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
-    const state: ArrivalState = { workAhead: workAhead(this.open.values(), job, this.speeds), cores: ownCores(this.agents, job.terms.service), expectedMs: this.speeds.expectedMs(job.remainingEstimateMs()), lagMs: this.services.lagMs?.() ?? 0, deadlineInMs: job.deadlineMs, startLimitMs: this.startLimitOf(job) }
-    return canServe(state) ? undefined : { reason: 'can not be served in useful time', waitMs: expectedWaitMs(state) }
-  }
-
-  /** Returns the time from its arrival by which a job must have started. */
-  private startLimitOf (job: Job): number {
-    return startLimitMs(job.deadlineMs, job.uselessAtMs - job.arrivedAtMs, this.speeds.expectedMs(job.remainingEstimateMs()))
-  }
-
-  private expectedWaitFor (job: Job): number {
-    return workAhead(this.open.values(), job, this.speeds) / Math.max(1, ownCores(this.agents, job.terms.service))
-  }
-
   private schedulePump (): void {
     if (this.isPumpScheduled) return
     this.isPumpScheduled = true
@@ -417,21 +388,7 @@
     for (const { job } of queue) {
       if (!this.hasPassedDeadline(job)) this.placer.place(job, reserved)
     }
-    this.tellDemands(queue)
-  }
-
-  /** Tells the agents of each service about the first job of the queue that still waits for room. */
-  private tellDemands (queue: readonly QueuedJob[]): void {
-    const { nowMs } = this
-    const waiting = new Map<string, QueuedJob>()
-    for (const queued of queue) {
-      const { service } = queued.job.terms
-      if (!waiting.has(service) && queued.job.hasWaitingTask) waiting.set(service, queued)
-    }
-    for (const [service, queued] of waiting) this.demands.tell(service, describeDemand(queued, nowMs), this.agents.all, nowMs)
-    for (const service of this.demands.demanded) {
-      if (!waiting.has(service)) this.demands.tell(service, undefined, this.agents.all, nowMs)
-    }
+    this.demands.review(queue, this.agents, nowMs)
   }
 
   private logStanding (change: placement.StandingChange): void {
@@ -440,11 +397,6 @@
   }
 }
 
-function describeDemand (queued: QueuedJob, nowMs: number): workers.Demand {
-  const tasks = queued.job.waitingTasks()
-  return { rank: rankOf(queued, nowMs), latestStartAtMs: latestStartOf(queued), size: queued.job.stepOf(tasks[0]!).size, count: tasks.length }
-}
-
 /** Returns true for a job that ended without an outcome for its caller. */
 function isRepeatable (job: Job): boolean {
   return job.outcome?.kind === 'cancelled' || job.outcome?.kind === 'expired'
