Share wake-ups between regular timers

Cause: each regular timer of a process woke it by itself: 45 to 55 wake-ups a second at rest (beats, watch, lease, tick, lag), each charged and simulated. Change: the timer service lets a regular callback come up to a quarter of its period early, so that one wake-up serves several; the lease loop of an idle worker is one of them.

--- a/packages/settings/src/timers.ts
+++ b/packages/settings/src/timers.ts
@@ -19,8 +19,21 @@
   sleep: (delayMs: number, signal?: AbortSignal) => Promise<void>
 }
 
-/** The timer service over the process's clocks. */
+/** Share of its period by which a regular callback may come early, so that one wake-up of the process serves several. */
+const EARLY_SHARE = 0.25
+
+interface RegularTimer {
+  periodMs: number
+  dueMs: number
+  callback: () => void
+}
+
+/** The timer service over the process's clocks. Regular callbacks share wake-ups. */
 export class TimerService implements Timers {
+  private readonly regular = new Set<RegularTimer>()
+  private wakeTimer: NodeJS.Timeout | undefined
+  private wakeAtMs = Number.POSITIVE_INFINITY
+
   nowMs (): number {
     return performance.now()
   }
@@ -35,8 +48,15 @@
   }
 
   every (periodMs: number, callback: () => void): TimerHandle {
-    const timer = setInterval(callback, periodMs)
-    return { cancel: () => clearInterval(timer) }
+    const timer: RegularTimer = { periodMs, dueMs: this.nowMs() + periodMs, callback }
+    this.regular.add(timer)
+    this.planWake()
+    return {
+      cancel: () => {
+        this.regular.delete(timer)
+        this.planWake()
+      }
+    }
   }
 
   async sleep (delayMs: number, signal?: AbortSignal): Promise<void> {
@@ -51,6 +71,35 @@
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
+
+  /** Sets the wake-up for the regular callback that is due first. */
+  private planWake (): void {
+    let firstMs = Number.POSITIVE_INFINITY
+    for (const { dueMs } of this.regular) firstMs = Math.min(firstMs, dueMs)
+    if (firstMs === this.wakeAtMs) return
+    clearTimeout(this.wakeTimer)
+    this.wakeAtMs = firstMs
+    this.wakeTimer = firstMs === Number.POSITIVE_INFINITY ? undefined : setTimeout(() => { this.wake() }, Math.max(0, firstMs - this.nowMs()))
+  }
+
+  private wake (): void {
+    this.wakeAtMs = Number.POSITIVE_INFINITY
+    const nowMs = this.nowMs()
+    const due = [...this.regular].filter(timer => timer.dueMs - nowMs <= timer.periodMs * EARLY_SHARE)
+    try {
+      for (const timer of due) this.fire(timer)
+    } finally {
+      this.planWake()
+    }
+  }
+
+  private fire (timer: RegularTimer): void {
+    if (!this.regular.has(timer)) return
+    // Set first, so that a callback that throws does not come again at once.
+    timer.dueMs = this.nowMs() + timer.periodMs
+    timer.callback()
+    timer.dueMs = this.nowMs() + timer.periodMs
+  }
 }
 
 interface FakeTimer {
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -96,7 +96,10 @@
   /** Takes over the worker, then holds its runs and collects their ends until `end`. */
   async run (): Promise<void> {
     await this.takeOver()
-    await Promise.all([this.collectEnds(), this.keepLease()])
+    if (this.abort.signal.aborted) return
+    const lease = this.services.timers.every(this.services.options.renewPeriodMs, () => { this.keepLease() })
+    await this.collectEnds()
+    lease.cancel()
   }
 
   /** Ends the session. What ran is gone when the next life of the worker has been asked, or the lease has lapsed; until then its end is held back. */
@@ -261,17 +264,14 @@
   }
 
   /** Renews the lease while runs are present; leaves it to lapse when the worker does not answer. */
-  private async keepLease (): Promise<void> {
+  private keepLease (): void {
     const { timers, options } = this.services
-    while (!this.abort.signal.aborted) {
-      await timers.sleep(options.renewPeriodMs, this.abort.signal)
-      if (this.book.count === 0 && this.state === SessionState.Ready) {
-        this.lastAnswerAtMs = timers.nowMs()
-        continue
-      }
-      this.judgeSilence()
-      if (timers.nowMs() - this.renewedAtMs >= options.renewPeriodMs) this.ask(0, this.state === SessionState.Ready)
+    if (this.book.count === 0 && this.state === SessionState.Ready) {
+      this.lastAnswerAtMs = timers.nowMs()
+      return
     }
+    this.judgeSilence()
+    if (timers.nowMs() - this.renewedAtMs >= options.renewPeriodMs) this.ask(0, this.state === SessionState.Ready)
   }
 
   private judgeSilence (): void {
