Link each agent to six entries, and report calm workers less

Cause: each agent kept a link to every entry, so messages and wake-ups grew with agents x entries: 5,600 links at 35 x 160; load reports of many links were slowed to one a second, too old to place by. Change: fleet/entryChoice picks six entries by rendezvous, half of them in the agent's own failure domain; fleet/entryLinks opens, substitutes and gives up links with notice. A worker with much room reports only steps of 15%, the rest goes with the beat; entries send a beat each second whatever else they send, since it carries the configuration's version. Tasks of one step travel as one order.

--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -4,7 +4,7 @@
 import type * as scheduler from '@egretvalve/scheduler'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS } from './defaults.ts'
+import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS, VERSION_BEAT_MS } from './defaults.ts'
 import { encodeDemand, encodeOrder } from './messages.ts'
 import { Heard } from './watchdog.ts'
 
@@ -18,6 +18,7 @@
   private readonly heard: Heard
   private orders: protocol.runs.IRunOrder[] = []
   private lastSentAtMs = 0
+  private lastBeatAtMs = 0
   /** Tasks sent and not reported, by key. */
   private readonly busy = new Set<string>()
 
@@ -46,6 +47,12 @@
   /** Sends a task soon, with the others of this turn. */
   order (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): void {
     this.busy.add(workers.taskKey(task.ref))
+    const last = this.orders.at(-1)
+    const { jobId, step } = task.ref
+    if (last?.jobId === jobId && last.step === step) {
+      last.tasks!.push({ index: task.ref.index, attempt: task.attempt })
+      return
+    }
     this.orders.push(encodeOrder(job, task, expiresInMs))
     if (this.orders.length === 1) setImmediate(() => { this.flush() })
   }
@@ -85,7 +92,11 @@
   /** Sends a beat when nothing else was sent, and ends a stream on which the agent is silent. */
   keepAlive (): void {
     const isBusy = this.busy.size > 0
-    if (this.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: this.createBeat() })
+    const nowMs = this.timers.nowMs()
+    if (nowMs - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS) || nowMs - this.lastBeatAtMs > VERSION_BEAT_MS) {
+      this.lastBeatAtMs = nowMs
+      this.send({ beat: this.createBeat() })
+    }
     if (this.silentMs() > (isBusy ? 2 * BUSY_SILENCE_MS : IDLE_SILENCE_MS)) this.onSilent()
   }
 }
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -3,10 +3,12 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { ConfigShelf, decodeCopy } from './configCopy.ts'
-import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, FORGET_ENTRY_MS, LOAD_PERIOD_LINKS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
+import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, CALM_STEP_SHARE, LOAD_PERIOD_LINKS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
+import type { ListedEntry } from './entryChoice.ts'
 import { EntryConnection } from './entryConnection.ts'
+import { EntryLinks } from './entryLinks.ts'
 import { events } from './events.ts'
-import { decodeDemand, decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
+import { decodeDemand, decodeEntry, decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
 import { Owners } from './owners.ts'
 import { watchRegularly } from './watchdog.ts'
 
@@ -29,7 +31,7 @@
   readonly executor: workers.RunExecutor
   private readonly shelf = new ConfigShelf()
   private readonly owners: Owners
-  private readonly connections = new Map<string, EntryConnection>()
+  private readonly links: EntryLinks
   private readonly pendingEnds = new Map<string, workers.TaskEnding[]>()
   /** Lives of entries that must be told of room that is kept for them. */
   private readonly owedRoom = new Set<string>()
@@ -41,6 +43,13 @@
 
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
     this.owners = new Owners(services.timers)
+    this.links = new EntryLinks({
+      ...identity,
+      timers: services.timers,
+      dial: address => this.dial(address),
+      isHolding: ({ life }) => this.pendingEnds.has(life) || this.executor.heldBy(life).length > 0,
+      onLeavingChanged: connection => { this.sendReport(connection, {}) }
+    })
     this.executor = new workers.RunExecutor(services, {
       onEnd: ending => { this.report(ending) },
       onLoad: () => { this.planLoad() },
@@ -54,23 +63,17 @@
 
   /** True while some entry is linked. */
   get isLinked (): boolean {
-    return this.openConnections().length > 0
+    return this.links.open.length > 0
   }
 
-  /** Opens links to the addresses, and gives up links to others that have been closed for long. */
-  setEntries (addresses: readonly string[]): void {
-    const nowMs = this.services.timers.nowMs()
-    for (const address of addresses) {
-      const known = this.connections.get(address)
-      if (known === undefined) this.open(address)
-      else known.wantedAtMs = nowMs
-    }
-    for (const [address, connection] of this.connections) {
-      if (connection.isOpen) connection.wantedAtMs = nowMs
-      if (nowMs - connection.wantedAtMs < FORGET_ENTRY_MS) continue
-      connection.close()
-      this.connections.delete(address)
-    }
+  /** Takes a list of entries. */
+  learnEntries (entries: readonly ListedEntry[]): void {
+    this.links.learn(entries)
+  }
+
+  /** Names addresses to try while no entry is linked. */
+  setSeeds (addresses: readonly string[]): void {
+    this.links.setSeeds(addresses)
   }
 
   /** Takes no new tasks, and resolves when those that run have ended and their ends are sent. */
@@ -83,20 +86,20 @@
   async stop (): Promise<void> {
     for (const handle of this.handles) handle.cancel()
     this.loadTimer?.cancel()
-    for (const connection of this.connections.values()) connection.close()
+    this.links.close()
     await this.executor.close()
   }
 
-  private open (address: string): void {
+  private dial (address: string): EntryConnection {
     const connection = new EntryConnection(address, {
       createGreeting: () => this.createGreeting(),
       onOpen: (opened, greeting) => { this.greet(opened, greeting) },
       onMessage: (from, message) => { this.receive(from, message) },
       isBusy: of => this.executor.heldBy(of.life).length > 0,
-      createBeat: () => ({ configVersion: this.shelf.version })
+      createBeat: of => ({ configVersion: this.shelf.version, load: of.toldLoadNumber < this.loadNumber ? this.createLoad(of) : undefined })
     }, this.services)
-    this.connections.set(address, connection)
     connection.run()
+    return connection
   }
 
   private createGreeting (): protocol.runs.IAgentGreeting {
@@ -106,10 +109,11 @@
   private greet (connection: EntryConnection, greeting: protocol.runs.IEntryGreeting): void {
     const { life } = connection
     this.owners.noteHeard(life)
+    this.links.noteOpen(connection)
     this.pendingEnds.delete(life)
     this.sendReport(connection, { ends: this.owners.keptEnds(life).map(encodeEnd) })
     connection.send({ held: { runs: this.executor.heldBy(life).map(order => ({ ...order.task, attempt: order.attempt })) } })
-    this.learnEntries(greeting.entries ?? [])
+    this.takeList(greeting.entries ?? [])
     this.shareConfig(connection, greeting.configVersion ?? 0)
   }
 
@@ -119,7 +123,7 @@
     else if (message.stop != null) this.takeStop(connection, message.stop)
     else if (message.demand != null) this.executor.takeDemand(connection.life, decodeDemand(message.demand, this.services.timers.nowMs()))
     else if (message.config != null) this.shelf.offer(decodeCopy(message.config))
-    else if (message.entries != null) this.learnEntries(message.entries.entries ?? [])
+    else if (message.entries != null) this.takeList(message.entries.entries ?? [])
     else if (message.beat != null) this.shareConfig(connection, message.beat.configVersion ?? 0)
   }
 
@@ -139,8 +143,8 @@
     this.executor.stop(connection.life, isMeant, 'stopped by the entry')
   }
 
-  private learnEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
-    this.setEntries(entries.map(entry => entry.address ?? '').filter(address => address !== ''))
+  private takeList (entries: readonly protocol.runs.IEntryAddress[]): void {
+    this.links.learn(entries.map(decodeEntry).filter(entry => entry.address !== ''))
   }
 
   /** Sends the newest configuration to an entry that has an older one. */
@@ -149,7 +153,8 @@
   }
 
   private watch (): void {
-    for (const connection of this.connections.values()) connection.keepAlive()
+    for (const connection of this.links.all) connection.keepAlive()
+    this.links.review()
     this.dropSilentOwners()
   }
 
@@ -180,7 +185,7 @@
   /** Sends ends at once to the entries that wait for them, and the load to those for which room is kept. Ends for a link that is away follow when it is back. */
   private flushEnds (): void {
     this.isFlushScheduled = false
-    for (const connection of this.openConnections()) {
+    for (const connection of this.links.open) {
       const ends = this.pendingEnds.get(connection.life)
       if (ends !== undefined || this.owedRoom.has(connection.life)) this.sendReport(connection, { ends: ends?.map(encodeEnd) })
     }
@@ -193,8 +198,8 @@
     this.loadNumber++
     this.loadTimer ??= this.services.timers.after(this.loadPeriodMs, () => {
       this.loadTimer = undefined
-      for (const connection of this.openConnections()) {
-        if (connection.toldLoadNumber < this.loadNumber) this.sendReport(connection, {})
+      for (const connection of this.links.open) {
+        if (connection.toldLoadNumber < this.loadNumber && this.isWorthTelling(connection)) this.sendReport(connection, {})
       }
     })
   }
@@ -208,7 +213,7 @@
   private get loadPeriodMs (): number {
     const { free, total } = this.executor.load
     const periodMs = free.cpuMilli >= total.cpuMilli * CALM_FREE_SHARE ? CALM_LOAD_PERIOD_MS : LOAD_PERIOD_MS
-    return periodMs * Math.max(1, this.openConnections().length / LOAD_PERIOD_LINKS)
+    return periodMs * Math.max(1, this.links.open.length / LOAD_PERIOD_LINKS)
   }
 
   private reportSlow (): void {
@@ -220,18 +225,31 @@
       slow.set(run.order.owner, ofOwner)
     }
     if (slow.size === 0) return
-    for (const connection of this.openConnections()) {
+    for (const connection of this.links.open) {
       const ofEntry = slow.get(connection.life)
       if (ofEntry !== undefined) this.sendReport(connection, { slow: ofEntry })
     }
   }
 
+  /** True unless the entry knows well enough that the worker has much room; the next beat tells the rest. */
+  private isWorthTelling ({ toldLoad }: EntryConnection): boolean {
+    const { load } = this.executor
+    if (toldLoad === undefined || toldLoad.isPresent !== load.isPresent || toldLoad.isDraining !== load.isDraining) return true
+    const { cpuMilli } = load.total
+    const isCalm = Math.min(load.free.cpuMilli, toldLoad.free.cpuMilli) >= cpuMilli * CALM_FREE_SHARE
+    return !isCalm || Math.abs(load.free.cpuMilli - toldLoad.free.cpuMilli) >= cpuMilli * CALM_STEP_SHARE
+  }
+
   private sendReport (connection: EntryConnection, report: protocol.runs.IRunReport): void {
-    connection.toldLoadNumber = this.loadNumber
-    connection.send({ report: { ...report, load: encodeLoad(this.executor.loadFor(connection.life), connection.received) } })
+    connection.send({ report: { ...report, load: this.createLoad(connection) } })
   }
 
-  private openConnections (): EntryConnection[] {
-    return [...this.connections.values()].filter(connection => connection.isOpen)
+  /** Creates the load for an entry, and notes that it is told. */
+  private createLoad (connection: EntryConnection): protocol.runs.IWorkerLoad {
+    const load = this.executor.loadFor(connection.life)
+    const told = { ...load, isDraining: load.isDraining || connection.leavingSinceMs !== undefined }
+    connection.toldLoadNumber = this.loadNumber
+    connection.toldLoad = told
+    return encodeLoad(told, connection.received)
   }
 }
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -27,6 +27,10 @@
 export const LOAD_PERIOD_LINKS = 4
 /** Free share of the processors from which a worker has much room. */
 export const CALM_FREE_SHARE = 0.4
+/** Change of the free share of a worker with much room from which entries are told before the next beat. */
+export const CALM_STEP_SHARE = 0.15
+/** Longest time between two beats of an entry, whatever else it sends, in milliseconds: they carry the version of its configuration. */
+export const VERSION_BEAT_MS = 1_000
 /** Period in which slow runs are looked for, in milliseconds. */
 export const SLOW_PERIOD_MS = 100
 /** Lifetime of an entry's key in the store, in milliseconds. */
@@ -38,6 +42,16 @@
 /** Period in which agents without a list of entries read it, and with one. */
 export const SEARCH_PERIOD_MS = 500
 export const AGENT_READ_MS = 5_000
+/** Entries to which an agent keeps links. With fewer, an agent that loses several entries at once has too little work for a while; with more, each node's messages grow. */
+export const LINKS_PER_AGENT = 6
+/** Share of the links that go to entries of the agent's own failure domain: messages between domains take longer and are priced. The rest keeps the agent in use when a domain's entries are lost or its callers move. */
+export const OWN_DOMAIN_SHARE = 0.5
+/** Time without a link after which another entry takes the place of one that was chosen, in milliseconds. A restart of a process takes longer, a reset link is back sooner. */
+export const SUBSTITUTE_AFTER_MS = 400
+/** Time for which a substitute that could not be reached is not dialled again, in milliseconds: with a whole failure domain away, the agent meets one that lives sooner. */
+export const AVOID_UNREACHABLE_MS = 3_000
+/** Time between the notice to an entry that the agent gives up its link and the end of the link, in milliseconds: orders on their way arrive. */
+export const LEAVE_AFTER_MS = 1_000
 /** Time after which an address that is neither listed nor linked is given up, in milliseconds. */
 export const FORGET_ENTRY_MS = 10_000
 /** Prefix of the keys of entries in the store. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -2,6 +2,7 @@
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
+import type * as workers from '@egretvalve/workers'
 import { BUSY_BEAT_MS, BUSY_SILENCE_MS, IDLE_BEAT_MS, IDLE_SILENCE_MS, MAX_REDIAL_MS, MIN_REDIAL_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { Heard } from './watchdog.ts'
@@ -14,7 +15,7 @@
   onMessage: (connection: EntryConnection, message: protocol.runs.IFromEntry) => void
   /** True while the agent holds tasks of the entry. */
   isBusy: (connection: EntryConnection) => boolean
-  createBeat: () => protocol.runs.IBeat
+  createBeat: (connection: EntryConnection) => protocol.runs.IBeat
 }
 
 /** Services of a connection. */
@@ -31,11 +32,14 @@
   received = 0
   /** Number of the load that the entry was told last. */
   toldLoadNumber = 0
-  /** Steady time at which the address was last listed or linked. */
-  wantedAtMs: number
+  /** That load. */
+  toldLoad: workers.ExecutorLoad | undefined
+  /** Steady time since which the entry knows that the agent gives up the link; undefined while the link is wanted. */
+  leavingSinceMs: number | undefined
   private readonly heard: Heard
   private outbox: runtime.Outbox<protocol.runs.IFromAgent> | undefined
   private isGreeted = false
+  private closedSinceMs: number
   private lastSentAtMs = 0
   private redialMs = MIN_REDIAL_MS
   private stopStream: () => void = () => {}
@@ -43,13 +47,18 @@
 
   constructor (readonly address: string, private readonly handler: ConnectionHandler, private readonly services: ConnectionServices) {
     this.heard = new Heard(services.timers)
-    this.wantedAtMs = services.timers.nowMs()
+    this.closedSinceMs = services.timers.nowMs()
   }
 
   get isOpen (): boolean {
     return this.isGreeted
   }
 
+  /** Time for which no link to the entry has been open, in milliseconds; 0 while one is. */
+  get closedMs (): number {
+    return this.isGreeted ? 0 : this.services.timers.nowMs() - this.closedSinceMs
+  }
+
   /** Time since the entry's last message, in milliseconds. */
   get silentMs (): number {
     return this.heard.silentMs
@@ -112,7 +121,7 @@
   keepAlive (): void {
     if (this.outbox === undefined) return
     const isBusy = this.handler.isBusy(this)
-    if (this.services.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: this.handler.createBeat() })
+    if (this.services.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS)) this.send({ beat: this.handler.createBeat(this) })
     if (this.silentMs > (isBusy ? BUSY_SILENCE_MS : IDLE_SILENCE_MS)) this.stopStream()
   }
 
@@ -121,6 +130,7 @@
     this.outbox = undefined
     if (!this.isGreeted) return
     this.isGreeted = false
+    this.closedSinceMs = this.services.timers.nowMs()
     this.services.log.event(events.LinkClosed, { peer: this.address, step: 'link.read', reason, silentMs: Math.round(this.silentMs) })
   }
 
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -16,6 +16,7 @@
   life: string
   /** Address on which agents reach it. */
   address: string
+  failureDomain: string
 }
 
 /** Services of the entry's side. */
@@ -100,7 +101,7 @@
     if (message.report != null) this.takeReport(connection, message.report)
     else if (message.held != null) scheduler.reconcile(connection, new Set((message.held.runs ?? []).map(describeHeld)))
     else if (message.config != null) this.takeConfig(connection, message.config)
-    else if (message.beat != null) this.noteVersion(connection, message.beat.configVersion ?? 0)
+    else if (message.beat != null) this.takeBeat(connection, message.beat)
   }
 
   private takeReport (connection: AgentConnection, report: protocol.runs.IRunReport): void {
@@ -112,6 +113,11 @@
     if (report.slow != null && report.slow.length > 0) scheduler.takeSlow(connection, report.slow.map(decodeSlow))
   }
 
+  private takeBeat (connection: AgentConnection, beat: protocol.runs.IBeat): void {
+    this.noteVersion(connection, beat.configVersion ?? 0)
+    if (beat.load != null) this.services.scheduler.takeLoad(connection, decodeLoad(beat.load))
+  }
+
   private takeConfig (connection: AgentConnection, copy: protocol.runs.IConfigCopy): void {
     this.noteVersion(connection, copy.version ?? 0)
     this.services.shelf.offer(decodeCopy(copy))
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,6 +2,7 @@
 export * from './agentNode.ts'
 export * from './configCopy.ts'
 export * from './defaults.ts'
+export * from './entryChoice.ts'
 export * from './entryNode.ts'
 export * from './events.ts'
 export * from './membership.ts'
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -7,7 +7,8 @@
 import type { EntryIdentity } from './entryNode.ts'
 import { events } from './events.ts'
 
-const memberSchema = zod.object({ entryId: zod.string(), life: zod.string(), address: zod.string() })
+/** Entries of earlier versions list no failure domain. */
+const memberSchema = zod.object({ entryId: zod.string(), life: zod.string(), address: zod.string(), failureDomain: zod.string().default('') })
 
 /** Services of the membership. */
 export interface MembershipServices {
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -2,6 +2,7 @@
 import * as protocol from '@egretvalve/protocol'
 import type * as scheduler from '@egretvalve/scheduler'
 import * as workers from '@egretvalve/workers'
+import type { ListedEntry } from './entryChoice.ts'
 
 const { runs } = protocol
 
@@ -35,7 +36,12 @@
   }
 }
 
-/** Creates the order of one task. */
+/** Reads an entry of a list. */
+export function decodeEntry (message: protocol.runs.IEntryAddress): ListedEntry {
+  return { address: message.address ?? '', failureDomain: message.failureDomain ?? '' }
+}
+
+/** Creates the order of one task; further tasks of its step may join it. */
 export function encodeOrder (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): protocol.runs.IRunOrder {
   const step = job.stepOf(task)
   return {
--- a/packages/placement/src/subset.ts
+++ b/packages/placement/src/subset.ts
@@ -7,6 +7,13 @@
   failureDomain: string
 }
 
+/** A failure domain from which part of the pick comes first. */
+export interface DomainPreference {
+  failureDomain: string
+  /** Share of the pick, from 0 to 1. */
+  share: number
+}
+
 interface RankedCandidate<T> {
   candidate: T
   weight: number
@@ -16,9 +23,17 @@
  * Picks `size` candidates for a node; all of them when there are no more. The pick spreads over failure domains in
  * turn and changes for one candidate only when a candidate joins or leaves. Needs `protocol.loadHash`.
  */
-export function chooseSubset<T extends SubsetCandidate> (ownId: string, candidates: readonly T[], size: number): T[] {
+export function chooseSubset<T extends SubsetCandidate> (ownId: string, candidates: readonly T[], size: number, preference?: DomainPreference): T[] {
   if (candidates.length <= size) return [...candidates]
-  const domains = rankByDomain(ownId, candidates)
+  if (preference === undefined) return pickInTurn(rankByDomain(ownId, candidates), size)
+  const near = candidates.filter(candidate => candidate.failureDomain === preference.failureDomain)
+  const far = candidates.filter(candidate => candidate.failureDomain !== preference.failureDomain)
+  const nearCount = Math.min(near.length, Math.max(size - far.length, Math.ceil(size * preference.share)))
+  return [...pickInTurn(rankByDomain(ownId, near), nearCount), ...pickInTurn(rankByDomain(ownId, far), size - nearCount)]
+}
+
+/** Picks the first of each list, then the second of each, and so on. */
+function pickInTurn<T> (domains: ReadonlyArray<ReadonlyArray<RankedCandidate<T>>>, size: number): T[] {
   const chosen: T[] = []
   for (let round = 0; chosen.length < size; round++) {
     for (const domain of domains) {
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -1,6 +1,7 @@
 /** Links between entries and agents that break, fall silent and come back, while tasks run. */
 import { expect } from 'chai'
 import * as fleet from '@egretvalve/fleet'
+import * as protocol from '@egretvalve/protocol'
 import * as scheduler from '@egretvalve/scheduler'
 import * as settings from '@egretvalve/settings'
 import * as standin from '@egretvalve/standin'
@@ -25,7 +26,7 @@
   private readonly reports: settings.TimerHandle[] = []
 
   constructor (port: number) {
-    this.entry = new fleet.EntryNode({ entryId: 'entry', life: 'entry-life', address: `127.0.0.1:${port}` }, { timers, log, scheduler: this.scheduler, shelf: this.shelf })
+    this.entry = new fleet.EntryNode({ entryId: 'entry', life: 'entry-life', address: `127.0.0.1:${port}`, failureDomain: 'a' }, { timers, log, scheduler: this.scheduler, shelf: this.shelf })
   }
 
   async start (agentCount: number): Promise<void> {
@@ -63,7 +64,7 @@
     const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: 'a' }, { timers, log, driver: worker })
     agent.executor.takeReport(worker.report())
     this.reports.push(timers.every(REPORT_PERIOD_MS, () => { agent.executor.takeReport(worker.report()) }))
-    agent.setEntries([proxy.address])
+    agent.learnEntries([{ address: proxy.address, failureDomain: 'a' }])
     this.proxies.push(proxy)
     this.workers.push(worker)
     this.agents.push(agent)
@@ -75,6 +76,8 @@
 }
 
 describe('links between entries and agents', () => {
+  before(async () => { await protocol.loadHash() })
+
   let bench: LinkBench
   let port = FIRST_PORT
 
@@ -117,11 +120,11 @@
 
   it('carry the newest configuration to an entry that lacks it', async () => {
     const shelf = new fleet.ConfigShelf()
-    const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}` }, { timers, log, scheduler: new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' }), shelf })
+    const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}`, failureDomain: 'a' }, { timers, log, scheduler: new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' }), shelf })
     const received: number[] = []
     shelf.subscribe(copy => { received.push(copy.version) })
     await other.start()
-    for (const agent of bench.agents) agent.setEntries([other.identity.address])
+    for (const agent of bench.agents) agent.learnEntries([{ address: other.identity.address, failureDomain: 'a' }])
     bench.shelf.offer({ version: 4, document: Buffer.from('four') })
     await bench.waitFor(() => received.includes(4), 2_000)
     bench.shelf.offer({ version: 9, document: Buffer.from('nine') })
