Slow the beats of busy links, and gather log lines for 200 ms

Cause: with six links an agent sends and receives some 28 beats a second, more than orders and ends together; the log buffer woke a busy process 20 times a second. Change: beats of busy links every 250 ms (an entry's silence counts from 900 ms as before, a link is dialled anew after 650), log lines every 200 ms.

--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -1,11 +1,11 @@
 /** Times of links and membership. */
 
 /** Period of beats on a link over which tasks are held, in milliseconds. */
-export const BUSY_BEAT_MS = 150
+export const BUSY_BEAT_MS = 250
 /** Period of beats on a link without tasks, in milliseconds. */
 export const IDLE_BEAT_MS = 400
-/** Silence after which a link is dialled anew, in milliseconds: the beats of a busy link come 150 to 250 ms apart. */
-export const BUSY_SILENCE_MS = 500
+/** Silence after which a link is dialled anew, in milliseconds: the beats of a busy link come 250 to 350 ms apart. A new link must open before the owner's timeout. */
+export const BUSY_SILENCE_MS = 650
 /** The same for a link without tasks. */
 export const IDLE_SILENCE_MS = 1_300
 /** Silence of an entry after which its runs are stopped. A caller sends its job again 1,300 ms after it lost its answer. */
--- a/packages/scheduler/src/defaults.ts
+++ b/packages/scheduler/src/defaults.ts
@@ -8,7 +8,7 @@
   loadPenaltyMs: number
   /** Factor by which a task takes longer away from the rack of its data. */
   remoteDataFactor: number
-  /** Time without a message after which an agent gets no new tasks; its beats come every 150 ms while it holds tasks. */
+  /** Time without a message after which an agent gets no new tasks; its beats come 250 to 350 ms apart while it holds tasks, and 400 to 500 ms otherwise. */
   suspectAfterMs: number
   /** Time after the loss of an agent until its runs are certain to be gone: the agent's patience with a silent entry, the stop, and the worker's lease, each with the drift of clocks. */
   goneAfterMs: number
@@ -29,7 +29,7 @@
   tickMs: 50,
   loadPenaltyMs: 20,
   remoteDataFactor: 1.5,
-  suspectAfterMs: 500,
+  suspectAfterMs: 600,
   goneAfterMs: 1_900,
   stalledMs: 200,
   slowFactor: 2.5,
--- a/packages/settings/src/lineBuffer.ts
+++ b/packages/settings/src/lineBuffer.ts
@@ -1,8 +1,8 @@
 /** Gathers log lines and writes them together, without ever waiting for the reader. */
 import { Writable } from 'node:stream'
 
-/** Time for which lines wait for others, in milliseconds. */
-const FLUSH_MS = 50
+/** Time for which lines wait for others, in milliseconds: a process that is killed loses the lines of this time. */
+const FLUSH_MS = 200
 /** Size from which lines are written at once, in characters. */
 const FLUSH_LENGTH = 32 * 1024
 /** Largest size of lines that a slow reader has not taken, in bytes; more are dropped. */
