Answer jobs that still run at the end of a planned stop; subsets and uneven workers in the model

The model of a fleet plays agents with links to some entries and workers of different speeds, and counts tasks that agents return; script and test share one profile. The build keeps the linker's notes off the terminal.

--- a/packages/bench/src/jobs/modelFleet.ts
+++ b/packages/bench/src/jobs/modelFleet.ts
@@ -1,4 +1,5 @@
 /** A fleet in one process on simulated time: real schedulers and agents' executors, stand-in workers, and links with a delay. */
+import * as placement from '@egretvalve/placement'
 import * as scheduler from '@egretvalve/scheduler'
 import * as settings from '@egretvalve/settings'
 import * as standin from '@egretvalve/standin'
@@ -12,6 +13,10 @@
   entries: number
   /** Cores of each worker. */
   workerCores: readonly number[]
+  /** How many times longer tasks take on each worker than on an average one; 1 where nothing is given. */
+  slowness?: readonly number[]
+  /** Entries to which an agent keeps links; all of them where nothing is given. Needs `protocol.loadHash`. */
+  linksPerAgent?: number
   /** One way between entries and agents, in milliseconds. */
   linkDelayMs: number
   seed: number
@@ -27,6 +32,8 @@
   /** Tasks that ran twice at the same time. */
   doubled: string[]
   startCount: number
+  /** Tasks that agents returned without a start. */
+  returnCount: number
   /** Messages by which entries told agents what waits. */
   demandCount: number
 }
@@ -41,7 +48,7 @@
 
 /** One agent with its worker, and its links to all entries. */
 class ModelAgent {
-  private readonly executor: workers.RunExecutor
+  readonly executor: workers.RunExecutor
   private readonly ports = new Map<string, { port: ModelPort, entry: scheduler.Scheduler, ends: workers.TaskEnding[] }>()
   demandCount = 0
   private isFlushScheduled = false
@@ -167,14 +174,18 @@
   const standins = options.workerCores.map((cores, number) => new standin.StandinWorker({
     workerId: `worker-${number}`,
     total: { cpuMilli: cores * 1_000, memoryMb: 128 * 1_024, accelerators: 0 },
-    workOf: task => jobs.get(task.jobId)!.workMs[task.index]!,
+    workOf: task => jobs.get(task.jobId)!.workMs[task.index]! * (options.slowness?.[number] ?? 1),
     sizeOf: task => jobs.get(task.jobId)!.spec.steps[0]!.size,
     timers,
     witness
   }))
   const agents = standins.map((worker, number) => new ModelAgent(`agent-${number}`, worker, timers, options.linkDelayMs, options.workerOptions))
-  const entries = Array.from({ length: options.entries }, () => new scheduler.Scheduler({ timers, log: settings.createSilentLog(), options: options.schedulerOptions, random: () => random.unit(), failureDomain: 'a', entryCount: () => options.entries }))
-  entries.forEach((entry, number) => { for (const agent of agents) agent.link(`entry-${number}`, entry) })
+  const linksPerAgent = options.linksPerAgent ?? options.entries
+  const entries = Array.from({ length: options.entries }, () => new scheduler.Scheduler({ timers, log: settings.createSilentLog(), options: options.schedulerOptions, random: () => random.unit(), failureDomain: 'a', entryCount: () => linksPerAgent }))
+  const peers = entries.map((entry, number) => ({ id: `entry-${number}`, failureDomain: 'a', entry }))
+  for (const agent of agents) {
+    for (const { id, entry } of placement.chooseSubset(agent.agentId, peers, linksPerAgent)) agent.link(id, entry)
+  }
   await passSteps(timers, 100)
   const startMs = timers.nowMs()
   const answers: JobAnswer[] = []
@@ -186,7 +197,7 @@
     await passSteps(timers, STEP_MS)
   }
   for (const entry of entries) entry.stop()
-  return { answers, doubled: witness.doubled, startCount: [...witness.starts.values()].reduce((sum, count) => sum + count, 0), demandCount: agents.reduce((sum, agent) => sum + agent.demandCount, 0) }
+  return { answers, doubled: witness.doubled, startCount: [...witness.starts.values()].reduce((sum, count) => sum + count, 0), returnCount: agents.reduce((sum, agent) => sum + agent.executor.counters.tasksReturned, 0), demandCount: agents.reduce((sum, agent) => sum + agent.demandCount, 0) }
 }
 
 function submit (entry: scheduler.Scheduler, job: ArrivingJob, timers: settings.FakeTimers): JobAnswer {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -157,6 +157,14 @@
     if (!job.hasEnded) this.end(job, { kind: 'cancelled' }, 'caller left')
   }
 
+  /** Ends all open jobs at the end of a planned stop. A caller of whose job nothing has started is told so. */
+  giveUpAll (reason: string): void {
+    for (const job of [...this.open.values()]) {
+      if (job.mayHaveStarted) this.end(job, { kind: 'expired', reason }, reason)
+      else this.refuse(job, reason, 0)
+    }
+  }
+
   /** Takes a link to an agent. A new life of the agent whose worker takes runs has stopped what the earlier life ran. */
   connect (port: AgentPort, load: ReportedLoad): void {
     const known = this.agents.get(port.agentId)
--- a/scripts/buildExecutable.mjs
+++ b/scripts/buildExecutable.mjs
@@ -10,6 +10,19 @@
 const SEA_BLOB = 'dist/egretvalve.blob'
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
+/** Keeps what postject's library says of sections that the build of Node.js has without a name off the terminal; they are copied as they are. */
+async function withoutNoteWarnings (work) {
+  const { write } = process.stderr
+  process.stderr.write = function (chunk, ...rest) {
+    return String(chunk).includes("Can't find string offset for section name '.note") || write.call(process.stderr, chunk, ...rest)
+  }
+  try {
+    await work()
+  } finally {
+    process.stderr.write = write
+  }
+}
+
 mkdirSync('dist', { recursive: true })
 await bundle('packages/cli/src/main.ts', BUNDLE)
 writeFileSync(SEA_CONFIG, JSON.stringify({ main: BUNDLE, output: SEA_BLOB, disableExperimentalSEAWarning: true, useCodeCache: true }))
@@ -17,5 +30,5 @@
 const staged = `${OUTPUT}.new`
 copyFileSync(process.execPath, staged)
 chmodSync(staged, 0o755)
-await postject.inject(staged, 'NODE_SEA_BLOB', readFileSync(SEA_BLOB), { sentinelFuse: SEA_FUSE })
+await withoutNoteWarnings(async () => { await postject.inject(staged, 'NODE_SEA_BLOB', readFileSync(SEA_BLOB), { sentinelFuse: SEA_FUSE }) })
 renameSync(staged, OUTPUT)
--- a/scripts/modelJobs.ts
+++ b/scripts/modelJobs.ts
@@ -1,31 +1,25 @@
 // Plays crests of demand on the model of a fleet and prints what callers get, beside one queue that knows everything.
 import { parseArgs } from 'node:util'
 import * as bench from '@egretvalve/bench'
+import * as protocol from '@egretvalve/protocol'
 
-const WORKER_CORES = [32, 32, 32, 48, 32, 32, 32, 48, 48, 32, 32]
 const DURATION_MS = 8_000
 const SWING = 0.2
-const DEADLINE_MS = 1_650
 
 const { values } = parseArgs({
   options: {
     levels: { type: 'string', default: '0.6,0.95,1.05,1.2' },
     seeds: { type: 'string', default: '1,2,3' },
     entries: { type: 'string', default: '3' },
-    'link-delay-ms': { type: 'string', default: '1.5' }
+    'link-delay-ms': { type: 'string', default: '1.5' },
+    /** How many times the fleet is larger, in workers; entries are given by themselves. */
+    'fleet-factor': { type: 'string', default: '1' },
+    links: { type: 'string', default: '6' },
+    /** Workers of different speeds. */
+    uneven: { type: 'boolean', default: false }
   }
 })
 
-function createTerms (priority: number): bench.JobKind['terms'] {
-  return { service: 'spares', priority, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
-}
-
-const KINDS: bench.JobKind[] = [
-  { name: 'check', terms: createTerms(0), ratePerS: 20, meanCount: 8, maxCount: 32, meanWorkMs: 73, deadlineMs: DEADLINE_MS, worth: 0.0291 },
-  { name: 'issue', terms: createTerms(2), ratePerS: 3.65, meanCount: 4, maxCount: 16, meanWorkMs: 1_086, deadlineMs: DEADLINE_MS, worth: 0.16 },
-  { name: 'renew', terms: createTerms(1), ratePerS: 58, meanCount: 2, maxCount: 8, meanWorkMs: 243, deadlineMs: DEADLINE_MS, worth: 0.01 }
-]
-
 /** Reads a list of positive numbers, or ends the program with a line that says what is wrong. */
 function readNumbers (name: string, text: string): number[] {
   const numbers = text.split(',').map(Number)
@@ -35,16 +29,25 @@
 }
 
 async function playLevel (level: number, seeds: readonly number[]): Promise<void> {
-  const cores = WORKER_CORES.reduce((sum, each) => sum + each)
   const [entries] = readNumbers('entries', values.entries)
+  const [factor] = readNumbers('fleet-factor', values['fleet-factor'])
+  const [linksPerAgent] = readNumbers('links', values.links)
+  const workerCores = bench.repeatFor(factor!, bench.CREST_WORKER_CORES)
+  const slowness = values.uneven ? bench.repeatFor(factor!, bench.CREST_SLOWNESS) : undefined
+  const cores = workerCores.reduce((sum, each) => sum + each)
   const [linkDelayMs] = readNumbers('link-delay-ms', values['link-delay-ms'])
   const answers: bench.JobAnswer[] = []
   const best: bench.JobAnswer[] = []
+  let starts = 0
+  let returns = 0
   for (const seed of seeds) {
     // The peak of the wave lies in the middle of the load, at the level.
-    const shape: bench.LoadShape = { durationMs: DURATION_MS, level: level * cores / bench.meanCores(KINDS) / (1 + SWING), swing: SWING, periodMs: 2 * DURATION_MS }
-    const load = bench.createJobLoad(KINDS, shape, seed)
-    answers.push(...(await bench.playJobLoad(load, { entries: entries!, workerCores: WORKER_CORES, linkDelayMs: linkDelayMs!, seed })).answers)
+    const shape: bench.LoadShape = { durationMs: DURATION_MS, level: level * cores / bench.meanCores(bench.CREST_KINDS) / (1 + SWING), swing: SWING, periodMs: 2 * DURATION_MS }
+    const load = bench.createJobLoad(bench.CREST_KINDS, shape, seed)
+    const outcome = await bench.playJobLoad(load, { entries: entries!, workerCores, slowness, linksPerAgent, linkDelayMs: linkDelayMs!, seed })
+    answers.push(...outcome.answers)
+    starts += outcome.startCount
+    returns += outcome.returnCount
     best.push(...bench.computeOmniscient(load, cores))
   }
   const table = bench.countCredit(answers)
@@ -53,9 +56,11 @@
     const { asked, inTime, late, refused, lost } = totals
     console.log([level, kind === '' ? 'all' : kind, asked, inTime, late, refused, lost, bench.creditShare(totals).toFixed(3), bench.creditShare(bestTable.get(kind)).toFixed(3)].join('\t'))
   }
+  console.log(`${level}\t${starts} starts, ${returns} tasks returned for want of room`)
 }
 
 async function main (): Promise<void> {
+  await protocol.loadHash()
   console.log(['level', 'kind', 'asked', 'in time', 'late', 'refused', 'lost', 'credit', 'omniscient'].join('\t'))
   const seeds = readNumbers('seeds', values.seeds)
   for (const level of readNumbers('levels', values.levels)) await playLevel(level, seeds)
--- a/test/unit/bench/jobModel.test.ts
+++ b/test/unit/bench/jobModel.test.ts
@@ -2,17 +2,8 @@
 import { expect } from 'chai'
 import * as bench from '@egretvalve/bench'
 
-function createTerms (priority: number): bench.JobKind['terms'] {
-  return { service: 'spares', priority, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
-}
-
-/** Three kinds of jobs with an equal share of the credit: short urgent ones of many tasks, long ones, and many small ones. */
-const KINDS: bench.JobKind[] = [
-  { name: 'check', terms: createTerms(0), ratePerS: 20, meanCount: 8, maxCount: 32, meanWorkMs: 73, deadlineMs: 1_650, worth: 0.0291 },
-  { name: 'issue', terms: createTerms(2), ratePerS: 3.65, meanCount: 4, maxCount: 16, meanWorkMs: 1_086, deadlineMs: 1_650, worth: 0.16 },
-  { name: 'renew', terms: createTerms(1), ratePerS: 58, meanCount: 2, maxCount: 8, meanWorkMs: 243, deadlineMs: 1_650, worth: 0.01 }
-]
-const WORKER_CORES = [32, 32, 32, 48, 32, 32, 32, 48, 48, 32, 32]
+const KINDS = bench.CREST_KINDS
+const WORKER_CORES = bench.CREST_WORKER_CORES
 const CORES = WORKER_CORES.reduce((sum, cores) => sum + cores)
 const ENTRIES = 3
 const LINK_DELAY_MS = 1.5
