Survive malformed messages on run links

Found with a test that plays odd and broken messages to both ends: (1) a pace that is infinite made an entry expect endless work and refuse every job, also after the sender had gone; (2) a demand for four billion tasks of no size kept an agent in a loop for minutes; (3) a copy of a configuration that can't be read, under a high version, kept out all that followed; (4) addresses that are none were dialled. Numbers that are not finite count as not set, demands are bounded, copies are checked before they are kept, addresses are checked and logged (12012).

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -1,5 +1,7 @@
 /** The agent of a leased worker: takes orders of entries over their links and reports what becomes of them. */
+import * as net from 'node:net'
 import type * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { ConfigShelf, decodeCopy } from './configCopy.ts'
@@ -19,17 +21,25 @@
   failureDomain: string
 }
 
+/** Links go to IP numbers and ports only. */
+function isDialable ({ address }: ListedEntry): boolean {
+  const { host, port } = runtime.parseAddress(address)
+  return net.isIP(host) !== 0 && port > 0 && port < 65_536
+}
+
 /** Services of an agent. */
 export interface AgentServices {
   timers: settings.Timers
   log: settings.Log
   driver: workers.WorkerDriver
+  /** Newest configuration; the node has one of its own where nothing is given. */
+  shelf?: ConfigShelf
 }
 
 /** One agent. */
 export class AgentNode {
   readonly executor: workers.RunExecutor
-  private readonly shelf = new ConfigShelf()
+  private readonly shelf: ConfigShelf
   private readonly owners: Owners
   private readonly links: EntryLinks
   private readonly pendingEnds = new Map<string, workers.TaskEnding[]>()
@@ -42,6 +52,7 @@
   private loadNumber = 0
 
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
+    this.shelf = services.shelf ?? new ConfigShelf()
     this.owners = new Owners(services.timers)
     this.links = new EntryLinks({
       ...identity,
@@ -68,7 +79,9 @@
 
   /** Takes a list of entries. */
   learnEntries (entries: readonly ListedEntry[]): void {
-    this.links.learn(entries)
+    const [sound, unsound] = [entries.filter(isDialable), entries.filter(entry => !isDialable(entry))]
+    for (const { address } of unsound) this.services.log.event(events.AddressRefused, { address: address.slice(0, 80) })
+    this.links.learn(sound)
   }
 
   /** Names addresses to try while no entry is linked. */
@@ -144,7 +157,7 @@
   }
 
   private takeList (entries: readonly protocol.runs.IEntryAddress[]): void {
-    this.links.learn(entries.map(decodeEntry).filter(entry => entry.address !== ''))
+    this.learnEntries(entries.map(decodeEntry))
   }
 
   /** Sends the newest configuration to an entry that has an older one. */
--- a/packages/fleet/src/configCopy.ts
+++ b/packages/fleet/src/configCopy.ts
@@ -12,6 +12,9 @@
   private current: ConfigDocument | undefined
   private readonly listeners = new Set<(copy: ConfigDocument) => void>()
 
+  /** `isSound` returns true for a document that can be read and has the version; others would keep out all that follow. */
+  constructor (private readonly isSound: (copy: ConfigDocument) => boolean = () => true) {}
+
   /** Number of the version; 0 for none. */
   get version (): number {
     return this.current?.version ?? 0
@@ -22,9 +25,9 @@
     return this.current
   }
 
-  /** Takes a copy if it is newer. Returns whether it was. */
+  /** Takes a copy if it is newer and sound. Returns whether it was. */
   offer (copy: ConfigDocument): boolean {
-    if (copy.version <= this.version) return false
+    if (copy.version <= this.version || !this.isSound(copy)) return false
     this.current = copy
     for (const listener of this.listeners) listener(copy)
     return true
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -14,5 +14,6 @@
   ConfigInForce: { code: 12008, level: Info, message: 'configuration is in force' },
   ConfigUnreadable: { code: 12009, level: Warn, message: 'configuration could not be read; the one in force stays' },
   StoreLost: { code: 12010, level: Warn, message: 'store can not be reached' },
+  AddressRefused: { code: 12012, level: Warn, message: 'address of an entry is not an IP number and port' },
   StoreRegained: { code: 12011, level: Info, message: 'store can be reached again' }
 })
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -6,6 +6,9 @@
 
 const { runs } = protocol
 
+/** Most tasks for which an entry may have room kept: the agent looks at each. A job has some hundred. */
+const MAX_DEMAND_COUNT = 10_000
+
 /** Creates the message of a load. */
 export function encodeLoad (load: workers.ExecutorLoad, received: number): protocol.runs.IWorkerLoad {
   return {
@@ -32,7 +35,7 @@
     labels: message?.labels ?? [],
     received: message?.received ?? 0,
     waiting: message?.waiting ?? 0,
-    pace: message?.pace ?? 0
+    pace: readNumber(message?.pace)
   }
 }
 
@@ -63,9 +66,9 @@
     attempt: task.attempt ?? 1,
     spec: message.spec ?? '',
     size: decodeSize(message.size),
-    estimatedMs: message.estimatedMs ?? 0,
+    estimatedMs: readNumber(message.estimatedMs),
     age,
-    expiresAfterMs: message.expiresInMs ?? 0
+    expiresAfterMs: readNumber(message.expiresInMs)
   }))
 }
 
@@ -76,8 +79,8 @@
 
 /** Reads the message of a demand. Undefined when no task waits. */
 export function decodeDemand (message: protocol.runs.IDemand, nowMs: number): workers.Demand | undefined {
-  const count = message.count ?? 0
-  return count === 0 ? undefined : { rank: message.rank ?? 0, latestStartAtMs: nowMs + (message.latestStartInMs ?? 0), size: decodeSize(message.size), count }
+  const count = Math.min(message.count ?? 0, MAX_DEMAND_COUNT)
+  return count === 0 ? undefined : { rank: message.rank ?? 0, latestStartAtMs: nowMs + readNumber(message.latestStartInMs), size: decodeSize(message.size), count }
 }
 
 /** Creates the message of an end. */
@@ -92,7 +95,7 @@
     ref: { jobId: message.jobId ?? '', step: message.step ?? 0, index: message.index ?? 0 },
     attempt: message.attempt ?? 0,
     end: decodeEndKind(message.kind),
-    runMs: message.runMs ?? 0,
+    runMs: readNumber(message.runMs),
     reason: message.reason ?? ''
   }
 }
@@ -101,12 +104,17 @@
 export function decodeSlow (message: protocol.runs.ISlowRun): scheduler.SlowRun {
   return {
     ref: { jobId: message.jobId ?? '', step: message.step ?? 0, index: message.index ?? 0 },
-    elapsedMs: message.elapsedMs ?? 0,
-    percent: message.percent ?? 0,
-    stalledMs: message.stalledMs ?? 0
+    elapsedMs: readNumber(message.elapsedMs),
+    percent: readNumber(message.percent),
+    stalledMs: readNumber(message.stalledMs)
   }
 }
 
+/** Reads a floating-point field. One that is infinite or no number would spoil every sum and comparison that it enters; it counts as not set. */
+function readNumber (value: number | null | undefined): number {
+  return value != null && Number.isFinite(value) ? value : 0
+}
+
 function decodeSize (message: protocol.runs.ISize | null | undefined): workers.RunSize {
   return { cpuMilli: message?.cpuMilli ?? 0, memoryMb: message?.memoryMb ?? 0, accelerators: message?.accelerators ?? 0 }
 }
--- /dev/null
+++ b/test/failure/hostileRunLink.test.ts
@@ -0,0 +1,144 @@
+/** Malformed messages on the links between entries and the agents of leased workers. */
+import * as grpc from '@grpc/grpc-js'
+import { expect } from 'chai'
+import * as fleet from '@egretvalve/fleet'
+import * as protocol from '@egretvalve/protocol'
+import * as scheduler from '@egretvalve/scheduler'
+import * as settings from '@egretvalve/settings'
+import * as standin from '@egretvalve/standin'
+import * as workers from '@egretvalve/workers'
+
+const { runs } = protocol
+const FIRST_PORT = 17_750
+const SIZE: workers.RunSize = { cpuMilli: 3_000, memoryMb: 64, accelerators: 0 }
+const TERMS: scheduler.JobTerms = { service: 'spares', priority: 0, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
+const WORK_MS = 30
+const NOISE_SEED = 11
+const NOISE_MESSAGES = 60
+const timers = new settings.TimerService()
+const log = settings.createSilentLog()
+const asIs = (bytes: Buffer): Buffer => bytes
+
+/** Bytes from a seeded generator, as a sender with broken memory would write them. */
+function createNoise (seed: number, count: number): Buffer[] {
+  let state = seed
+  const next = (limit: number): number => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648
+    return Math.floor(state / 65_536) % limit
+  }
+  return Array.from({ length: count }, () => Buffer.from(Array.from({ length: 1 + next(60) }, () => next(256))))
+}
+
+const ODD_REPORTS: protocol.runs.IFromAgent[] = [
+  { report: { ends: [{}], load: {}, slow: [{ elapsedMs: Number.NaN }] } },
+  { report: { load: { isPresent: true, service: 'spares', total: { cpuMilli: 4_294_967_295 }, free: { cpuMilli: 4_294_967_295 }, pace: Number.POSITIVE_INFINITY } } },
+  { held: { runs: [{}, { jobId: 'x'.repeat(10_000) }] } },
+  { beat: { configVersion: 4_294_967_295 } },
+  { config: { version: 4_294_967_295, document: Buffer.from('{"version":1') } },
+  {}
+]
+
+const ODD_ORDERS: protocol.runs.IFromEntry[] = [
+  { orders: { orders: [{}, { jobId: 'odd', tasks: [{}], estimatedMs: Number.NaN, expiresInMs: Number.NaN }] } },
+  { stop: {} },
+  { demand: { count: 4_294_967_295, rank: 1, latestStartInMs: Number.NaN, size: {} } },
+  { entries: { entries: [{}, { address: 'not an address' }, { address: '127.0.0.1:99999' }] } },
+  { config: { version: 4_294_967_295, document: Buffer.from('{"version":1') } },
+  {}
+]
+
+describe('malformed messages on run links', () => {
+  let port = FIRST_PORT
+  let entry: fleet.EntryNode
+  let agent: fleet.AgentNode
+  let jobs: scheduler.Scheduler
+  let shelf: fleet.ConfigShelf
+  let jobNumber = 0
+
+  before(async () => { await protocol.loadHash() })
+
+  beforeEach(async () => {
+    jobs = new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' })
+    shelf = new fleet.ConfigShelf(isReadable)
+    entry = new fleet.EntryNode({ entryId: 'entry', life: 'entry-life', address: `127.0.0.1:${port++}`, failureDomain: 'a' }, { timers, log, scheduler: jobs, shelf })
+    await entry.start()
+    const worker = new standin.StandinWorker({ workerId: 'w', total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf: () => WORK_MS, sizeOf: () => SIZE, timers, witness: new standin.RunWitness() })
+    agent = new fleet.AgentNode({ agentId: 'agent', life: 'agent-life', failureDomain: 'a' }, { timers, log, driver: worker, shelf: new fleet.ConfigShelf(isReadable) })
+    agent.executor.takeReport(worker.report())
+    agent.learnEntries([{ address: entry.identity.address, failureDomain: 'a' }])
+  })
+
+  afterEach('the pair still serves and takes configurations', async () => {
+    await serveJob()
+    expect(shelf.offer({ version: 7, document: Buffer.from('{"version":7}') })).to.equal(true)
+    await agent.stop()
+    jobs.stop()
+    entry.stop()
+  })
+
+  function isReadable ({ document, version }: fleet.ConfigDocument): boolean {
+    try {
+      return JSON.parse(Buffer.from(document).toString()).version === version
+    } catch {
+      return false
+    }
+  }
+
+  async function waitUntil (isMet: () => boolean): Promise<void> {
+    const startedAtMs = timers.nowMs()
+    while (!isMet() && timers.nowMs() - startedAtMs < 5_000) await timers.sleep(10)
+  }
+
+  async function serveJob (): Promise<void> {
+    await waitUntil(() => jobs.workerCount > 0)
+    const job = jobs.submit({ jobId: `job-${jobNumber++}`, spec: '', steps: [{ count: 2, size: SIZE, estimatedMs: WORK_MS, after: [] }] }, TERMS, 3_000)
+    expect((await new Promise<scheduler.JobOutcome>(resolve => { job.onOutcome(resolve) })).kind).to.equal('succeeded')
+  }
+
+  async function sendToEntry (messages: readonly Buffer[]): Promise<void> {
+    const client = new grpc.Client(entry.identity.address, grpc.credentials.createInsecure())
+    const call = client.makeBidiStreamRequest<Buffer, Buffer>(protocol.runLink.exchange.path, asIs, asIs)
+    call.on('error', () => {})
+    call.on('data', () => {})
+    const ended = new Promise<void>(resolve => { call.once('status', () => { resolve() }) })
+    for (const message of messages) call.write(message)
+    call.end()
+    await ended
+    client.close()
+  }
+
+  it('end a stream of noise at the entry', async () => {
+    for (const noise of createNoise(NOISE_SEED, NOISE_MESSAGES)) await sendToEntry([noise])
+  })
+
+  it('are survived by the entry after a greeting and without one', async () => {
+    const encoded = ODD_REPORTS.map(report => Buffer.from(runs.FromAgent.encode(report).finish()))
+    await sendToEntry(encoded)
+    for (const message of encoded) {
+      const greeting = Buffer.from(runs.FromAgent.encode({ greeting: { agentId: 'odd', life: 'odd-life' } }).finish())
+      await sendToEntry([greeting, message, ...createNoise(NOISE_SEED, 1)])
+    }
+    expect(shelf.version).to.equal(0)
+  })
+
+  it('are survived by an agent that serves a sound entry beside', async () => {
+    const server = new grpc.Server()
+    const messages = [...ODD_ORDERS.map(order => Buffer.from(runs.FromEntry.encode(order).finish())), ...createNoise(NOISE_SEED, NOISE_MESSAGES)]
+    let streams = 0
+    const handle = (call: grpc.ServerDuplexStream<unknown, Buffer>): void => {
+      call.on('data', () => {})
+      call.on('error', () => {})
+      call.write(Buffer.from(runs.FromEntry.encode({ greeting: { entryId: 'odd', life: 'odd-life' } }).finish()))
+      const sent = streams++ < 1 ? messages.slice(0, ODD_ORDERS.length) : messages.slice(ODD_ORDERS.length + streams, ODD_ORDERS.length + streams + 1)
+      for (const message of sent) call.write(message)
+    }
+    server.addService({ exchange: { ...protocol.runLink.exchange, responseSerialize: asIs } as unknown as grpc.MethodDefinition<unknown, unknown> }, { exchange: handle as unknown as grpc.UntypedHandleCall })
+    const address = `127.0.0.1:${port++}`
+    await new Promise<void>((resolve, reject) => { server.bindAsync(address, grpc.ServerCredentials.createInsecure(), error => { if (error === null) resolve(); else reject(error) }) })
+    agent.learnEntries([{ address, failureDomain: 'a' }])
+    await waitUntil(() => streams >= 4)
+    expect(streams).to.be.at.least(4)
+    await serveJob()
+    server.forceShutdown()
+  })
+})
