--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -89,13 +89,17 @@
     this.send({ orders: { orders } })
   }
 
+  beat (): void {
+    this.lastBeatAtMs = this.timers.nowMs()
+    this.send({ beat: this.createBeat() })
+  }
+
   /** Sends a beat when nothing else was sent, and ends a stream on which the agent is silent. */
   keepAlive (): void {
     const isBusy = this.busy.size > 0
     const nowMs = this.timers.nowMs()
     if (nowMs - this.lastSentAtMs > (isBusy ? BUSY_BEAT_MS : IDLE_BEAT_MS) || nowMs - this.lastBeatAtMs > VERSION_BEAT_MS) {
-      this.lastBeatAtMs = nowMs
-      this.send({ beat: this.createBeat() })
+      this.beat()
     }
     if (this.silentMs() > (isBusy ? 2 * BUSY_SILENCE_MS : IDLE_SILENCE_MS)) this.onSilent()
   }
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -5,7 +5,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { ConfigShelf, decodeCopy } from './configCopy.ts'
-import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, CALM_STEP_SHARE, LOAD_PERIOD_LINKS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
+import { CALM_FREE_SHARE, CALM_LOAD_PERIOD_MS, CALM_STEP_SHARE, CONFIG_PATIENCE_MS, LOAD_PERIOD_LINKS, LOAD_PERIOD_MS, SLOW_PERIOD_MS } from './defaults.ts'
 import type { ListedEntry } from './entryChoice.ts'
 import { EntryConnection } from './entryConnection.ts'
 import { EntryLinks } from './entryLinks.ts'
@@ -46,6 +46,7 @@
   /** Lives of entries that must be told of room that is kept for them. */
   private readonly owedRoom = new Set<string>()
   private readonly handles: settings.TimerHandle[] = []
+  private configTakenAtMs = 0
   private isFlushScheduled = false
   private loadTimer: settings.TimerHandle | undefined
   /** Rises with each change of the load. */
@@ -53,6 +54,7 @@
 
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
     this.shelf = services.shelf ?? new ConfigShelf()
+    this.shelf.subscribe(() => { this.configTakenAtMs = services.timers.nowMs() })
     this.owners = new Owners(services.timers)
     this.links = new EntryLinks({
       ...identity,
@@ -127,7 +129,6 @@
     this.sendReport(connection, { ends: this.owners.keptEnds(life).map(encodeEnd) })
     connection.send({ held: { runs: this.executor.heldBy(life).map(order => ({ ...order.task, attempt: order.attempt })) } })
     this.takeList(greeting.entries ?? [])
-    this.shareConfig(connection, greeting.configVersion ?? 0)
   }
 
   private receive (connection: EntryConnection, message: protocol.runs.IFromEntry): void {
@@ -160,9 +161,12 @@
     this.learnEntries(entries.map(decodeEntry))
   }
 
-  /** Sends the newest configuration to an entry that has an older one. */
+  /** Sends the newest configuration once to an entry that still has an older one when it has had time to read it for itself. */
   private shareConfig (connection: EntryConnection, version: number): void {
-    if (version < this.shelf.version) connection.send({ config: this.shelf.message })
+    if (version >= this.shelf.version || connection.sentConfigVersion === this.shelf.version) return
+    if (this.services.timers.nowMs() - Math.max(this.configTakenAtMs, connection.openedAtMs) < CONFIG_PATIENCE_MS) return
+    connection.sentConfigVersion = this.shelf.version
+    connection.send({ config: this.shelf.message })
   }
 
   private watch (): void {
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -31,6 +31,8 @@
 export const CALM_STEP_SHARE = 0.15
 /** Longest time between two beats of an entry, whatever else it sends, in milliseconds: they carry the version of its configuration. */
 export const VERSION_BEAT_MS = 1_000
+/** Time in which an entry reads a new configuration for itself before an agent sends it a copy, in milliseconds. */
+export const CONFIG_PATIENCE_MS = 600
 /** Period in which slow runs are looked for, in milliseconds. */
 export const SLOW_PERIOD_MS = 100
 /** Lifetime of an entry's key in the store, in milliseconds. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -28,6 +28,10 @@
 export class EntryConnection {
   /** Life of the entry that greeted last. */
   life = ''
+  /** Version of the configuration that the entry was sent on the current stream. */
+  sentConfigVersion = 0
+  /** Steady time at which the entry greeted on the current stream. */
+  openedAtMs = 0
   /** Tasks received on the current stream. */
   received = 0
   /** Number of the load that the entry was told last. */
@@ -112,6 +116,8 @@
   private greet (greeting: protocol.runs.IEntryGreeting): void {
     this.life = greeting.life ?? ''
     this.isGreeted = true
+    this.openedAtMs = this.services.timers.nowMs()
+    this.sentConfigVersion = 0
     this.redialMs = MIN_REDIAL_MS
     this.services.log.event(events.LinkOpened, { peer: this.address, entryId: greeting.entryId ?? '', life: this.life })
     this.handler.onOpen(this, greeting)
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -30,6 +30,9 @@
 /** Longest wait before a new configuration is sent to an agent that another entry may reach first, in milliseconds. */
 const CONFIG_SPREAD_MS = 150
 
+/** Agents to which an entry gives a copy of a new configuration. It may have a thousand routes, and a small entry's link carries two megabytes a second. */
+const CONFIG_COPIES = 4
+
 /** Serves the links of agents. */
 export class EntryNode {
   private readonly server: runtime.LinkServer
@@ -125,13 +128,16 @@
 
   private noteVersion (connection: AgentConnection, version: number): void {
     connection.configVersion = Math.max(connection.configVersion, version)
-    if (connection.configVersion < this.services.shelf.version) this.sendConfig(connection)
   }
 
+  /** Gives some agents a copy, to pass on to entries that can't reach the store, and tells the others that this entry needs none. */
   private spreadConfig (): void {
-    for (const connection of this.connections.values()) {
-      if (connection.configVersion < this.services.shelf.version) this.sendConfig(connection)
-    }
+    const lagging = [...this.connections.values()].filter(connection => connection.configVersion < this.services.shelf.version)
+    const first = Math.floor(Math.random() * lagging.length)
+    lagging.forEach((connection, index) => {
+      if ((index - first + lagging.length) % lagging.length < CONFIG_COPIES) this.sendConfig(connection)
+      else connection.beat()
+    })
   }
 
   private sendConfig (connection: AgentConnection): void {
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -22,6 +22,7 @@
   readonly entry: fleet.EntryNode
   readonly proxies: standin.NetworkProxy[] = []
   readonly agents: fleet.AgentNode[] = []
+  readonly agentShelves: fleet.ConfigShelf[] = []
   readonly workers: standin.StandinWorker[] = []
   private readonly reports: settings.TimerHandle[] = []
 
@@ -61,7 +62,9 @@
     const proxy = standin.createNetworkProxy({ listen: '127.0.0.1:0', target: this.entry.identity.address, timers, log })
     await proxy.start()
     const worker = new standin.StandinWorker({ workerId: `w-${number}`, total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf: () => WORK_MS, sizeOf: () => SIZE, timers, witness: this.witness })
-    const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: 'a' }, { timers, log, driver: worker })
+    const shelf = new fleet.ConfigShelf()
+    const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: 'a' }, { timers, log, driver: worker, shelf })
+    this.agentShelves.push(shelf)
     agent.executor.takeReport(worker.report())
     this.reports.push(timers.every(REPORT_PERIOD_MS, () => { agent.executor.takeReport(worker.report()) }))
     agent.learnEntries([{ address: proxy.address, failureDomain: 'a' }])
@@ -118,6 +121,15 @@
     expect(bench.witness.doubled).to.deep.equal([])
   })
 
+  it('carry a configuration to a few agents only, whatever their number', async () => {
+    const large = new LinkBench(port++)
+    await large.start(10)
+    large.shelf.offer({ version: 4, document: Buffer.from('four') })
+    await timers.sleep(2_000)
+    expect(large.agentShelves.filter(shelf => shelf.version === 4).length).to.be.within(1, 4)
+    await large.stop()
+  })
+
   it('carry the newest configuration to an entry that lacks it', async () => {
     const shelf = new fleet.ConfigShelf()
     const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}`, failureDomain: 'a' }, { timers, log, scheduler: new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' }), shelf })
