End a pass over the queue when every worker is kept; what binds on the grown site

Cause: under a burst an entry made a candidate of every agent for every waiting job in each pass, also of agents kept for earlier jobs. Change: those are left out before, and the pass ends when none is left.

--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -46,6 +46,10 @@
     return this.records.values()
   }
 
+  get count (): number {
+    return this.records.size
+  }
+
   get (agentId: string): AgentRecord | undefined {
     return this.records.get(agentId)
   }
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -24,6 +24,8 @@
   entryCount: () => number
 }
 
+const NONE_RESERVED: ReadonlySet<string> = new Set()
+
 /** Chooses workers and sends tasks. */
 export class Placer {
   /** Tasks sent since the process began. */
@@ -34,10 +36,15 @@
   /** Returns true when another worker has room for a task that runs on an agent. */
   hasAlternative (job: Job, task: Task): boolean {
     const step = job.stepOf(task)
-    const others = this.filterFor(job, task, this.findCandidates(job, task.ref.step)).filter(each => each.agentId !== task.agentId)
+    const others = this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED)).filter(each => each.agentId !== task.agentId)
     return chooseWorker(others, step, step.estimatedMs, this.context.options) !== undefined
   }
 
+  /** Returns true while some worker is not kept for a task that came earlier in the pass. What comes later needs no look then. */
+  hasUnreserved (reserved: ReadonlySet<string>): boolean {
+    return reserved.size < this.context.agents.count
+  }
+
   /** Sends as many waiting tasks of a job as find room. `reserved` names the workers that are kept free for more urgent tasks. */
   place (job: Job, reserved: Set<string>): void {
     const placed: string[] = []
@@ -53,7 +60,7 @@
     for (const task of job.waitingTasks()) {
       if (task.ref.step !== step) {
         step = task.ref.step
-        candidates = this.findCandidates(job, step).filter(each => !reserved.has(each.agentId))
+        candidates = this.findCandidates(job, step, reserved)
         sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.context.entryCount()), this.context.random)
       }
       if (!this.placeTask(job, task, sample, candidates, reserved)) return
@@ -85,12 +92,12 @@
     return true
   }
 
-  /** Lists the workers that take tasks of a step. */
-  private findCandidates (job: Job, number: number): Candidate[] {
+  /** Lists the workers that take tasks of a step and are not kept for others. */
+  private findCandidates (job: Job, number: number, reserved: ReadonlySet<string>): Candidate[] {
     const step = job.spec.steps[number]!
     const candidates: Candidate[] = []
     for (const agent of this.context.agents.all) {
-      if (this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
+      if (!reserved.has(agent.agentId) && this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
     }
     return candidates
   }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -394,6 +394,7 @@
     queue.sort((left, right) => compareJobs(left, right, nowMs))
     const reserved = new Set<string>()
     for (const { job } of queue) {
+      if (!this.placer.hasUnreserved(reserved)) break
       if (!this.hasPassedDeadline(job)) this.placer.place(job, reserved)
     }
     this.demands.review(queue, this.agents, nowMs)
