--- /dev/null
+++ b/test/unit/settings/timerService.test.ts
@@ -0,0 +1,39 @@
+import { expect } from 'chai'
+import * as settings from '@egretvalve/settings'
+
+const PERIOD_MS = 50
+const PERIODS = 12
+
+describe('regular callbacks of the timer service', () => {
+  it('come about once a period, those of a longer period in the same wake-ups', async () => {
+    const timers = new settings.TimerService()
+    const turns: number[][] = [[], []]
+    let turn = 0
+    const count = (list: number[]) => (): void => {
+      // Callbacks of one wake-up run before any promise.
+      list.push(turn)
+      Promise.resolve().then(() => { turn++ })
+    }
+    const handles = [timers.every(PERIOD_MS, count(turns[0]!)), timers.every(2 * PERIOD_MS, count(turns[1]!))]
+    await timers.sleep(PERIODS * PERIOD_MS)
+    for (const handle of handles) handle.cancel()
+    expect(turns[0]!.length).to.be.within(2, PERIODS * 4 / 3)
+    expect(turns[1]!.length).to.be.within(1, PERIODS / 2 * 4 / 3)
+    const shared = turns[1]!.filter(each => turns[0]!.includes(each))
+    expect(shared.length).to.be.at.least(turns[1]!.length - 1)
+  })
+
+  it('end when they are cancelled, also by one another', async () => {
+    const timers = new settings.TimerService()
+    const calls: string[] = []
+    const other = timers.every(PERIOD_MS, () => { calls.push('other') })
+    const first = timers.every(PERIOD_MS - 1, () => {
+      calls.push('first')
+      other.cancel()
+      first.cancel()
+    })
+    await timers.sleep(4 * PERIOD_MS)
+    expect(calls.filter(call => call === 'first')).to.deep.equal(['first'])
+    expect(calls.filter(call => call === 'other').length).to.be.at.most(1)
+  })
+})
