--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -21,12 +21,6 @@
   failureDomain: string
 }
 
-/** Links go to IP numbers and ports only. */
-function isDialable ({ address }: ListedEntry): boolean {
-  const { host, port } = runtime.parseAddress(address)
-  return net.isIP(host) !== 0 && port > 0 && port < 65_536
-}
-
 /** Services of an agent. */
 export interface AgentServices {
   timers: settings.Timers
@@ -81,9 +75,11 @@
 
   /** Takes a list of entries. */
   learnEntries (entries: readonly ListedEntry[]): void {
-    const [sound, unsound] = [entries.filter(isDialable), entries.filter(entry => !isDialable(entry))]
-    for (const { address } of unsound) this.services.log.event(events.AddressRefused, { address: address.slice(0, 80) })
-    this.links.learn(sound)
+    this.links.learn(entries.filter(entry => {
+      if (isDialable(entry)) return true
+      this.services.log.event(events.AddressRefused, { address: entry.address.slice(0, 80) })
+      return false
+    }))
   }
 
   /** Names addresses to try while no entry is linked. */
@@ -270,3 +266,9 @@
     return encodeLoad(told, connection.received)
   }
 }
+
+/** Links go to IP numbers and ports only. */
+function isDialable ({ address }: ListedEntry): boolean {
+  const { host, port } = runtime.parseAddress(address)
+  return net.isIP(host) !== 0 && port > 0 && port < 65_536
+}
--- a/packages/fleet/src/entryLinks.ts
+++ b/packages/fleet/src/entryLinks.ts
@@ -28,6 +28,8 @@
   /** Substitutes that could not be reached either, and until when no other attempt is made. */
   private readonly avoidedUntilMs = new Map<string, number>()
   private seeds: readonly string[] = []
+  /** The last choice, and the unreachable entries that it was made for; undefined when the known entries have changed since. */
+  private lastChoice: { unreachable: string, chosen: ReadonlySet<string> } | undefined
   private lastListAtMs = 0
 
   constructor (private readonly context: EntryLinksContext) {}
@@ -46,14 +48,14 @@
     if (entries.length === 0) return
     const nowMs = this.context.timers.nowMs()
     this.lastListAtMs = nowMs
-    for (const { address, failureDomain } of entries) this.known.set(address, { address, failureDomain, listedAtMs: nowMs })
+    for (const { address, failureDomain } of entries) this.know(address, failureDomain, nowMs)
     this.review()
   }
 
   /** Takes note of an entry that is linked but not listed, as while the store is away. */
   noteOpen (connection: EntryConnection): void {
     const { address } = connection
-    if (!this.known.has(address)) this.known.set(address, { address, failureDomain: '', listedAtMs: this.context.timers.nowMs() })
+    if (!this.known.has(address)) this.know(address, '', this.context.timers.nowMs())
   }
 
   /** Names addresses to try while no entry is linked. */
@@ -65,7 +67,7 @@
   /** Opens the links that are wanted and gives up the others. Called regularly. */
   review (): void {
     this.forget()
-    const wanted = chooseEntries(this.context, this.known.values(), this.unreachable)
+    const wanted = new Set(this.choose())
     if (this.open.length === 0 || this.known.size === 0) for (const address of this.seeds) wanted.add(address)
     for (const address of wanted) this.want(address)
     for (const [address, connection] of this.connections) {
@@ -78,6 +80,20 @@
     this.connections.clear()
   }
 
+  private know (address: string, failureDomain: string, listedAtMs: number): void {
+    const entry = this.known.get(address)
+    if (entry?.failureDomain !== failureDomain) this.lastChoice = undefined
+    this.known.set(address, { address, failureDomain, listedAtMs })
+  }
+
+  /** Hashing and sorting all entries is worth it only when something has changed. */
+  private choose (): ReadonlySet<string> {
+    const { unreachable } = this
+    const key = [...unreachable].sort().join()
+    if (this.lastChoice?.unreachable !== key) this.lastChoice = { unreachable: key, chosen: chooseEntries(this.context, this.known.values(), unreachable) }
+    return this.lastChoice.chosen
+  }
+
   private get unreachable (): Set<string> {
     const nowMs = this.context.timers.nowMs()
     const addresses = new Set<string>()
@@ -94,7 +110,10 @@
   /** Forgets entries that newer lists have left out for long. While no list arrives, as when the store is away, all stay. */
   private forget (): void {
     for (const [address, entry] of this.known) {
-      if (entry.listedAtMs < this.lastListAtMs - FORGET_ENTRY_MS && this.connections.get(address)?.isOpen !== true) this.known.delete(address)
+      if (entry.listedAtMs < this.lastListAtMs - FORGET_ENTRY_MS && this.connections.get(address)?.isOpen !== true) {
+        this.known.delete(address)
+        this.lastChoice = undefined
+      }
     }
   }
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -15,6 +15,7 @@
 import { Refusals } from './refusals.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { SpeedEstimate } from './speed.ts'
+import { noteOutcome } from './standing.ts'
 import type { ReportedLoad } from './workerView.ts'
 
 /** Services of the scheduler. */
@@ -245,30 +246,11 @@
     agent.sent.delete(key)
     if (end.end === workers.TaskEnd.NotStarted) sent.job.noteNotStarted()
     if (end.end !== workers.TaskEnd.Done) this.services.log.event(events.TaskReported, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
-    this.noteOutcome(agent, end)
+    noteOutcome(this.ejection, agent.agentId, end, this.nowMs)
     if (sent.job.hasEnded || sent.task.attempt !== end.attempt || sent.task.phase !== TaskPhase.Sent) return
     this.settleTask(sent, agent, end)
   }
 
-  private noteOutcome (agent: AgentRecord, end: ReportedEnd): void {
-    switch (end.end) {
-      case workers.TaskEnd.Done:
-        this.ejection.noteOutcome(agent.agentId, false, this.nowMs)
-        return
-      case workers.TaskEnd.Failed:
-        this.ejection.noteOutcome(agent.agentId, true, this.nowMs)
-        return
-      case workers.TaskEnd.NotStarted:
-        if (end.reason === workers.StartRefusal.Unhealthy) this.ejection.noteOutcome(agent.agentId, true, this.nowMs)
-        else this.ejection.noteNoOutcome(agent.agentId)
-        return
-      case workers.TaskEnd.Lost:
-        this.ejection.noteNoOutcome(agent.agentId)
-        return
-      default: protocol.assertNever(end.end)
-    }
-  }
-
   private settleTask (sent: SentTask, agent: AgentRecord, end: ReportedEnd): void {
     const { job, task } = sent
     task.agentId = undefined
--- a/test/failure/hostileRunLink.test.ts
+++ b/test/failure/hostileRunLink.test.ts
@@ -1,6 +1,7 @@
 /** Malformed messages on the links between entries and the agents of leased workers. */
 import * as grpc from '@grpc/grpc-js'
 import { expect } from 'chai'
+import * as fastCheck from 'fast-check'
 import * as fleet from '@egretvalve/fleet'
 import * as protocol from '@egretvalve/protocol'
 import * as scheduler from '@egretvalve/scheduler'
@@ -21,12 +22,7 @@
 
 /** Bytes from a seeded generator, as a sender with broken memory would write them. */
 function createNoise (seed: number, count: number): Buffer[] {
-  let state = seed
-  const next = (limit: number): number => {
-    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648
-    return Math.floor(state / 65_536) % limit
-  }
-  return Array.from({ length: count }, () => Buffer.from(Array.from({ length: 1 + next(60) }, () => next(256))))
+  return fastCheck.sample(fastCheck.uint8Array({ minLength: 1, maxLength: 60 }), { seed, numRuns: count }).map(bytes => Buffer.from(bytes))
 }
 
 const ODD_REPORTS: protocol.runs.IFromAgent[] = [
--- a/test/unit/runtime/httpCaller.test.ts
+++ b/test/unit/runtime/httpCaller.test.ts
@@ -65,6 +65,12 @@
     expect(received).to.deep.equal(['/first', '/third'])
   })
 
+  it('never throw, whatever a peer made the call of', async () => {
+    expect((await caller.call({ method: 'GET', path: '/a', headers: { 'x-name': 'a\nb' }, timeoutMs: TIMEOUT_MS })).kind).to.equal('unanswered')
+    await caller.close()
+    expect((await caller.call({ method: 'GET', path: '/a', timeoutMs: TIMEOUT_MS })).kind).to.equal('unsent')
+  })
+
   it('end when their signal aborts', async () => {
     answer = () => {}
     const abort = new AbortController()
