Owner leases: an agent acts on an order only for a limited time after the entry heard it

Cause: orders and renewals counted from the moment at which the agent read them.

Each message of an agent now carries the agent's own clock, and each message of an entry returns the newest one that it has read. The agent runs tasks of an entry for 1,150 ms from that time, on its own clock, suspensions included: a staler order is returned as not started, with the remaining lease in the log; runs are stopped 150 ms before; a worker's lease ends no later than the first owner lease, so a stalled agent leaves nothing behind. The entry knows from its own clock when all runs have ended, 1,250 ms after the agent's last message instead of 1,900 ms after its link closed. Heartbeats of agents are answered at once; a stalled agent asks for a sign of life first.

--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -17,6 +17,8 @@
   configVersion: number
   private readonly activity: PeerActivity
   private orders: protocol.runs.IRunOrder[] = []
+  /** Time of the last message read, on the agent's clock. */
+  private heardAtMs = 0
   private lastSentAtMs = 0
   private lastHeartbeatAtMs = 0
   /** Keys of tasks that were sent and whose end has not been reported. */
@@ -40,9 +42,10 @@
     return this.activity.sinceLastMessageMs
   }
 
-  /** Records that a message has arrived. */
-  recordMessage (): void {
+  /** Records that a message has arrived. `sentAtMs` is the time at which the agent sent it, on the agent's clock; the agent's owner lease counts from it. */
+  recordMessage (sentAtMs: number): void {
     this.activity.record()
+    this.heardAtMs = sentAtMs
   }
 
   /** Queues a task; all tasks of one event loop turn are sent in one message. */
@@ -74,7 +77,7 @@
   }
 
   send (message: protocol.runs.IFromEntry): void {
-    if (this.outbox.send(message)) this.lastSentAtMs = this.timers.nowMs()
+    if (this.outbox.send({ ...message, heardAtMs: this.heardAtMs })) this.lastSentAtMs = this.timers.nowMs()
   }
 
   /** Ends the stream. */
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -34,6 +34,7 @@
 export class AgentNode {
   readonly executor: workers.RunExecutor
   private readonly configCache: ConfigCache
+  private readonly clock: workers.ElapsedClock
   private readonly owners: Owners
   private readonly links: EntryLinks
   /** Ends to send in the next flush, by entry incarnation. */
@@ -50,7 +51,8 @@
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
     this.configCache = services.configCache ?? new ConfigCache()
     this.configCache.subscribe(() => { this.configReceivedAtMs = services.timers.nowMs() })
-    this.owners = new Owners(services.timers)
+    this.clock = new workers.ElapsedClock(services.timers)
+    this.owners = new Owners(services.timers, this.clock)
     this.links = new EntryLinks({
       ...identity,
       timers: services.timers,
@@ -58,13 +60,13 @@
       hasPendingWork: ({ incarnation }) => this.pendingEnds.has(incarnation) || this.executor.heldBy(incarnation).length > 0,
       onClosingChanged: connection => { this.sendReport(connection, {}) }
     })
-    this.executor = new workers.RunExecutor(services, {
+    this.executor = new workers.RunExecutor({ ...services, ownerLeases: this.owners }, {
       onEnd: ending => { this.queueEnd(ending) },
       onLoad: () => { this.scheduleLoadReport() },
       onCapacityReserved: owners => { this.reportReservations(owners) }
     })
     this.handles.push(
-      runLivenessChecks(services.timers, () => { this.checkLiveness() }),
+      runLivenessChecks(services.timers, () => { this.checkLiveness() }, () => { this.renewOwnerLeases() }),
       services.timers.every(SLOW_RUN_REPORT_PERIOD_MS, () => { this.reportSlow() })
     )
   }
@@ -106,10 +108,11 @@
     const connection = new EntryConnection(address, {
       createGreeting: () => this.createGreeting(),
       onOpen: (opened, greeting) => { this.handleLinkOpened(opened, greeting) },
+      onHeard: (from, heardAtMs) => { this.owners.recordMessage(from.incarnation, heardAtMs) },
       onMessage: (from, message) => { this.receive(from, message) },
       isBusy: target => this.executor.heldBy(target.incarnation).length > 0,
       createHeartbeat: target => ({ configVersion: this.configCache.version, load: target.reportedLoadSequence < this.loadSequence ? this.createLoad(target) : undefined })
-    }, this.services)
+    }, { ...this.services, clock: this.clock })
     connection.run()
     return connection
   }
@@ -120,7 +123,6 @@
 
   private handleLinkOpened (connection: EntryConnection, greeting: protocol.runs.IEntryGreeting): void {
     const { incarnation } = connection
-    this.owners.recordMessage(incarnation)
     this.links.recordOpen(connection)
     this.pendingEnds.delete(incarnation)
     this.sendReport(connection, { ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
@@ -129,7 +131,6 @@
   }
 
   private receive (connection: EntryConnection, message: protocol.runs.IFromEntry): void {
-    this.owners.recordMessage(connection.incarnation)
     if (message.orders != null) this.handleOrders(connection, message.orders.orders ?? [])
     else if (message.stop != null) this.handleStop(connection, message.stop)
     else if (message.demand != null) this.executor.updateDemand(connection.incarnation, decodeDemand(message.demand, this.services.timers.nowMs()))
@@ -172,11 +173,16 @@
     this.stopRunsOfUnresponsiveOwners()
   }
 
+  /** Asks all entries for a sign of life after a stall, in which their leases have aged. */
+  private renewOwnerLeases (): void {
+    for (const connection of this.links.openLinks) connection.sendHeartbeat()
+  }
+
   private stopRunsOfUnresponsiveOwners (): void {
     for (const incarnation of this.owners.sweep()) {
       const held = this.executor.heldBy(incarnation).length
       if (held === 0) continue
-      this.services.log.event(events.OwnerUnresponsive, { life: incarnation, held })
+      this.services.log.event(events.OwnerUnresponsive, { life: incarnation, held, ownerLeaseMs: Math.round(this.owners.remainingMs(incarnation)) })
       this.executor.stop(incarnation, () => true, 'entry is silent')
     }
   }
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -4,12 +4,14 @@
 export const BUSY_HEARTBEAT_MS = 250
 /** Heartbeat period on a link without tasks, in milliseconds. */
 export const IDLE_HEARTBEAT_MS = 400
-/** Time without a message after which a link with tasks is redialled, in milliseconds. Heartbeats on it arrive every 250 to 350 ms, and the new link must open before the owner timeout. */
+/** Time without a message after which a link with tasks is redialled, in milliseconds. Heartbeats on it arrive every 250 to 350 ms, and the new link must open before the owner lease expires. */
 export const BUSY_LINK_TIMEOUT_MS = 650
 /** Time without a message after which a link without tasks is redialled, in milliseconds. */
 export const IDLE_LINK_TIMEOUT_MS = 1_300
-/** Time without a message from an entry after which its runs are stopped, in milliseconds. A caller resubmits its job 1,300 ms after it lost its answer. */
-export const OWNER_TIMEOUT_MS = 900
+/** Time for which an agent may run the tasks of an entry, from the agent's last message that the entry is known to have read, in milliseconds. Runs end before a caller resubmits its job, 1,300 ms after it lost its answer. */
+export const OWNER_LEASE_MS = 1_150
+/** Remaining owner lease at which the agent stops the entry's runs, in milliseconds. Covers a liveness check and the stop itself. */
+export const OWNER_LEASE_STOP_MARGIN_MS = 150
 /** Period of liveness checks, in milliseconds. */
 export const LIVENESS_CHECK_PERIOD_MS = 100
 /** Interval between two liveness checks from which this process counts as stalled, in milliseconds. The check is then skipped so that messages that have arrived are read first. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -12,6 +12,8 @@
   createGreeting: (connection: EntryConnection) => protocol.runs.IAgentGreeting
   /** Called when the entry's greeting has arrived. */
   onOpen: (connection: EntryConnection, greeting: protocol.runs.IEntryGreeting) => void
+  /** `heardAtMs` is the time of the agent's last message that the entry had read when it sent this one. Called for the greeting too, before `onOpen`. */
+  onHeard: (connection: EntryConnection, heardAtMs: number) => void
   onMessage: (connection: EntryConnection, message: protocol.runs.IFromEntry) => void
   /** True while the agent holds tasks of the entry. */
   isBusy: (connection: EntryConnection) => boolean
@@ -22,6 +24,8 @@
 export interface ConnectionServices {
   timers: settings.Timers
   log: settings.Log
+  /** Clock whose time the agent's messages carry. */
+  clock: workers.ElapsedClock
 }
 
 /** A connection to the address of one entry. */
@@ -79,7 +83,7 @@
 
   /** Sends a message. Returns false if no stream is open. */
   send (message: protocol.runs.IFromAgent): boolean {
-    if (this.outbox?.send(message) !== true) return false
+    if (this.outbox?.send({ ...message, sentAtMs: this.services.clock.nowMs() }) !== true) return false
     this.lastSentAtMs = this.services.timers.nowMs()
     return true
   }
@@ -110,12 +114,14 @@
 
   private receive (message: protocol.runs.FromEntry): void {
     this.activity.record()
+    if (message.greeting != null) this.incarnation = message.greeting.life ?? ''
+    // Entries of earlier versions don't return the time; their messages count from their arrival.
+    this.handler.onHeard(this, message.heardAtMs ?? this.services.clock.nowMs())
     if (message.greeting != null) this.handleGreeting(message.greeting)
     else this.handler.onMessage(this, message)
   }
 
   private handleGreeting (greeting: protocol.runs.IEntryGreeting): void {
-    this.incarnation = greeting.life ?? ''
     this.isGreeted = true
     this.openedAtMs = this.services.timers.nowMs()
     this.sentConfigVersion = 0
@@ -124,11 +130,16 @@
     this.handler.onOpen(this, greeting)
   }
 
+  /** Sends a heartbeat, which the entry answers immediately. */
+  sendHeartbeat (): void {
+    this.send({ beat: this.handler.createHeartbeat(this) })
+  }
+
   /** Sends a heartbeat if nothing else was sent within its period, and closes the stream of an unresponsive entry. */
   keepAlive (): void {
     if (this.outbox === undefined) return
     const isBusy = this.handler.isBusy(this)
-    if (this.services.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_HEARTBEAT_MS : IDLE_HEARTBEAT_MS)) this.send({ beat: this.handler.createHeartbeat(this) })
+    if (this.services.timers.nowMs() - this.lastSentAtMs > (isBusy ? BUSY_HEARTBEAT_MS : IDLE_HEARTBEAT_MS)) this.sendHeartbeat()
     if (this.sinceLastMessageMs > (isBusy ? BUSY_LINK_TIMEOUT_MS : IDLE_LINK_TIMEOUT_MS)) this.stopStream()
   }
 
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -75,7 +75,7 @@
     let reason = 'ended by the agent'
     try {
       for await (const message of stream) {
-        if (connection === undefined) connection = this.handleGreeting(message.greeting, outbox, stream)
+        if (connection === undefined) connection = this.handleGreeting(message, outbox, stream)
         else this.receive(connection, message)
         if (connection === undefined) break
       }
@@ -86,9 +86,10 @@
     if (connection !== undefined) this.close(connection, reason)
   }
 
-  private handleGreeting (greeting: protocol.runs.IAgentGreeting | null | undefined, outbox: runtime.Outbox<protocol.runs.IFromEntry>, stream: Pick<runtime.LinkStream<unknown, unknown>, 'destroy'>): AgentConnection | undefined {
+  private handleGreeting ({ greeting, sentAtMs }: protocol.runs.IFromAgent, outbox: runtime.Outbox<protocol.runs.IFromEntry>, stream: Pick<runtime.LinkStream<unknown, unknown>, 'destroy'>): AgentConnection | undefined {
     if (greeting == null) return undefined
     const connection = new AgentConnection(greeting, outbox, this.services.timers, () => ({ configVersion: this.services.configCache.version }), () => { stream.destroy() })
+    connection.recordMessage(sentAtMs ?? 0)
     const previous = this.connections.get(connection.agentId)
     if (previous !== undefined) this.close(previous, 'agent opened another link')
     this.connections.set(connection.agentId, connection)
@@ -100,7 +101,7 @@
 
   private receive (connection: AgentConnection, message: protocol.runs.IFromAgent): void {
     const { scheduler } = this.services
-    connection.recordMessage()
+    connection.recordMessage(message.sentAtMs ?? 0)
     if (message.report != null) this.handleReport(connection, message.report)
     else if (message.held != null) scheduler.reconcile(connection, new Set((message.held.runs ?? []).map(heldRunKey)))
     else if (message.config != null) this.handleConfig(connection, message.config)
@@ -119,6 +120,7 @@
   private handleHeartbeat (connection: AgentConnection, heartbeat: protocol.runs.IBeat): void {
     this.recordConfigVersion(connection, heartbeat.configVersion ?? 0)
     if (heartbeat.load != null) this.services.scheduler.handleLoad(connection, decodeLoad(heartbeat.load))
+    connection.sendHeartbeat()
   }
 
   private handleConfig (connection: AgentConnection, copy: protocol.runs.IConfigCopy): void {
--- a/packages/fleet/src/liveness.ts
+++ b/packages/fleet/src/liveness.ts
@@ -1,5 +1,6 @@
 /** Liveness of peers. Distinguishes an unresponsive peer from a stall of this process. */
 import type * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
 import { LIVENESS_CHECK_PERIOD_MS, STALL_MS } from './defaults.ts'
 
 /** Records the time of a peer's last message. Creation counts as a message. */
@@ -20,12 +21,17 @@
   }
 }
 
-/** Calls `check` once per liveness check period. Skips the first call after a stall of this process, so that messages that have arrived are read first. */
-export function runLivenessChecks (timers: settings.Timers, check: () => void): settings.TimerHandle {
-  let lastMs = timers.nowMs()
+/**
+ * Calls `check` once per liveness check period. After a stall of this process or a suspension of the VM it calls `onStall` once in its
+ * place, so that messages that have arrived are read first.
+ */
+export function runLivenessChecks (timers: settings.Timers, check: () => void, onStall: () => void = () => {}): settings.TimerHandle {
+  const clock = new workers.ElapsedClock(timers)
+  let lastMs = clock.nowMs()
   return timers.every(LIVENESS_CHECK_PERIOD_MS, () => {
-    const elapsedMs = timers.nowMs() - lastMs
-    lastMs = timers.nowMs()
+    const elapsedMs = clock.nowMs() - lastMs
+    lastMs = clock.nowMs()
     if (elapsedMs < STALL_MS) check()
+    else onStall()
   })
 }
--- a/packages/fleet/src/owners.ts
+++ b/packages/fleet/src/owners.ts
@@ -1,7 +1,7 @@
-/** Owners of an agent's tasks, by entry incarnation: their liveness, and recent ends that they may not have received. */
+/** Owners of an agent's tasks, by entry incarnation: their leases, and recent ends that they may not have received. */
 import type * as settings from '@egretvalve/settings'
 import type * as workers from '@egretvalve/workers'
-import { END_RETENTION_MS, OWNER_TIMEOUT_MS } from './defaults.ts'
+import { END_RETENTION_MS, OWNER_LEASE_MS, OWNER_LEASE_STOP_MARGIN_MS } from './defaults.ts'
 import { PeerActivity } from './liveness.ts'
 
 interface RetainedEnd {
@@ -10,22 +10,38 @@
 }
 
 /** One incarnation of an entry. */
-export interface Owner {
+interface Owner {
   readonly incarnation: string
   readonly activity: PeerActivity
+  /** Time of the agent's last message that the entry is known to have read, on the agent's clock, in milliseconds. */
+  heardAtMs: number
   /** Recent ends, oldest first. Sent again when the link reopens. */
   ends: RetainedEnd[]
 }
 
-/** Registry of the entry incarnations that may own tasks or retained ends. */
-export class Owners {
+/**
+ * Registry of the entry incarnations that may own tasks or retained ends.
+ *
+ * An entry lends the agent the right to run its tasks for a limited time, counted on the agent's own clock from the agent's last
+ * message that the entry is known to have read. However long a message of the entry lay in a socket, it does not extend the lease
+ * beyond that time, so the entry knows from its own clock when the agent's runs have ended.
+ */
+export class Owners implements workers.OwnerLeases {
   private readonly owners = new Map<string, Owner>()
 
-  constructor (private readonly timers: settings.Timers) {}
+  /** `clock` is the one whose time the agent's messages carry. */
+  constructor (private readonly timers: settings.Timers, private readonly clock: workers.ElapsedClock) {}
 
-  /** Records a message from an entry incarnation. */
-  recordMessage (incarnation: string): void {
-    this.resolve(incarnation).activity.record()
+  /** Records a message from an entry incarnation. `heardAtMs` is the time of the agent's last message that the entry had read when it sent this one. */
+  recordMessage (incarnation: string, heardAtMs: number): void {
+    const owner = this.resolve(incarnation)
+    owner.activity.record()
+    if (heardAtMs > owner.heardAtMs) owner.heardAtMs = Math.min(heardAtMs, this.clock.nowMs())
+  }
+
+  remainingMs (incarnation: string): number {
+    const owner = this.owners.get(incarnation)
+    return owner === undefined ? 0 : owner.heardAtMs + OWNER_LEASE_MS - this.clock.nowMs()
   }
 
   /** Retains an end in case the link breaks before the entry reads it. */
@@ -38,22 +54,22 @@
     return this.owners.get(incarnation)?.ends.map(end => end.ending) ?? []
   }
 
-  /** Removes expired ends and owners. Returns the incarnations that are unresponsive. */
+  /** Removes expired ends and owners. Returns the incarnations whose lease is about to expire or has expired. */
   sweep (): string[] {
-    const unresponsive: string[] = []
+    const expiring: string[] = []
     const limitMs = this.timers.nowMs() - END_RETENTION_MS
     for (const owner of this.owners.values()) {
       if (owner.ends.length > 0 && owner.ends[0]!.atMs < limitMs) owner.ends = owner.ends.filter(end => end.atMs >= limitMs)
-      if (owner.activity.sinceLastMessageMs > OWNER_TIMEOUT_MS) unresponsive.push(owner.incarnation)
-      if (owner.activity.sinceLastMessageMs > END_RETENTION_MS + OWNER_TIMEOUT_MS) this.owners.delete(owner.incarnation)
+      if (this.remainingMs(owner.incarnation) < OWNER_LEASE_STOP_MARGIN_MS) expiring.push(owner.incarnation)
+      if (owner.activity.sinceLastMessageMs > END_RETENTION_MS + OWNER_LEASE_MS) this.owners.delete(owner.incarnation)
     }
-    return unresponsive
+    return expiring
   }
 
   private resolve (incarnation: string): Owner {
     let owner = this.owners.get(incarnation)
     if (owner === undefined) {
-      owner = { incarnation, activity: new PeerActivity(this.timers), ends: [] }
+      owner = { incarnation, activity: new PeerActivity(this.timers), heardAtMs: Number.NEGATIVE_INFINITY, ends: [] }
       this.owners.set(incarnation, owner)
     }
     return owner
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -37,8 +37,8 @@
   view: WorkerView
   /** Tasks held by the agent, by their key. */
   readonly sent: Map<string, SentTask>
-  /** Time at which the link was lost; undefined while connected. */
-  disconnectedAtMs: number | undefined
+  /** Time of the agent's last message, in milliseconds; undefined while connected. */
+  lastMessageAtMs: number | undefined
 }
 
 /** Registry of the agents that are connected to this entry, or were so recently. */
@@ -62,10 +62,10 @@
     const view = new WorkerView(port.agentId, port.failureDomain)
     view.apply(load)
     const known = this.records.get(port.agentId)
-    const record: AgentRecord = known ?? { agentId: port.agentId, incarnation: port.incarnation, port, view, sent: new Map(), disconnectedAtMs: undefined }
+    const record: AgentRecord = known ?? { agentId: port.agentId, incarnation: port.incarnation, port, view, sent: new Map(), lastMessageAtMs: undefined }
     record.port = port
     record.view = view
-    record.disconnectedAtMs = undefined
+    record.lastMessageAtMs = undefined
     this.records.set(port.agentId, record)
     return record
   }
--- a/packages/scheduler/src/defaults.ts
+++ b/packages/scheduler/src/defaults.ts
@@ -10,8 +10,10 @@
   remoteDataFactor: number
   /** Time without a message after which an agent gets no new tasks. Heartbeats come 250 to 350 ms apart while the agent holds tasks, and 400 to 500 ms apart otherwise. */
   suspectAfterMs: number
-  /** Time after the loss of an agent until its runs have certainly ended: the agent's timeout for an unresponsive entry, the stop of the runs and the worker's lease, each with clock drift. */
+  /** Time after an agent's last message until its runs for this entry have certainly ended: the owner lease, which counts from a message that the entry has read, with clock drift, and the stop of the runs. */
   lostAfterMs: number
+  /** Time between two periodic checks from which this process counts as stalled. Agents are then not checked, so that messages that have arrived are read first. */
+  stallMs: number
   /** Time without progress after which a run counts as stalled and is moved. */
   stalledMs: number
   /** Speed factor from which a worker's slow runs are moved; above 1 is slower than a typical worker. */
@@ -30,7 +32,8 @@
   loadPenaltyMs: 20,
   remoteDataFactor: 1.5,
   suspectAfterMs: 600,
-  lostAfterMs: 1_900,
+  lostAfterMs: 1_250,
+  stallMs: 200,
   stalledMs: 200,
   slowFactor: 2.5,
   moveGain: 1.3,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -69,11 +69,14 @@
   private readonly demandNotifier: DemandNotifier
   private readonly refusals: Refusals
   private readonly tick: settings.TimerHandle
+  /** Time of the last periodic check. */
+  private checkedAtMs: number
   private isDispatchScheduled = false
   private onIdle: (() => void) | undefined
 
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
+    this.checkedAtMs = services.timers.nowMs()
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
     this.demandNotifier = new DemandNotifier(services.random)
     this.placer = new Placer({
@@ -196,12 +199,12 @@
     this.scheduleDispatch()
   }
 
-  /** Records the loss of a link. The agent's tasks may still run until it counts as lost. */
+  /** Records the loss of a link. The agent's tasks may still run until its owner lease has certainly expired. */
   disconnect (port: AgentPort, reason: string): void {
     const agent = this.agents.get(port.agentId)
     if (agent?.port !== port) return
     agent.port = undefined
-    agent.disconnectedAtMs = this.nowMs
+    agent.lastMessageAtMs = this.nowMs - port.sinceLastMessageMs()
     this.services.log.event(events.AgentDisconnected, { agentId: port.agentId, reason, sent: agent.sent.size })
   }
 
@@ -275,7 +278,7 @@
       case workers.TaskEnd.Lost:
       case workers.TaskEnd.NotStarted:
         task.phase = TaskPhase.Waiting
-        if (end.reason === workers.StartRefusal.Unhealthy) task.avoided.add(agent.agentId)
+        if (end.reason === workers.StartRefusal.Unhealthy || end.reason === workers.ReturnReason.OwnerLeaseExpired) task.avoided.add(agent.agentId)
         return
       default: protocol.assertNever(end.end)
     }
@@ -295,21 +298,26 @@
     agent.port.stop(run.ref)
   }
 
-  /** Checks deadlines and disconnected agents. */
+  /** Checks deadlines and silent agents. */
   private runPeriodicChecks (): void {
     this.refusals.recordWorkerPresence()
-    for (const agent of [...this.agents.all]) this.checkAgent(agent)
+    const isStalled = this.nowMs - this.checkedAtMs > this.options.stallMs
+    this.checkedAtMs = this.nowMs
+    if (!isStalled) for (const agent of [...this.agents.all]) this.checkAgent(agent)
     for (const job of [...this.open.values()]) this.checkJob(job)
     this.evictEnded()
     this.scheduleDispatch()
   }
 
+  /** Marks the tasks of an agent that has been silent for too long as lost, and removes it if its link is closed. */
   private checkAgent (agent: AgentRecord): void {
-    if (agent.disconnectedAtMs === undefined || this.nowMs - agent.disconnectedAtMs < this.options.lostAfterMs) return
+    const silentMs = agent.port?.sinceLastMessageMs() ?? this.nowMs - agent.lastMessageAtMs!
+    if (silentMs < this.options.lostAfterMs) return
     if (agent.sent.size > 0) {
-      this.services.log.event(events.AgentLost, { agentId: agent.agentId, awayMs: Math.round(this.nowMs - agent.disconnectedAtMs), sent: agent.sent.size })
+      this.services.log.event(events.AgentLost, { agentId: agent.agentId, awayMs: Math.round(silentMs), sent: agent.sent.size })
       this.markTasksLost(agent, 'agent lost')
     }
+    if (agent.port !== undefined) return
     this.agents.remove(agent.agentId)
     this.ejection.remove(agent.agentId)
     this.speeds.remove(agent.agentId)
--- a/packages/standin/src/network/faults.ts
+++ b/packages/standin/src/network/faults.ts
@@ -10,7 +10,11 @@
   /** Buffers the bytes from target to client; the opposite direction still works. */
   CutToClient = 'cut-to-client',
   /** Delays both directions by `delayMs`. */
-  Delay = 'delay'
+  Delay = 'delay',
+  /** Delays the bytes from target to client by `delayMs`; the opposite direction is not delayed. */
+  DelayToClient = 'delay-to-client',
+  /** Delivers half of the next bytes from target to client and buffers the rest; the opposite direction still works. */
+  CutToClientMidway = 'cut-to-client-midway'
 }
 
 /** A fault of one connection, or of all connections of a proxy. `delayMs` is in milliseconds. */
@@ -20,11 +24,15 @@
   | { kind: LinkFaultKind.CutToTarget }
   | { kind: LinkFaultKind.CutToClient }
   | { kind: LinkFaultKind.Delay, delayMs: number }
+  | { kind: LinkFaultKind.DelayToClient, delayMs: number }
+  | { kind: LinkFaultKind.CutToClientMidway }
 
 /** Effect of a fault on one direction. */
 export interface DirectionFault {
   /** Bytes are buffered and not delivered. */
   isCut: boolean
+  /** The first half of the next chunk is delivered in spite of the cut. */
+  isMidway?: boolean
   delayMs: number
 }
 
@@ -48,6 +56,8 @@
       const delayed = { isCut: false, delayMs: fault.delayMs }
       return { toTarget: delayed, toClient: delayed }
     }
+    case LinkFaultKind.DelayToClient: return { toTarget: NO_FAULT, toClient: { isCut: false, delayMs: fault.delayMs } }
+    case LinkFaultKind.CutToClientMidway: return { toTarget: NO_FAULT, toClient: { ...CUT, isMidway: true } }
     default: return protocol.assertNever(fault)
   }
 }
--- a/packages/standin/src/network/streamRelay.ts
+++ b/packages/standin/src/network/streamRelay.ts
@@ -15,6 +15,8 @@
 export class StreamRelay {
   private readonly held: HeldChunk[] = []
   private heldBytes = 0
+  /** True once the current midway cut has delivered its half chunk. */
+  private isHalved = false
   private isEnded = false
   private changed = createDeferred()
 
@@ -43,12 +45,25 @@
       const { promise: change } = this.changed
       const next = this.held[0]
       if (next === undefined && this.isEnded && !this.readFault().isCut) break
+      if (next !== undefined) this.deliverHalf(next)
       if (next === undefined || this.readFault().isCut) await change
       else await this.deliver(next)
     }
     this.destination.end()
   }
 
+  /** Delivers the first half of a chunk, once per midway cut. */
+  private deliverHalf (next: HeldChunk): void {
+    if (this.readFault().isMidway !== true) this.isHalved = false
+    else if (!this.isHalved) {
+      this.isHalved = true
+      const half = next.chunk.subarray(0, next.chunk.length >> 1)
+      next.chunk = next.chunk.subarray(half.length)
+      this.heldBytes -= half.length
+      this.destination.write(half)
+    }
+  }
+
   private async deliver (next: HeldChunk): Promise<void> {
     const remainingMs = next.arrivedAtMs + this.readFault().delayMs - this.timers.nowMs()
     if (remainingMs > 0) await this.timers.sleep(remainingMs)
--- a/packages/workers/src/clock.ts
+++ b/packages/workers/src/clock.ts
@@ -1,4 +1,4 @@
-/** Clocks: conversion to a worker's clock, and ages that include VM suspensions. */
+/** Clocks: conversion to a worker's clock, and times that include VM suspensions. */
 import type * as settings from '@egretvalve/settings'
 
 /** Estimate of a worker's monotonic clock. It is never ahead of the worker's own clock. */
@@ -43,3 +43,31 @@
     return Math.max(this.timers.nowMs() - this.monotonicMs, this.timers.wallClockMs() - this.wallMs)
   }
 }
+
+/** Difference between the advance of the wall clock and of the monotonic clock from which the VM counts as suspended, in milliseconds. Smaller ones come from rounding and clock adjustment. */
+const MIN_SUSPENSION_MS = 50
+
+/** Monotonic clock that also counts the time for which the VM was suspended. A forward step of the wall clock can't be told from a suspension and counts as one. */
+export class ElapsedClock {
+  private suspendedMs = 0
+  private wallOffsetMs: number
+
+  constructor (private readonly timers: settings.Timers) {
+    this.wallOffsetMs = this.readWallOffsetMs()
+  }
+
+  /** Time in milliseconds. It never goes back. */
+  nowMs (): number {
+    const offsetMs = this.readWallOffsetMs()
+    const advanceMs = offsetMs - this.wallOffsetMs
+    if (Math.abs(advanceMs) > MIN_SUSPENSION_MS) {
+      this.wallOffsetMs = offsetMs
+      this.suspendedMs += Math.max(0, advanceMs)
+    }
+    return this.timers.nowMs() + this.suspendedMs
+  }
+
+  private readWallOffsetMs (): number {
+    return this.timers.wallClockMs() - this.timers.nowMs()
+  }
+}
--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -4,6 +4,8 @@
 export interface WorkerOptions {
   /** Duration of the lease from each renewal. Runs of a dead agent end after this time, well before the 1,300 ms after which a caller resubmits its job. */
   leaseMs: number
+  /** Shortest lease with which a run is started. */
+  minStartLeaseMs: number
   /** Period of lease renewals: four may be lost before the lease expires. */
   renewPeriodMs: number
   /** Longest time that a query may wait at the worker for the next end of a run. */
@@ -24,6 +26,7 @@
 
 export const DEFAULT_WORKER_OPTIONS: WorkerOptions = {
   leaseMs: 700,
+  minStartLeaseMs: 150,
   renewPeriodMs: 150,
   endWaitMs: 400,
   callTimeoutMs: 100,
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -5,7 +5,8 @@
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
 import { events } from './events.ts'
 import { FencingToken } from './fencing.ts'
-import { ReportDeferral, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { ReportDeferral, ReturnReason, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { type OwnerLeases, UNLIMITED_OWNER_LEASES } from './ownerLeases.ts'
 import { type Demand, Reservations } from './reservations.ts'
 import type { ActiveRun } from './runRegistry.ts'
 import { WorkerSession } from './session.ts'
@@ -25,6 +26,8 @@
   log: settings.Log
   driver: WorkerDriver
   options?: WorkerOptions
+  /** Unlimited by default. */
+  ownerLeases?: OwnerLeases
 }
 
 /** Load and free capacity of a worker. */
@@ -55,6 +58,7 @@
   readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0 }
   private readonly options: WorkerOptions
   private readonly fencing: FencingToken
+  private readonly ownerLeases: OwnerLeases
   private readonly reservations = new Reservations()
   private reservationTimer: settings.TimerHandle | undefined
   private session: WorkerSession | undefined
@@ -69,6 +73,7 @@
   constructor (private readonly services: ExecutorServices, private readonly handlers: ExecutorHandlers) {
     this.options = services.options ?? DEFAULT_WORKER_OPTIONS
     this.fencing = new FencingToken(services.timers, services.log)
+    this.ownerLeases = services.ownerLeases ?? UNLIMITED_OWNER_LEASES
     this.checkTimer = services.timers.every(CHECK_PERIOD_MS, () => { this.checkTimeouts() })
   }
 
@@ -133,7 +138,7 @@
     if (this.report?.workerId !== workerId) return
     this.services.log.event(events.WorkerLeft, { workerId, runs: this.session?.runCount ?? 0 })
     this.report = { ...this.report, isDraining: true }
-    this.returnWaiting(() => true, 'worker left')
+    this.returnWaiting(() => true, ReturnReason.WorkerLeft)
     this.handleLoadChange()
   }
 
@@ -166,7 +171,7 @@
   /** Refuses new tasks and resolves when no task is left. */
   async drain (): Promise<void> {
     this.isStopping = true
-    this.returnWaiting(() => true, 'agent stops')
+    this.returnWaiting(() => true, ReturnReason.AgentStopping)
     this.handleLoadChange()
     if (this.taskCount > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
   }
@@ -182,7 +187,7 @@
   private openSession (report: WorkerReport): void {
     this.services.log.event(events.WorkerJoined, { workerId: report.workerId, bornAtMs: report.bornAtMs, service: report.service, cpuMilli: report.total.cpuMilli, labels: report.labels.join(',') })
     this.session?.end('another life of the worker')
-    const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing }, {
+    const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing, ownerLeases: this.ownerLeases }, {
       onEnd: ending => { this.finish(ending) },
       onChange: () => { this.handleSessionChange() }
     })
@@ -215,14 +220,14 @@
     if (this.session?.acceptsRuns === true) {
       this.reportDeferredEnds(true)
       this.startWaiting()
-    } else this.returnWaiting(() => true, 'worker does not answer')
+    } else this.returnWaiting(() => true, ReturnReason.WorkerUnresponsive)
     this.handleLoadChange()
   }
 
   private handleDrainingChange (report: WorkerReport): void {
     if (report.isDraining) {
       this.services.log.event(events.WorkerDraining, { workerId: report.workerId, runs: this.session?.runCount ?? 0 })
-      this.returnWaiting(() => true, 'worker is draining')
+      this.returnWaiting(() => true, ReturnReason.WorkerDraining)
     }
     this.handleLoadChange()
   }
@@ -233,16 +238,17 @@
 
   private startWaiting (): void {
     if (!this.canStart) {
-      this.returnWaiting(() => true, 'worker takes no runs')
+      this.returnWaiting(() => true, ReturnReason.WorkerUnavailable)
       return
     }
     const session = this.session!
     const remaining: TaskOrder[] = []
     for (const order of this.waiting) {
-      if (order.age.ms > order.expiresAfterMs) this.returnTask(order, 'expired')
+      if (order.age.ms > order.expiresAfterMs) this.returnTask(order, ReturnReason.Expired)
+      else if (this.ownerLeases.remainingMs(order.owner) < this.options.minStartLeaseMs) this.returnTask(order, ReturnReason.OwnerLeaseExpired)
       else if (session.find(taskKey(order.task)) !== undefined) remaining.push(order)
       else if (fits(this.reservations.freeCapacityFor(order.owner, session.free), order.size)) session.start(order)
-      else this.returnTask(order, 'no room')
+      else this.returnTask(order, ReturnReason.NoCapacity)
     }
     this.waiting = remaining
     this.handleLoadChange()
@@ -251,7 +257,7 @@
   /** Reports deferred ends that are due, returns tasks that have waited too long for an earlier run to end, and drops a worker that has stopped reporting. */
   private checkTimeouts (): void {
     this.reportDeferredEnds(false)
-    this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.maxQueuedMs), 'earlier run not ended in time')
+    this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.maxQueuedMs), ReturnReason.EarlierRun)
     if (this.report === undefined || this.services.timers.nowMs() - this.reportedAtMs < this.options.reportTimeoutMs) return
     this.services.log.event(events.ReportTimeout, { workerId: this.report.workerId })
     this.session?.end('worker stopped reporting')
@@ -271,7 +277,7 @@
 
   private returnTask (order: TaskOrder, reason: string): void {
     const { jobId, step, index } = order.task
-    this.services.log.event(events.TaskReturned, { jobId, step, index, attempt: order.attempt, reason, ageMs: Math.round(order.age.ms) })
+    this.services.log.event(events.TaskReturned, { jobId, step, index, attempt: order.attempt, reason, ageMs: Math.round(order.age.ms), ownerLeaseMs: Math.round(this.ownerLeases.remainingMs(order.owner)) })
     this.count(TaskEnd.NotStarted)
     this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason, deferral: ReportDeferral.None })
     this.notifyIfIdle()
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -27,6 +27,21 @@
   NotStarted = 'not-started'
 }
 
+/** Why an agent returns a task without a start. The worker's own refusals are a `StartRefusal`. */
+export enum ReturnReason {
+  NoCapacity = 'no room',
+  /** The job's deadline has passed. */
+  Expired = 'expired',
+  /** The entry has not been heard for so long that it may have placed the task elsewhere. */
+  OwnerLeaseExpired = 'owner lease expired',
+  EarlierRun = 'earlier run not ended in time',
+  WorkerLeft = 'worker left',
+  WorkerDraining = 'worker is draining',
+  WorkerUnresponsive = 'worker does not answer',
+  WorkerUnavailable = 'worker takes no runs',
+  AgentStopping = 'agent stops'
+}
+
 /** How long the report of an end is deferred, because the task might still be running. */
 export enum ReportDeferral {
   None = 'none',
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -10,6 +10,7 @@
 import { type ActiveRun, RunRegistry, RunPhase } from './runRegistry.ts'
 import { subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
+import type { OwnerLeases } from './ownerLeases.ts'
 
 /** State of the connection to the worker. */
 export enum SessionState {
@@ -37,6 +38,7 @@
   log: settings.Log
   driver: WorkerDriver
   fencing: FencingToken
+  ownerLeases: OwnerLeases
   options: WorkerOptions
 }
 
@@ -142,7 +144,7 @@
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS && this.isActive(run); attempt++) {
       run.startedAtMs = this.services.timers.nowMs()
       this.recordLeaseSent()
-      const outcome = await this.services.driver.start({ ...this.scope, ref: run.ref, spec: run.order.spec, leaseUntilMs: this.clock.timeAfter(this.services.options.leaseMs) })
+      const outcome = await this.services.driver.start({ ...this.scope, ref: run.ref, spec: run.order.spec, leaseUntilMs: this.clock.timeAfter(this.leaseMs) })
       if (!this.isActive(run)) return
       switch (outcome.kind) {
         case 'started': return await this.handleStarted(run)
@@ -295,9 +297,10 @@
   private async queryRuns (waitMs: number, extendsLease: boolean): Promise<boolean> {
     const sentAtMs = this.services.timers.nowMs()
     const acknowledgedEnd = this.registry.acknowledgedEnd
-    const isRenewal = extendsLease && this.clock.isKnown && this.registry.count > 0
+    const { leaseMs } = this
+    const isRenewal = extendsLease && this.clock.isKnown && this.registry.count > 0 && leaseMs > 0
     if (isRenewal) this.recordLeaseSent()
-    const leaseUntilMs = isRenewal ? this.clock.timeAfter(this.services.options.leaseMs) : undefined
+    const leaseUntilMs = isRenewal ? this.clock.timeAfter(leaseMs) : undefined
     const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd, leaseUntilMs, waitMs })
     if (this.state === SessionState.Ended) return false
     if (outcome.kind !== 'answered') {
@@ -316,6 +319,16 @@
     return true
   }
 
+  /**
+   * Duration of a lease granted now. It ends with the first owner lease of the active runs, as the worker's lease covers all runs:
+   * a stalled agent leaves no run behind that its entry may have placed elsewhere.
+   */
+  private get leaseMs (): number {
+    let leaseMs = this.services.options.leaseMs
+    for (const { order } of this.registry.all) leaseMs = Math.min(leaseMs, this.services.ownerLeases.remainingMs(order.owner))
+    return leaseMs
+  }
+
   private recordLeaseSent (): void {
     this.leaseSentAtMs = this.services.timers.nowMs()
   }
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -24,6 +24,8 @@
   readonly agents: fleet.AgentNode[] = []
   readonly agentCaches: fleet.ConfigCache[] = []
   readonly workers: standin.StandinWorker[] = []
+  /** Number of runs that each worker has started. */
+  readonly startCounts: number[] = []
   private readonly reports: settings.TimerHandle[] = []
 
   constructor (port: number) {
@@ -61,7 +63,12 @@
   private async startAgent (number: number): Promise<void> {
     const proxy = standin.createNetworkProxy({ listen: '127.0.0.1:0', target: this.entry.identity.address, timers, log })
     await proxy.start()
-    const worker = new standin.StandinWorker({ workerId: `w-${number}`, total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf: () => WORK_MS, sizeOf: () => SIZE, timers, runRecorder: this.runRecorder })
+    this.startCounts.push(0)
+    const workOf = (): number => {
+      this.startCounts[number]!++
+      return WORK_MS
+    }
+    const worker = new standin.StandinWorker({ workerId: `w-${number}`, total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf, sizeOf: () => SIZE, timers, runRecorder: this.runRecorder })
     const cache = new fleet.ConfigCache()
     const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: 'a' }, { timers, log, driver: worker, configCache: cache })
     this.agentCaches.push(cache)
@@ -121,6 +128,25 @@
     expect(bench.runRecorder.concurrentRuns).to.deep.equal([])
   })
 
+  it('start nothing that was ordered through a link whose messages arrive too late', async () => {
+    const [late] = bench.proxies
+    late!.setFault({ kind: standin.LinkFaultKind.DelayToClient, delayMs: fleet.OWNER_LEASE_MS })
+    await timers.sleep(3 * fleet.OWNER_LEASE_MS)
+    const outcomes = Array.from({ length: 4 }, (_, number) => bench.submit(`job-${number}`, 2).outcome)
+    expect((await Promise.all(outcomes)).map(({ kind }) => kind)).to.deep.equal(Array(4).fill('succeeded'))
+    expect(bench.startCounts[0]).to.equal(0)
+    expect(bench.runRecorder.concurrentRuns).to.deep.equal([])
+  })
+
+  it('start each task once at a time when half of an order arrives', async () => {
+    bench.proxies[0]!.setFault({ kind: standin.LinkFaultKind.CutToClientMidway })
+    const { outcome } = bench.submit('job', 6)
+    await bench.waitFor(() => bench.runRecorder.starts.size === 6)
+    bench.proxies[0]!.setFault({ kind: standin.LinkFaultKind.None })
+    expect((await outcome).kind).to.equal('succeeded')
+    expect(bench.runRecorder.concurrentRuns).to.deep.equal([])
+  })
+
   it('send a configuration to at most four agents, whatever their number', async () => {
     const large = new LinkBench(port++)
     await large.start(10)
--- a/test/unit/workers/clock.test.ts
+++ b/test/unit/workers/clock.test.ts
@@ -2,15 +2,7 @@
 import { expect } from 'chai'
 import * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-
-/** Timers whose monotonic clock stops while the VM is suspended. */
-class SuspendableTimers extends settings.FakeTimers {
-  suspendedMs = 0
-
-  override wallClockMs (): number {
-    return super.wallClockMs() + this.suspendedMs
-  }
-}
+import { SuspendableTimers } from '../../support/suspendableTimers.ts'
 
 describe('clocks', () => {
   it('never run ahead of the worker\'s own clock', () => {
@@ -34,4 +26,18 @@
     timers.suspendedMs = 4_000
     expect(age.ms).to.equal(4_100)
   })
+
+  it('count suspensions but no backward step of the wall clock, and never go back', () => {
+    const timers = new SuspendableTimers()
+    const clock = new workers.ElapsedClock(timers)
+    timers.advance(100)
+    expect(clock.nowMs()).to.equal(100)
+    timers.suspendedMs = 4_000
+    expect(clock.nowMs()).to.equal(4_100)
+    timers.suspendedMs = 1_000
+    timers.advance(50)
+    expect(clock.nowMs()).to.equal(4_150)
+    timers.suspendedMs = 1_500
+    expect(clock.nowMs()).to.equal(4_650)
+  })
 })
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -94,6 +94,35 @@
     expect(worker.runCount).to.equal(0)
   })
 
+  it('lets the worker end all runs with the first owner lease, also when the agent stands still', async () => {
+    const { timers, worker, endings, order } = await createBench()
+    const leaseEndsAtMs: Record<string, number> = { 'entry-1': timers.nowMs() + 300, 'entry-2': timers.nowMs() + 5_000 }
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => leaseEndsAtMs[owner]! - timers.nowMs() } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCapacityReserved: () => {} })
+    executor.applyReport(worker.report())
+    while (!executor.load.isPresent) await passTime(timers, 5)
+    worker.faults.isStalled = true
+    executor.submit(order(0, { owner: 'entry-1' }))
+    executor.submit(order(1, { owner: 'entry-2' }))
+    await passTime(timers, 150)
+    expect(worker.runCount).to.equal(2)
+    await executor.close()
+    await passTime(timers, leaseEndsAtMs['entry-1']! - timers.nowMs() + 10)
+    expect(worker.runCount).to.equal(0)
+  })
+
+  it('returns a task whose owner lease has nearly expired, and starts those of other owners', async () => {
+    const { timers, worker, endings, order } = await createBench()
+    const remainingMs: Record<string, number> = { 'entry-1': workers.DEFAULT_WORKER_OPTIONS.minStartLeaseMs - 1, 'entry-2': 1_000 }
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => remainingMs[owner]! } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCapacityReserved: () => {} })
+    executor.applyReport(worker.report())
+    while (!executor.load.isPresent) await passTime(timers, 5)
+    executor.submit(order(0, { owner: 'entry-1' }))
+    executor.submit(order(1, { owner: 'entry-2' }))
+    await passTime(timers, 20)
+    expect(endings.map(({ order: { task }, end, reason }) => [task.index, end, reason])).to.deep.equal([[0, workers.TaskEnd.NotStarted, workers.ReturnReason.OwnerLeaseExpired]])
+    expect(worker.runCount).to.equal(1)
+  })
+
   it('stops the runs of an earlier agent incarnation before it accepts tasks', async () => {
     const { timers, worker, runRecorder, executor, order } = await createBench()
     worker.faults.isStalled = true
