egretvalve analyze: why jobs were refused, late or failed, from the logs alone

A first version: per priority, service, entry and two seconds, what callers got and the cause from a closed list, with the mean time by phase along the task that ended last; text, JSON and a page with plots (packages/analysis, plots).

What the logs lacked: under load lines were dropped at random, so that few jobs were whole.

--- a/packages/bench/src/command/slopes.ts
+++ b/packages/bench/src/command/slopes.ts
@@ -1,8 +1,7 @@
 /** Implements `egretvalve load --slopes`, which measures costs against sizes. */
+import * as plots from '@egretvalve/plots'
 import * as settings from '@egretvalve/settings'
 import { canStartProcesses } from '../measuredProcess.ts'
-import { drawPlot } from '../plot.ts'
-import type { Plot } from '../plot.ts'
 import { measureSlopes } from '../slopes/runSlopes.ts'
 import type { Series, SlopeReport } from '../slopes/series.ts'
 import { CommandExit, formatJson, writeOutput } from './common.ts'
@@ -29,11 +28,10 @@
 }
 
 function formatSlopePlots (report: SlopeReport): string {
-  const plots = report.series.map(series => drawPlot(createPlot(series)))
-  return ['<!doctype html>', '<html lang="en"><head><meta charset="utf-8"><title>egretvalve load --slopes</title></head><body>', ...plots, '</body></html>', ''].join('\n')
+  return plots.formatPage('egretvalve load --slopes', report.series.map(describeSeries).join('\n'), report.series.map(series => plots.drawPlot(createPlot(series))))
 }
 
-function createPlot (series: Series): Plot {
+function createPlot (series: Series): plots.Plot {
   const { intercept, slope } = series.line
   const line = series.points.map(point => ({ x: point.x, y: intercept + slope * point.x }))
   return {
--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -1,9 +1,8 @@
 /** HTML report of a policy comparison. */
+import * as plots from '@egretvalve/plots'
 import type { PolicyResult } from './comparison.ts'
 import { isOnTime, listShortResponses, listSlowdowns } from './measures.ts'
 import type { LoadPlan } from './plan.ts'
-import { createCumulativeLine, drawPlot, escapeMarkup } from './plot.ts'
-import type { Plot, PlotLine } from './plot.ts'
 import type { RunRecord } from './record.ts'
 import { formatTable } from './table.ts'
 import { TraceClass } from './trace.ts'
@@ -14,37 +13,29 @@
 
 /** Formats the report: the table of measures and the plots that apply to the plan. */
 export function formatReport (plan: LoadPlan, policyResults: readonly PolicyResult[]): string {
-  const plots = [
+  const figures = [
     createSlowdownPlot(policyResults),
     ...(plan.loadPeak === undefined ? [] : [createPeakPlot(policyResults)]),
     ...(plan.longRunMs === undefined ? [] : [createHeadOfLinePlot(policyResults)])
   ]
   const title = `egretvalve load: ${plan.name}, seed ${plan.seed}, ${plan.fleet.entries} entries, ${plan.fleet.servers} servers x ${plan.fleet.slots} slots`
-  return [
-    '<!doctype html>',
-    `<html lang="en"><head><meta charset="utf-8"><title>${escapeMarkup(title)}</title></head><body>`,
-    `<h1>${escapeMarkup(title)}</h1>`,
-    `<pre>${escapeMarkup(formatTable(policyResults.map(result => result.measures)))}</pre>`,
-    ...plots.map(drawPlot),
-    '</body></html>',
-    ''
-  ].join('\n')
+  return plots.formatPage(title, formatTable(policyResults.map(result => result.measures)), figures.map(plots.drawPlot))
 }
 
-function createSlowdownPlot (policyResults: readonly PolicyResult[]): Plot {
+function createSlowdownPlot (policyResults: readonly PolicyResult[]): plots.Plot {
   const lines = policyResults.map(result => {
     const slowdowns = listSlowdowns(result.record).map(value => Math.max(value, SMALLEST_PLOTTED_SLOWDOWN))
-    return createCumulativeLine(result.record.policy, slowdowns)
+    return plots.createCumulativeLine(result.record.policy, slowdowns)
   })
   return { title: 'Response time against the job alone on an idle fleet', xLabel: 'slowdown', yLabel: 'share of jobs', lines, isLogX: true }
 }
 
-function createPeakPlot (policyResults: readonly PolicyResult[]): Plot {
+function createPeakPlot (policyResults: readonly PolicyResult[]): plots.Plot {
   const lines = policyResults.map(result => createOnTimeLine(result.record))
   return { title: 'Pressing requests answered in time, by arrival', xLabel: 'seconds', yLabel: 'share in time', lines }
 }
 
-function createOnTimeLine (record: RunRecord): PlotLine {
+function createOnTimeLine (record: RunRecord): plots.PlotLine {
   const points = []
   for (let fromMs = 0; fromMs < record.plan.durationMs; fromMs += ARRIVAL_BUCKET_MS) {
     const offered = record.outcomes.filter(outcome =>
@@ -54,10 +45,10 @@
   return { label: record.policy, points }
 }
 
-function createHeadOfLinePlot (policyResults: readonly PolicyResult[]): Plot {
+function createHeadOfLinePlot (policyResults: readonly PolicyResult[]): plots.Plot {
   const lines = policyResults.flatMap(result => {
-    const alone = result.withoutLong === undefined ? [] : [createCumulativeLine(`${result.record.policy} without long work`, listShortResponses(result.withoutLong))]
-    return [createCumulativeLine(result.record.policy, listShortResponses(result.record)), ...alone]
+    const alone = result.withoutLong === undefined ? [] : [plots.createCumulativeLine(`${result.record.policy} without long work`, listShortResponses(result.withoutLong))]
+    return [plots.createCumulativeLine(result.record.policy, listShortResponses(result.record)), ...alone]
   })
   return { title: 'Response time of short work', xLabel: 'milliseconds', yLabel: 'share of jobs', lines, isLogX: true }
 }
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -22,6 +22,7 @@
   { name: 'dev', summary: 'Runs a whole small fleet in one process.', load: async () => (await import('./commands/dev.ts')).devCommand },
   { name: 'load', summary: 'Drives load through a fleet and measures it.', load: async () => (await import('./commands/load.ts')).loadCommand },
   { name: 'replay', summary: 'Replays a trace against its stated outcomes.', load: async () => (await import('./commands/load.ts')).replayCommand },
+  { name: 'analyze', summary: 'Says from logs why jobs were refused, late or failed.', load: async () => (await import('./commands/analyze.ts')).analyzeCommand },
   { name: 'standin-store', summary: 'Runs a stand-in for the platform\'s store.', load: async () => (await import('./commands/standinStore.ts')).standinStoreCommand },
   { name: 'standin-backend', summary: 'Runs a stand-in backend server.', load: async () => (await import('./commands/standinBackend.ts')).standinBackendCommand }
 ]
--- /dev/null
+++ b/packages/plots/src/index.ts
@@ -0,0 +1,3 @@
+/** Line plots and pages of reports. */
+export * from './page.ts'
+export * from './plot.ts'
--- a/packages/settings/src/lineBuffer.ts
+++ b/packages/settings/src/lineBuffer.ts
@@ -3,8 +3,8 @@
 
 /** Longest time that lines are buffered. A killed process loses the lines of this period. */
 const FLUSH_INTERVAL_MS = 200
-/** Buffer size in characters from which lines are written immediately. */
-const FLUSH_LENGTH = 32 * 1024
+/** Longest write, in characters, unless a single line is longer. A write of up to `PIPE_BUF` bytes is atomic: lines of processes that share a pipe don't mix. */
+const MAX_WRITE_LENGTH = 4 * 1024
 /** Size of the target's unread backlog above which lines are dropped. */
 const MAX_BACKLOG_BYTES = 1024 * 1024
 
@@ -20,9 +20,9 @@
   }
 
   override _write (chunk: string, _encoding: BufferEncoding, callback: () => void): void {
+    if (this.text.length + chunk.length > MAX_WRITE_LENGTH) this.flush()
     this.text += chunk
-    if (this.text.length >= FLUSH_LENGTH) this.flush()
-    else this.timer ??= setTimeout(() => { this.flush() }, FLUSH_INTERVAL_MS)
+    this.timer ??= setTimeout(() => { this.flush() }, FLUSH_INTERVAL_MS)
     callback()
   }
 
--- a/packages/settings/src/log.ts
+++ b/packages/settings/src/log.ts
@@ -1,5 +1,6 @@
 /** Structured log: one JSON line per numbered event. */
 import * as winston from 'winston'
+import { LineBudget } from './lineBudget.ts'
 import { LineBuffer } from './lineBuffer.ts'
 
 /** Severity of an event. */
@@ -29,43 +30,14 @@
 export interface LogOptions {
   /** Destination of the lines; standard error by default. */
   stream?: NodeJS.WritableStream
-  /** Lines per second above which events are dropped; unlimited by default. The number of dropped lines is logged before the next line written. */
+  /** Lines per second above which events are sampled by job or dropped; unlimited by default. The number of dropped lines is logged before the next line written. */
   maxLinesPerS?: number
 }
 
 const LINES_DROPPED_EVENT: LogEvent = { code: 14001, level: LogLevel.Warn, message: 'log lines were dropped' }
-const SECOND_MS = 1_000
 /** Key under which winston's transports expect the formatted line. */
 const LINE_FIELD = Symbol.for('message')
 
-/** Limits the number of lines per second and counts those dropped. */
-class LineRateLimiter {
-  private secondStartedAtMs = 0
-  private lines = 0
-  private dropped = 0
-
-  constructor (private readonly maxLinesPerS: number) {}
-
-  /** Returns whether a line may be written; counts it as dropped if not. */
-  tryAcquire (): boolean {
-    const nowMs = performance.now()
-    if (nowMs - this.secondStartedAtMs >= SECOND_MS) {
-      this.secondStartedAtMs = nowMs
-      this.lines = 0
-    }
-    if (++this.lines <= this.maxLinesPerS) return true
-    this.dropped++
-    return false
-  }
-
-  /** Returns the number of lines dropped since the last call. */
-  consumeDroppedCount (): number {
-    const { dropped } = this
-    this.dropped = 0
-    return dropped
-  }
-}
-
 /** Formats an event with plain `JSON.stringify`. Fields are flat, so winston's costlier safe serializer is not needed. */
 const jsonLine = winston.format(info => {
   info[LINE_FIELD] = JSON.stringify({ timestamp: new Date().toISOString(), ...info })
@@ -80,13 +52,13 @@
     defaultMeta: { program, nodeId },
     transports: [options.stream === undefined ? new winston.transports.Console({ stderrLevels: Object.values(LogLevel) }) : new winston.transports.Stream({ stream: buffer! })]
   })
-  const limiter = new LineRateLimiter(options.maxLinesPerS ?? Number.POSITIVE_INFINITY)
+  const budget = new LineBudget(options.maxLinesPerS ?? Number.POSITIVE_INFINITY, () => performance.now())
   const write = (event: LogEvent, fields?: LogFields): void => { logger.log({ level: event.level, message: event.message, event: event.code, ...fields }) }
   return {
     event: (event, fields) => {
       // winston formats an event before its transports filter it by level, so filter here.
-      if (!logger.isLevelEnabled(event.level) || !limiter.tryAcquire()) return
-      const lines = limiter.consumeDroppedCount() + consumeBufferDroppedCount(buffer)
+      if (!logger.isLevelEnabled(event.level) || !budget.tryAcquire(readJobId(fields))) return
+      const lines = budget.consumeDroppedCount() + consumeBufferDroppedCount(buffer)
       if (lines > 0) write(LINES_DROPPED_EVENT, { lines })
       write(event, fields)
     },
@@ -97,6 +69,11 @@
   }
 }
 
+function readJobId (fields: LogFields | undefined): string | undefined {
+  const jobId = fields?.jobId
+  return typeof jobId === 'string' ? jobId : undefined
+}
+
 /** Returns the number of lines dropped because of a slow reader since the last call. */
 function consumeBufferDroppedCount (buffer: LineBuffer | undefined): number {
   if (buffer === undefined) return 0
