--- a/packages/analysis/src/analysis.ts
+++ b/packages/analysis/src/analysis.ts
@@ -39,8 +39,9 @@
     const record = parseLogLine(line)
     if (record !== undefined) records.push(record)
   }
+  records.sort((left, right) => left.atMs - right.atMs)
   const submissions = collectSubmissions(records)
-  const use = new FleetUse(records, submissions)
+  const use = new FleetUse(records)
   const analyzed = submissions.map(submission => analyzeSubmission(submission, use))
   const startMs = submissions[0]?.acceptedAtMs ?? 0
   const windowOf = (atMs: number): string => String(Math.floor((atMs - startMs) / windowMs) * windowMs / 1_000)
--- a/packages/analysis/src/submissions.ts
+++ b/packages/analysis/src/submissions.ts
@@ -44,8 +44,6 @@
   service: string
   priority: number
   taskCount: number
-  /** Processors of one task of the first step. */
-  taskCpuMilli: number
   estimatedMs: number
   targetLatencyMs: number
   /** Time from the arrival by which the job should end, by its estimate. */
@@ -158,7 +156,6 @@
     service: readText(record, 'service'),
     priority: readNumber(record, 'priority'),
     taskCount: readNumber(record, 'tasks'),
-    taskCpuMilli: readNumber(record, 'taskCpuMilli'),
     estimatedMs: readNumber(record, 'estimatedMs'),
     targetLatencyMs: readNumber(record, 'targetLatencyMs'),
     objectiveMs: readNumber(record, 'dueInMs'),
@@ -172,9 +169,9 @@
   }
 }
 
-/** Returns the submissions in order of their arrival. */
+/** Returns the submissions in order of their arrival. `records` are in order of time. */
 export function collectSubmissions (records: readonly LogRecord[]): Submission[] {
   const collector = new Collector()
-  for (const record of [...records].sort((left, right) => left.atMs - right.atMs)) collector.add(record)
+  for (const record of records) collector.add(record)
   return collector.submissions.sort((left, right) => left.acceptedAtMs - right.acceptedAtMs)
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -152,7 +152,7 @@
     this.open.set(job.id, job)
     this.counters.accepted++
     job.advance()
-    this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, taskCpuMilli: spec.steps[0]?.size.cpuMilli, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0) })
+    this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0) })
     this.scheduleDispatch()
     return job
   }
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -424,7 +424,7 @@
     this.registry.remove(run, nowMs)
     const runMs = nowMs - run.startedAtMs
     if (end === TaskEnd.Done) this.runTimeRatio.recordFinished(task.jobId, runMs, run.order.estimatedMs)
-    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs })
+    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli })
     this.handlers.onEnd({ order: run.order, end, runMs, reason, deferral })
   }
 }
