Observability: log which runs were aboard when a worker crashed, and count the crashes

Cause: 10006 gives a number of runs only, so neither the task that two crashes have in common nor the age of the runs could be read from the logs, and no metric counted crashes. Event 10020 now names each run aboard with its attempt and age, the youngest first, once for a crash; agents count worker_crashes. A worker that has announced that it leaves does not crash.

--- /dev/null
+++ b/packages/workers/src/crash.ts
@@ -0,0 +1,39 @@
+/** Crashes of a worker: which runs were aboard when it went down. */
+import type { TaskRef } from './driver.ts'
+import type { ActiveRun } from './runRegistry.ts'
+
+/** How the crash showed. */
+export enum CrashKind {
+  /** Nothing listens at the worker's address any more. */
+  Down = 'down',
+  /** Another incarnation of the worker has taken its place. */
+  Replaced = 'replaced',
+  /** The worker stopped answering, and the lease of its runs has expired. */
+  Unresponsive = 'unresponsive'
+}
+
+/** A run that was lost with its worker. */
+export interface LostRun {
+  task: TaskRef
+  attempt: number
+  /** Time from the start of the run to the crash, in milliseconds. */
+  runMs: number
+}
+
+/** A crash of a worker that had runs. */
+export interface WorkerCrash {
+  /** Unique among the crashes of all workers. */
+  crashId: string
+  kind: CrashKind
+  runs: readonly LostRun[]
+}
+
+/** Describes the runs that were lost at `nowMs`. */
+export function describeLostRuns (runs: readonly ActiveRun[], nowMs: number): LostRun[] {
+  return runs.map(({ order, startedAtMs }) => ({ task: order.task, attempt: order.attempt, runMs: Math.round(nowMs - startedAtMs) }))
+}
+
+/** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt and the run time in milliseconds. */
+export function formatLostRuns (runs: readonly LostRun[]): string {
+  return [...runs].sort((left, right) => left.runMs - right.runMs).map(({ task, attempt, runMs }) => `${task.jobId}/${task.step}.${task.index}#${attempt}@${runMs}`).join(' ')
+}
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -54,8 +54,8 @@
 
 /** Runs tasks on one worker. */
 export class RunExecutor {
-  /** Number of ends by kind since the process started. */
-  readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0 }
+  /** Number of ends by kind, and of crashes of the worker with runs aboard, since the process started. */
+  readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0, workerCrashes: 0 }
   private readonly options: WorkerOptions
   private readonly fencing: FencingToken
   private readonly ownerLeases: OwnerLeases
@@ -138,6 +138,7 @@
     if (this.report?.workerId !== workerId) return
     this.services.log.event(events.WorkerLeft, { workerId, runs: this.session?.runCount ?? 0 })
     this.report = { ...this.report, isDraining: true }
+    if (this.session !== undefined) this.session.isLeaving = true
     this.returnWaiting(() => true, ReturnReason.WorkerLeft)
     this.handleLoadChange()
   }
@@ -186,11 +187,13 @@
 
   private openSession (report: WorkerReport): void {
     this.services.log.event(events.WorkerJoined, { workerId: report.workerId, bornAtMs: report.bornAtMs, service: report.service, cpuMilli: report.total.cpuMilli, labels: report.labels.join(',') })
-    this.session?.end('another life of the worker')
+    this.session?.endAsReplaced()
     const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing, ownerLeases: this.ownerLeases }, {
       onEnd: ending => { this.finish(ending) },
+      onCrash: () => { this.counters.workerCrashes++ },
       onChange: () => { this.handleSessionChange() }
     })
+    session.isLeaving = report.isDraining
     this.session = session
     session.run()
     this.handleLoadChange()
@@ -225,6 +228,7 @@
   }
 
   private handleDrainingChange (report: WorkerReport): void {
+    this.session!.isLeaving = report.isDraining
     if (report.isDraining) {
       this.services.log.event(events.WorkerDraining, { workerId: report.workerId, runs: this.session?.runCount ?? 0 })
       this.returnWaiting(() => true, ReturnReason.WorkerDraining)
--- a/packages/workers/src/index.ts
+++ b/packages/workers/src/index.ts
@@ -1,5 +1,6 @@
 /** Runs tasks on a worker under a lease: the driver interface, the session with a worker and the agent's executor. */
 export * from './clock.ts'
+export * from './crash.ts'
 export * from './defaults.ts'
 export * from './driver.ts'
 export * from './events.ts'
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -2,6 +2,7 @@
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import { WorkerClock } from './clock.ts'
+import { CrashKind, describeLostRuns, formatLostRuns, type WorkerCrash } from './crash.ts'
 import type { WorkerOptions } from './defaults.ts'
 import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
 import { events } from './events.ts'
@@ -28,6 +29,8 @@
 /** Callbacks of a session. */
 export interface SessionHandlers {
   onEnd: (ending: TaskEnding) => void
+  /** The worker has crashed with runs aboard. Called before their ends. */
+  onCrash: (crash: WorkerCrash) => void
   /** The state has changed. */
   onChange: () => void
 }
@@ -56,6 +59,8 @@
 /** Manages the runs on one incarnation of a worker. */
 export class WorkerSession {
   state = SessionState.TakingOver
+  /** True once the worker has said that it leaves. The loss of its runs is then no crash. */
+  isLeaving = false
   /** Run time of tasks on this worker over their estimates. */
   readonly runTimeRatio: RunTimeRatioEstimate
   private readonly registry = new RunRegistry()
@@ -66,6 +71,7 @@
   /** Time at which the latest answered renewal was sent. */
   private renewedAtMs = Number.NEGATIVE_INFINITY
   private wake: (() => void) | undefined
+  private crashCount = 0
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
     this.clock = new WorkerClock(services.timers)
@@ -105,6 +111,13 @@
     lease.cancel()
   }
 
+  /** Ends the session because another incarnation of the worker has replaced this one. */
+  endAsReplaced (): void {
+    if (this.state === SessionState.Ended) return
+    this.reportCrash(CrashKind.Replaced)
+    this.end('another life of the worker')
+  }
+
   /** Ends the session. Its runs may continue until the next incarnation of the worker has been taken over or the lease has expired, so their ends are deferred until then. */
   end (reason: string): void {
     if (this.state === SessionState.Ended) return
@@ -286,7 +299,18 @@
       log.event(events.WorkerUnresponsive, { workerId: this.worker.workerId, silentMs: Math.round(nowMs - this.lastAnswerAtMs), runs: this.registry.count })
       this.handlers.onChange()
     }
-    if (this.state === SessionState.Unresponsive && nowMs > this.leaseSentAtMs + options.leaseMs * options.clockDrift) this.settleAllAsLost('lease lapsed on a silent worker')
+    if (this.state === SessionState.Unresponsive && nowMs > this.leaseSentAtMs + options.leaseMs * options.clockDrift) {
+      this.reportCrash(CrashKind.Unresponsive)
+      this.settleAllAsLost('lease lapsed on a silent worker')
+    }
+  }
+
+  private reportCrash (kind: CrashKind): void {
+    const runs = describeLostRuns(this.registry.all, this.services.timers.nowMs())
+    if (runs.length === 0 || this.isLeaving) return
+    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, runs }
+    this.services.log.event(events.WorkerCrashed, { workerId: this.worker.workerId, crashId: crash.crashId, kind, runs: formatLostRuns(runs) })
+    this.handlers.onCrash(crash)
   }
 
   private settleAllAsLost (reason: string): void {
@@ -355,6 +379,7 @@
         this.state = SessionState.Down
         this.services.log.event(events.WorkerDown, { workerId: this.worker.workerId, reason: outcome.reason, runs: this.registry.count })
         this.registry.hasUnacknowledged = false
+        this.reportCrash(CrashKind.Down)
         this.settleAllAsLost('worker is down')
         this.handlers.onChange()
         return
@@ -366,7 +391,7 @@
   private handleReplacement (): void {
     if (this.state === SessionState.Ended) return
     this.services.log.event(events.WorkerReplaced, { workerId: this.worker.workerId, bornAtMs: this.worker.bornAtMs })
-    this.end('another life of the worker')
+    this.endAsReplaced()
     this.handlers.onChange()
   }
 
