--- a/packages/bench/src/jobs/credit.ts
+++ b/packages/bench/src/jobs/credit.ts
@@ -13,6 +13,8 @@
   succeededAfterMs: number | undefined
   /** Time from the arrival to the refusal of a job that was refused, in milliseconds. */
   refusedAfterMs?: number
+  /** Time from the arrival to the answer that the job failed, in milliseconds. */
+  failedAfterMs?: number
 }
 
 /** Totals of one kind of job, or of all kinds. */
--- a/packages/bench/src/jobs/modelFleet.ts
+++ b/packages/bench/src/jobs/modelFleet.ts
@@ -20,6 +20,8 @@
   /** One-way delay of messages between entries and agents, in milliseconds. */
   linkDelayMs: number
   seed: number
+  /** Returns the time from the start of a task to the crash of its worker, in milliseconds; undefined for a task that crashes none. */
+  crashesAfterMs?: (task: workers.TaskRef) => number | undefined
   schedulerOptions?: scheduler.SchedulerOptions
   workerOptions?: workers.WorkerOptions
   /** Called at each simulation step; can switch faults of the workers on and off. */
@@ -31,6 +33,8 @@
   answers: JobAnswer[]
   /** Keys of the tasks that ran twice at the same time. */
   concurrentRuns: string[]
+  /** Number of crashes by the key of the task that caused them. */
+  crashes: ReadonlyMap<string, number>
   startCount: number
   /** Number of tasks that agents returned without starting them. */
   returnCount: number
@@ -43,6 +47,7 @@
 const DRAIN_LIMIT_MS = 20_000
 /** Period of worker reports to the agent. */
 const REPORT_PERIOD_MS = 1_500
+const REPORT_CHECK_MS = 50
 /** Delay that batches load reports to entries whose tasks did not change. */
 const LOAD_PERIOD_MS = 40
 
@@ -53,11 +58,22 @@
   demandCount = 0
   private isFlushScheduled = false
   private isLoadReportScheduled = false
+  private reportedAtMs = 0
+  private reportedBornAtMs = 0
 
   constructor (readonly agentId: string, readonly worker: standin.StandinWorker, readonly timers: settings.FakeTimers, private readonly linkDelayMs: number, options: workers.WorkerOptions | undefined) {
     this.executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, options }, { onEnd: ending => { this.queueEnd(ending) }, onLoad: () => { this.scheduleLoadReports() }, onCapacityReserved: owners => { this.reportCapacity(owners) } })
-    this.executor.applyReport(worker.report())
-    timers.every(REPORT_PERIOD_MS, () => { this.executor.applyReport(worker.report()) })
+    timers.every(REPORT_CHECK_MS, () => { this.reportWorker() })
+    this.reportWorker()
+  }
+
+  /** Applies a report of the worker when one is due: at the start of an incarnation, and once per period. */
+  private reportWorker (): void {
+    const { bornAtMs, faults } = this.worker
+    if (faults.isDown || (bornAtMs === this.reportedBornAtMs && this.timers.nowMs() - this.reportedAtMs < REPORT_PERIOD_MS)) return
+    this.reportedBornAtMs = bornAtMs
+    this.reportedAtMs = this.timers.nowMs()
+    this.executor.applyReport(this.worker.report())
   }
 
   link (owner: string, entry: scheduler.Scheduler): void {
@@ -176,6 +192,7 @@
     total: { cpuMilli: cores * 1_000, memoryMb: 128 * 1_024, accelerators: 0 },
     workOf: task => jobs.get(task.jobId)!.workMs[task.index]! * (options.slowness?.[number] ?? 1),
     sizeOf: task => jobs.get(task.jobId)!.spec.steps[0]!.size,
+    crashesAfterMs: options.crashesAfterMs,
     timers,
     runRecorder
   }))
@@ -197,7 +214,7 @@
     await advanceTime(timers, STEP_MS)
   }
   for (const entry of entries) entry.stop()
-  return { answers, concurrentRuns: runRecorder.concurrentRuns, startCount: [...runRecorder.starts.values()].reduce((sum, count) => sum + count, 0), returnCount: agents.reduce((sum, agent) => sum + agent.executor.counters.tasksReturned, 0), demandCount: agents.reduce((sum, agent) => sum + agent.demandCount, 0) }
+  return { answers, concurrentRuns: runRecorder.concurrentRuns, crashes: runRecorder.crashes, startCount: [...runRecorder.starts.values()].reduce((sum, count) => sum + count, 0), returnCount: agents.reduce((sum, agent) => sum + agent.executor.counters.tasksReturned, 0), demandCount: agents.reduce((sum, agent) => sum + agent.demandCount, 0) }
 }
 
 function submit (entry: scheduler.Scheduler, job: ArrivingJob, timers: settings.FakeTimers): JobAnswer {
@@ -205,6 +222,7 @@
   const startedAtMs = timers.nowMs()
   entry.submit(job.spec, job.kind.terms, job.deadlineMs).onOutcome(outcome => {
     if (outcome.kind === 'succeeded') answer.succeededAfterMs = timers.nowMs() - startedAtMs
+    if (outcome.kind === 'failed') answer.failedAfterMs = timers.nowMs() - startedAtMs
     if (outcome.kind === 'refused') answer.refusedAfterMs = timers.nowMs() - startedAtMs
   })
   return answer
--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -22,12 +22,18 @@
   isRefusing: boolean
   /** Factor by which runs take longer. */
   slowFactor: number
+  /** Share of the worker's capacity that is there. Runs that exceed it go on. */
+  capacityShare: number
 }
 
 /** Records the runs on all workers of a test and detects concurrent runs of the same task. */
 export class RunRecorder {
   /** Keys of tasks that started while another run of them was active; one entry per such start. */
   readonly concurrentRuns: string[] = []
+  /** Number of crashes of a worker by the key of the task that caused them. */
+  readonly crashes = new Map<string, number>()
+  /** Number of starts that brought a worker over its capacity. */
+  overloads = 0
   /** Number of starts by task key. */
   readonly starts = new Map<string, number>()
   /** Keys of tasks with a run that ended with `EndCause.Done`. */
@@ -41,6 +47,10 @@
     if (activeCount > 1) this.concurrentRuns.push(key)
   }
 
+  recordCrash (key: string): void {
+    this.crashes.set(key, (this.crashes.get(key) ?? 0) + 1)
+  }
+
   recordEnd (key: string): void {
     this.activeRuns.set(key, (this.activeRuns.get(key) ?? 1) - 1)
   }
@@ -51,6 +61,7 @@
   workMs: number
   /** Progress towards `workMs`. */
   doneMs: number
+  startedAtMs: number
 }
 
 /** Options of a stand-in worker. */
@@ -60,6 +71,10 @@
   /** Returns the run time of a task in milliseconds. */
   workOf: (task: workers.TaskRef) => number
   sizeOf: (task: workers.TaskRef) => workers.RunSize
+  /** Returns the time from the start of a task to the crash that it causes, in milliseconds; undefined for a task that causes none. */
+  crashesAfterMs?: (task: workers.TaskRef) => number | undefined
+  /** True for a worker that starts what it is told to, also beyond its capacity. */
+  isUnguarded?: boolean
   /** Rate of the worker's clock relative to the timer service. Defaults to 1. */
   clockRate?: number
   timers: settings.Timers
@@ -68,10 +83,12 @@
 
 /** Simulation step in milliseconds. */
 const STEP_MS = 5
+/** Time for which a worker is down after a crash, in milliseconds. */
+const CRASH_DOWN_MS = 3_000
 
 /** An in-memory `WorkerDriver` with injectable faults. */
 export class StandinWorker implements workers.WorkerDriver {
-  readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1 }
+  readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1, capacityShare: 1 }
   bornAtMs: number
   private runs = new Map<string, StandinRun>()
   private ended: workers.EndedRun[] = []
@@ -90,7 +107,14 @@
 
   /** Creates the worker's next report, with an increased sequence number. */
   report (isDraining = false): workers.WorkerReport {
-    return { workerId: this.options.workerId, bornAtMs: this.bornAtMs, service: 'spares', total: this.options.total, labels: [], isDraining, sequence: ++this.sequence }
+    return { workerId: this.options.workerId, bornAtMs: this.bornAtMs, service: 'spares', total: this.capacity, labels: [], isDraining, sequence: ++this.sequence }
+  }
+
+  /** Capacity at present. */
+  get capacity (): workers.RunSize {
+    const { cpuMilli, memoryMb, accelerators } = this.options.total
+    const share = this.faults.capacityShare
+    return { cpuMilli: Math.floor(cpuMilli * share), memoryMb: Math.floor(memoryMb * share), accelerators: Math.floor(accelerators * share) }
   }
 
   get runCount (): number {
@@ -127,6 +151,7 @@
     const outcome = await this.performWithFaults<workers.RenewOutcome>('renew', { kind: 'unanswered', reason: 'fault' }, { kind: 'down', reason: 'fault' }, () => this.handleRenewal(call))
     if (outcome.kind !== 'answered' || call.waitMs === 0 || outcome.runs.ended.length > 0) return outcome
     await Promise.race([this.options.timers.sleep(call.waitMs), new Promise<void>(resolve => { this.waiters.push(resolve) })])
+    if (this.faults.isDown) return { kind: 'down', reason: 'crash' }
     return this.faults.isUnresponsive ? { kind: 'unanswered', reason: 'fault' } : { kind: 'answered', runs: this.list() }
   }
 
@@ -169,8 +194,11 @@
     if (call.leaseUntilMs <= this.clockMs) return refuse(workers.StartRefusal.LeaseExpired)
     this.leaseUntilMs = Math.max(this.leaseUntilMs, call.leaseUntilMs)
     if (call.ref.run <= (this.highestEnded.get(key) ?? 0)) return refuse(workers.StartRefusal.Superseded)
-    if (!workers.fits(this.freeCapacity(), this.options.sizeOf(call.ref.task))) return refuse(workers.StartRefusal.NoCapacity)
-    this.runs.set(key, { ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0 })
+    if (!workers.fits(this.freeCapacity(), this.options.sizeOf(call.ref.task))) {
+      if (this.options.isUnguarded !== true) return refuse(workers.StartRefusal.NoCapacity)
+      this.options.runRecorder.overloads++
+    }
+    this.runs.set(key, { ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs() })
     this.options.runRecorder.recordStart(key)
     return { kind: 'started' }
   }
@@ -199,11 +227,28 @@
   }
 
   private freeCapacity (): workers.RunSize {
-    return [...this.runs.values()].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.options.total)
+    return [...this.runs.values()].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.capacity)
+  }
+
+  /** Goes down with all runs. A new incarnation is back after `CRASH_DOWN_MS`. */
+  private crash (key: string): void {
+    this.options.runRecorder.recordCrash(key)
+    this.restart()
+    this.faults.isDown = true
+    for (const resolve of this.waiters.splice(0)) resolve()
+    this.options.timers.after(CRASH_DOWN_MS, () => {
+      this.bornAtMs = this.options.timers.wallClockMs()
+      this.faults.isDown = false
+    })
   }
 
   private step (): void {
     for (const [key, run] of [...this.runs]) {
+      const crashesAfterMs = this.options.crashesAfterMs?.(run.ref.task)
+      if (crashesAfterMs !== undefined && this.options.timers.nowMs() - run.startedAtMs >= crashesAfterMs) {
+        this.crash(key)
+        return
+      }
       if (this.clockMs > this.leaseUntilMs) this.end(key, run, workers.EndCause.LeaseExpired)
       else if (this.faults.isFailing) this.end(key, run, workers.EndCause.Failed)
       else if (!this.faults.isStalled) run.doneMs += STEP_MS / this.faults.slowFactor
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -53,6 +53,21 @@
     expect(worker.runCount).to.equal(4)
   })
 
+  it('starts nothing beyond the capacity of a worker that has shrunk, and uses it again when it has grown', async () => {
+    const { timers, worker, executor, endings, order } = await createBench()
+    worker.faults.capacityShare = 0.5
+    executor.applyReport(worker.report())
+    expect(executor.load.free.cpuMilli).to.equal(TOTAL.cpuMilli / 2)
+    for (let index = 0; index < 4; index++) executor.submit(order(index))
+    await passTime(timers, 20)
+    expect([worker.runCount, endings.length]).to.deep.equal([2, 2])
+    worker.faults.capacityShare = 1
+    executor.applyReport(worker.report())
+    for (let index = 4; index < 6; index++) executor.submit(order(index))
+    await passTime(timers, 20)
+    expect(worker.runCount).to.equal(4)
+  })
+
   it('reserves freed capacity for the entry with the more urgent task', async () => {
     const { timers, executor, endings, order } = await createBench()
     for (let index = 0; index < 4; index++) executor.submit(order(index))
