An agent uses the capacity that its worker reports now, not the one at the start of its incarnation

Callers would have seen runs pressed onto a worker without room: on one that guards itself refused starts, on one that doesn't a start beyond its capacity (LIMIT). Cause: WorkerSession took the capacity from the report that opened it; later reports of the same incarnation only changed draining. Now a changed capacity is applied, logged (10021) and reported to the entries at once, also by a lightly loaded worker.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -254,7 +254,7 @@
   /** Returns false while the worker is lightly loaded and the last report is close to the current load; the next heartbeat carries the difference. */
   private isLoadReportDue ({ reportedLoad }: EntryConnection): boolean {
     const { load } = this.executor
-    if (reportedLoad === undefined || reportedLoad.isPresent !== load.isPresent || reportedLoad.isDraining !== load.isDraining) return true
+    if (reportedLoad === undefined || reportedLoad.isPresent !== load.isPresent || reportedLoad.isDraining !== load.isDraining || reportedLoad.total.cpuMilli !== load.total.cpuMilli) return true
     const { cpuMilli } = load.total
     const isLowLoad = Math.min(load.free.cpuMilli, reportedLoad.free.cpuMilli) >= cpuMilli * LOW_LOAD_FREE_SHARE
     return !isLowLoad || Math.abs(load.free.cpuMilli - reportedLoad.free.cpuMilli) >= cpuMilli * LOW_LOAD_REPORT_STEP_SHARE
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -10,7 +10,7 @@
 import { type Demand, Reservations } from './reservations.ts'
 import type { ActiveRun } from './runRegistry.ts'
 import { WorkerSession } from './session.ts'
-import { addSize, fits, NO_SIZE, subtractSize } from './size.ts'
+import { addSize, equalsSize, fits, NO_SIZE, subtractSize } from './size.ts'
 
 /** Callbacks of the executor. */
 export interface ExecutorHandlers {
@@ -129,7 +129,7 @@
     this.reportedAtMs = this.services.timers.nowMs()
     const isSameIncarnation = known?.workerId === report.workerId && known.bornAtMs === report.bornAtMs
     if (!isSameIncarnation || this.session === undefined) this.openSession(report)
-    else if (known.isDraining !== report.isDraining) this.handleDrainingChange(report)
+    else this.applyChanges(report, known, this.session)
     return true
   }
 
@@ -227,6 +227,16 @@
     this.handleLoadChange()
   }
 
+  /** Applies what a later report of the same incarnation says differently. */
+  private applyChanges (report: WorkerReport, known: WorkerReport, session: WorkerSession): void {
+    if (!equalsSize(report.total, known.total)) {
+      session.total = report.total
+      this.services.log.event(events.CapacityChanged, { workerId: report.workerId, cpuMilli: report.total.cpuMilli, memoryMb: report.total.memoryMb, freeCpuMilli: session.free.cpuMilli })
+      this.handleLoadChange()
+    }
+    if (known.isDraining !== report.isDraining) this.handleDrainingChange(report)
+  }
+
   private handleDrainingChange (report: WorkerReport): void {
     this.session!.isLeaving = report.isDraining
     if (report.isDraining) {
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -59,6 +59,8 @@
 /** Manages the runs on one incarnation of a worker. */
 export class WorkerSession {
   state = SessionState.TakingOver
+  /** Capacity by the worker's latest report. */
+  total: RunSize
   /** True once the worker has said that it leaves. The loss of its runs is then no crash. */
   isLeaving = false
   /** Run time of tasks on this worker over their estimates. */
@@ -77,11 +79,12 @@
     this.clock = new WorkerClock(services.timers)
     this.runTimeRatio = new RunTimeRatioEstimate(services.timers)
     this.lastAnswerAtMs = services.timers.nowMs()
+    this.total = worker.total
   }
 
-  /** Capacity that no run takes. */
+  /** Capacity that no run takes; negative when the worker has shrunk below what its runs take. */
   get free (): RunSize {
-    return subtractSize(this.worker.total, this.registry.used)
+    return subtractSize(this.total, this.registry.used)
   }
 
   /** Runs that take capacity. */
--- a/packages/workers/src/size.ts
+++ b/packages/workers/src/size.ts
@@ -24,3 +24,8 @@
 }
 
 export const NO_SIZE: RunSize = { cpuMilli: 0, memoryMb: 0, accelerators: 0 }
+
+/** Returns true if the sizes are the same. */
+export function equalsSize (left: RunSize, right: RunSize): boolean {
+  return left.cpuMilli === right.cpuMilli && left.memoryMb === right.memoryMb && left.accelerators === right.accelerators
+}
