Count the crashes of a task, and give it up: every entry is told which runs a crash took along

Callers saw 503 for seconds while one task of one job took down worker after worker, and the caller of that job heard nothing until its deadline. Now an agent tells every linked entry of a crash with the runs aboard, keeps the report for entries that link later, and orders carry the number of earlier crashes. A task is given up after two crashes if it was the only one aboard the second that had met one before, after three in any case; its job fails at once, also at another entry and when it is handed in again. Reports that come twice count once; records are bounded and expire after 60 s. Still red: jobs aboard twice by chance are given up too, and two crashes a task still take most workers down.

--- a/packages/bench/src/jobs/modelFleet.ts
+++ b/packages/bench/src/jobs/modelFleet.ts
@@ -62,7 +62,7 @@
   private reportedBornAtMs = 0
 
   constructor (readonly agentId: string, readonly worker: standin.StandinWorker, readonly timers: settings.FakeTimers, private readonly linkDelayMs: number, options: workers.WorkerOptions | undefined) {
-    this.executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, options }, { onEnd: ending => { this.queueEnd(ending) }, onLoad: () => { this.scheduleLoadReports() }, onCapacityReserved: owners => { this.reportCapacity(owners) } })
+    this.executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, options }, { onEnd: ending => { this.queueEnd(ending) }, onLoad: () => { this.scheduleLoadReports() }, onCrash: crash => { this.reportCrash(crash) }, onCapacityReserved: owners => { this.reportCapacity(owners) } })
     timers.every(REPORT_CHECK_MS, () => { this.reportWorker() })
     this.reportWorker()
   }
@@ -98,6 +98,10 @@
     this.timers.after(this.linkDelayMs, () => { this.executor.stop(owner, order => workers.taskKey(order.task) === workers.taskKey(ref), 'stopped by the entry') })
   }
 
+  private reportCrash (crash: workers.WorkerCrash): void {
+    for (const { entry } of this.ports.values()) this.timers.after(this.linkDelayMs, () => { entry.handleCrash(crash) })
+  }
+
   private queueEnd (ending: workers.TaskEnding): void {
     this.ports.get(ending.order.owner)!.ends.push(ending)
     if (this.isFlushScheduled) return
@@ -158,7 +162,7 @@
     return 0
   }
 
-  sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): void {
+  sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, crashes: number): void {
     const step = job.stepOf(task)
     this.agent.receiveOrder({
       owner: this.owner,
@@ -167,6 +171,7 @@
       spec: '',
       size: step.size,
       estimatedMs: step.estimatedMs,
+      crashes,
       age: new workers.Age(this.agent.timers),
       expiresAfterMs: expiresInMs
     }, this)
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -11,8 +11,9 @@
 import { EntryLinks } from './entryLinks.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
-import { decodeDemand, decodeEntry, decodeOrder, encodeEnd, encodeLoad } from './messages.ts'
+import { decodeDemand, decodeEntry, decodeOrder, encodeCrash, encodeEnd, encodeLoad } from './messages.ts'
 import { Owners } from './owners.ts'
+import { RecentCrashes } from './recentCrashes.ts'
 
 /** Identity of an agent process. Sent in the greeting under these field names. */
 export interface AgentIdentity {
@@ -42,6 +43,7 @@
   /** Entry incarnations with reservations that have not been reported to them yet. */
   private readonly ownersWithNewReservations = new Set<string>()
   private readonly handles: settings.TimerHandle[] = []
+  private readonly crashes: RecentCrashes
   private configReceivedAtMs = 0
   private isFlushScheduled = false
   private loadTimer: settings.TimerHandle | undefined
@@ -53,6 +55,7 @@
     this.configCache.subscribe(() => { this.configReceivedAtMs = services.timers.nowMs() })
     this.clock = new workers.ElapsedClock(services.timers)
     this.owners = new Owners(services.timers, this.clock)
+    this.crashes = new RecentCrashes(services.timers)
     this.links = new EntryLinks({
       ...identity,
       timers: services.timers,
@@ -63,6 +66,7 @@
     this.executor = new workers.RunExecutor({ ...services, ownerLeases: this.owners }, {
       onEnd: ending => { this.queueEnd(ending) },
       onLoad: () => { this.scheduleLoadReport() },
+      onCrash: crash => { this.reportCrash(crash) },
       onCapacityReserved: owners => { this.reportReservations(owners) }
     })
     this.handles.push(
@@ -125,7 +129,7 @@
     const { incarnation } = connection
     this.links.recordOpen(connection)
     this.pendingEnds.delete(incarnation)
-    this.sendReport(connection, { ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
+    this.sendReport(connection, { crashes: this.crashes.recent().map(encodeCrash), ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
     connection.send({ held: { runs: this.executor.heldBy(incarnation).map(order => ({ ...order.task, attempt: order.attempt })) } })
     this.handleEntryList(greeting.entries ?? [])
   }
@@ -187,6 +191,12 @@
     }
   }
 
+  /** Tells every linked entry of a crash, so that also an entry that gets the job later knows which of its tasks to suspect. */
+  private reportCrash (crash: workers.WorkerCrash): void {
+    this.crashes.add(crash)
+    for (const connection of this.links.openLinks) this.sendReport(connection, { crashes: [encodeCrash(crash)] })
+  }
+
   private queueEnd (ending: workers.TaskEnding): void {
     const { owner } = ending.order
     this.owners.retainEnd(ending)
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -21,6 +21,9 @@
 export const MAX_REDIAL_MS = 1_000
 /** Time for which ends are retained so that they can be sent again on a reopened link, in milliseconds. */
 export const END_RETENTION_MS = 3_000
+/** Time for which crashes of the worker are retained, in milliseconds, and how many at most. A new link carries them, so that an entry that has just started knows them. */
+export const CRASH_RETENTION_MS = 30_000
+export const MAX_RETAINED_CRASHES = 16
 /** Period of load reports to entries whose tasks did not change, in milliseconds, on a worker that is not lightly loaded. */
 export const LOAD_REPORT_PERIOD_MS = 40
 /** Period of load reports of a lightly loaded worker, in milliseconds. Outdated reports do no harm there. */
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -8,7 +8,7 @@
 import { type ConfigCache, decodeCopy } from './configCopy.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
-import { decodeEnd, decodeLoad, decodeSlow } from './messages.ts'
+import { decodeCrash, decodeEnd, decodeLoad, decodeSlow } from './messages.ts'
 
 /** Identity of an entry process. Stored as JSON under its key in the store, with these field names. */
 export interface EntryIdentity {
@@ -110,6 +110,7 @@
 
   private handleReport (connection: AgentConnection, report: protocol.runs.IRunReport): void {
     const { scheduler } = this.services
+    for (const crash of report.crashes ?? []) scheduler.handleCrash(decodeCrash(crash))
     const ends = (report.ends ?? []).map(decodeEnd)
     connection.recordEnds(ends)
     if (ends.length > 0) scheduler.handleEnds(connection, ends)
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -45,7 +45,7 @@
 }
 
 /** Encodes the order of one task. Further tasks of the same step can be appended to it. */
-export function encodeOrder (job: scheduler.Job, task: scheduler.Task, expiresInMs: number): protocol.runs.IRunOrder {
+export function encodeOrder (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, crashes: number): protocol.runs.IRunOrder {
   const step = job.stepOf(task)
   return {
     jobId: job.id,
@@ -54,7 +54,7 @@
     size: step.size,
     estimatedMs: step.estimatedMs,
     expiresInMs,
-    tasks: [{ index: task.ref.index, attempt: task.attempt }]
+    tasks: [{ index: task.ref.index, attempt: task.attempt, crashes }]
   }
 }
 
@@ -67,6 +67,7 @@
     spec: message.spec ?? '',
     size: decodeSize(message.size),
     estimatedMs: readNumber(message.estimatedMs),
+    crashes: task.crashes ?? 0,
     age,
     expiresAfterMs: readNumber(message.expiresInMs)
   }))
@@ -100,6 +101,29 @@
   }
 }
 
+/** Largest number of lost runs of one crash in a report. A worker of 128 cores runs about as many tasks at a time. */
+const MAX_LOST_RUNS = 256
+
+/** Encodes a crash of the worker. */
+export function encodeCrash ({ crashId, kind, runs: lost }: workers.WorkerCrash): protocol.runs.IWorkerCrash {
+  return { crashId, kind, runs: lost.slice(0, MAX_LOST_RUNS).map(({ task, attempt, earlierCrashes, runMs }) => ({ ...task, attempt, earlierCrashes, runMs })) }
+}
+
+/** Decodes a crash of a worker. An unknown kind, from a newer agent, becomes `Down`. */
+export function decodeCrash (message: protocol.runs.IWorkerCrash): workers.WorkerCrash {
+  const kind = Object.values(workers.CrashKind).find(each => each === message.kind) ?? workers.CrashKind.Down
+  return {
+    crashId: message.crashId ?? '',
+    kind,
+    runs: (message.runs ?? []).slice(0, MAX_LOST_RUNS).map(run => ({
+      task: { jobId: run.jobId ?? '', step: run.step ?? 0, index: run.index ?? 0 },
+      attempt: run.attempt ?? 0,
+      earlierCrashes: run.earlierCrashes ?? 0,
+      runMs: readNumber(run.runMs)
+    }))
+  }
+}
+
 /** Decodes a report on a slow run. */
 export function decodeSlow (message: protocol.runs.ISlowRun): scheduler.SlowRun {
   return {
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -20,8 +20,8 @@
   readonly failureDomain: string
   /** Returns the time since the agent's last message, in milliseconds. */
   sinceLastMessageMs: () => number
-  /** Sends a task. `expiresInMs` is the time until the deadline of its job. */
-  sendTask: (job: Job, task: Task, expiresInMs: number) => void
+  /** Sends a task. `expiresInMs` is the time until the deadline of its job, `crashes` the number of workers that crashed while they ran the task. */
+  sendTask: (job: Job, task: Task, expiresInMs: number, crashes: number) => void
   stop: (ref: workers.TaskRef) => void
   /** Sends the demand of the most urgent tasks that wait for capacity; undefined when none waits. */
   sendDemand: (demand: workers.Demand | undefined) => void
--- a/packages/scheduler/src/events.ts
+++ b/packages/scheduler/src/events.ts
@@ -15,5 +15,6 @@
   AgentDisconnected: { code: 11009, level: Warn, message: 'agent disconnected' },
   AgentLost: { code: 11010, level: Warn, message: 'runs of a disconnected agent marked lost' },
   WorkerEjected: { code: 11011, level: Warn, message: 'worker ejected: it fails too often and gets no tasks' },
-  WorkerRestored: { code: 11012, level: Info, message: 'worker no longer ejected: it gets tasks again' }
+  WorkerRestored: { code: 11012, level: Info, message: 'worker no longer ejected: it gets tasks again' },
+  TaskGivenUp: { code: 11013, level: Warn, message: 'task given up: workers crash while they run it' }
 })
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -3,6 +3,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import type { AgentRecord, Agents } from './agents.ts'
+import type { CrashRecords } from './crashRecords.ts'
 import { type Candidate, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
 import type { SchedulerOptions } from './defaults.ts'
 import { events } from './events.ts'
@@ -18,6 +19,7 @@
   agents: Agents
   speeds: SpeedEstimate
   ejection: placement.Ejection
+  crashRecords: CrashRecords
   failureDomain: string
   /** Returns a number from 0 to 1. */
   random: () => number
@@ -144,7 +146,7 @@
     agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, port: agent.port! })
     agent.view.recordSent(step.size)
     this.context.ejection.recordSent(agent.agentId)
-    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs)
+    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, this.context.crashRecords.crashesOf(task.ref))
   }
 
   private get nowMs (): number {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,6 +5,7 @@
 import * as workers from '@egretvalve/workers'
 import { retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
+import { CrashRecords } from './crashRecords.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
 import { DemandNotifier, type QueuedJob } from './demandNotifier.ts'
 import { events } from './events.ts'
@@ -51,12 +52,14 @@
   failed: number
   expired: number
   cancelled: number
+  /** Jobs that failed because workers crashed under one of their tasks. They are counted as failed too. */
+  givenUp: number
   moves: number
 }
 
 /** Schedules the jobs of one entry. */
 export class Scheduler {
-  readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, moves: 0 }
+  readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, givenUp: 0, moves: 0 }
   private readonly options: SchedulerOptions
   /** Jobs that have not ended, by id. */
   private readonly open = new Map<string, Job>()
@@ -65,6 +68,7 @@
   private readonly agents = new Agents()
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
+  private readonly crashRecords: CrashRecords
   private readonly placer: Placer
   private readonly demandNotifier: DemandNotifier
   private readonly refusals: Refusals
@@ -78,6 +82,7 @@
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.checkedAtMs = services.timers.nowMs()
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
+    this.crashRecords = new CrashRecords(services.timers)
     this.demandNotifier = new DemandNotifier(services.random)
     this.placer = new Placer({
       timers: services.timers,
@@ -86,6 +91,7 @@
       agents: this.agents,
       speeds: this.speeds,
       ejection: this.ejection,
+      crashRecords: this.crashRecords,
       failureDomain: services.failureDomain,
       random: services.random,
       entryCount: () => services.entryCount?.() ?? 1
@@ -143,6 +149,11 @@
       return known
     }
     const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0)
+    const givenUp = job.tasks.flat().find(task => this.crashRecords.isGivenUp(task.ref))
+    if (givenUp !== undefined) {
+      this.giveUp(job, givenUp.ref)
+      return job
+    }
     const refusal = this.refusals.findAtArrival(job)
     if (refusal !== undefined) {
       this.refuse(job, refusal.reason, refusal.waitMs)
@@ -233,10 +244,25 @@
     for (const run of slow) this.considerMove(agent, run)
   }
 
+  /** Records a crash of a worker, and fails the jobs of tasks that are given up for it. */
+  handleCrash (crash: workers.WorkerCrash): void {
+    for (const ref of this.crashRecords.record(crash)) {
+      this.services.log.event(events.TaskGivenUp, { jobId: ref.jobId, step: ref.step, index: ref.index, crashes: this.crashRecords.crashesOf(ref), crashId: crash.crashId })
+      const job = this.open.get(ref.jobId)
+      if (job !== undefined) this.giveUp(job, ref)
+    }
+  }
+
   private get nowMs (): number {
     return this.services.timers.nowMs()
   }
 
+  private giveUp (job: Job, ref: workers.TaskRef): void {
+    this.counters.givenUp++
+    const reason = `task ${ref.step}.${ref.index} given up: ${this.crashRecords.crashesOf(ref)} workers crashed while they ran it`
+    this.end(job, { kind: 'failed', reason }, reason)
+  }
+
   private adoptIncarnation (agent: AgentRecord, incarnation: string): void {
     agent.incarnation = incarnation
     this.speeds.remove(agent.agentId)
@@ -267,6 +293,7 @@
     switch (end.end) {
       case workers.TaskEnd.Done:
         task.phase = TaskPhase.Done
+        this.crashRecords.clear(task.ref)
         if (job.advance()) this.end(job, { kind: 'succeeded' }, 'all tasks done')
         return
       case workers.TaskEnd.Failed:
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -16,6 +16,8 @@
 export interface LostRun {
   task: TaskRef
   attempt: number
+  /** Crashes of workers that ran the task earlier, as far as its entry knew when it ordered the run. */
+  earlierCrashes: number
   /** Time from the start of the run to the crash, in milliseconds. */
   runMs: number
 }
@@ -30,10 +32,10 @@
 
 /** Describes the runs that were lost at `nowMs`. */
 export function describeLostRuns (runs: readonly ActiveRun[], nowMs: number): LostRun[] {
-  return runs.map(({ order, startedAtMs }) => ({ task: order.task, attempt: order.attempt, runMs: Math.round(nowMs - startedAtMs) }))
+  return runs.map(({ order, startedAtMs }) => ({ task: order.task, attempt: order.attempt, earlierCrashes: order.crashes, runMs: Math.round(nowMs - startedAtMs) }))
 }
 
-/** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt and the run time in milliseconds. */
+/** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt, run time in milliseconds and earlier crashes. */
 export function formatLostRuns (runs: readonly LostRun[]): string {
-  return [...runs].sort((left, right) => left.runMs - right.runMs).map(({ task, attempt, runMs }) => `${task.jobId}/${task.step}.${task.index}#${attempt}@${runMs}`).join(' ')
+  return [...runs].sort((left, right) => left.runMs - right.runMs).map(({ task, attempt, runMs, earlierCrashes }) => `${task.jobId}/${task.step}.${task.index}#${attempt}@${runMs},crashes=${earlierCrashes}`).join(' ')
 }
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -1,6 +1,7 @@
 /** Starts tasks ordered by entries on the worker beside the agent, or returns them immediately when the worker has no free capacity. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
+import type { WorkerCrash } from './crash.ts'
 import { DEFAULT_WORKER_OPTIONS, type WorkerOptions } from './defaults.ts'
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
 import { events } from './events.ts'
@@ -16,6 +17,8 @@
 export interface ExecutorHandlers {
   onEnd: (ending: TaskEnding) => void
   onLoad: () => void
+  /** The worker has crashed with runs aboard. Called before their ends. */
+  onCrash: (crash: WorkerCrash) => void
   /** Free capacity has been reserved for these entries for a short time. */
   onCapacityReserved: (owners: readonly string[]) => void
 }
@@ -190,7 +193,10 @@
     this.session?.endAsReplaced()
     const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing, ownerLeases: this.ownerLeases }, {
       onEnd: ending => { this.finish(ending) },
-      onCrash: () => { this.counters.workerCrashes++ },
+      onCrash: crash => {
+        this.counters.workerCrashes++
+        this.handlers.onCrash(crash)
+      },
       onChange: () => { this.handleSessionChange() }
     })
     session.isLeaving = report.isDraining
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -11,6 +11,8 @@
   spec: string
   size: RunSize
   estimatedMs: number
+  /** Number of workers that have crashed while they ran the task. */
+  crashes: number
   /** Time since the order arrived. */
   age: Age
   /** Age after which the task must not start, in milliseconds. */
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -171,4 +171,21 @@
     expect(received).to.deep.equal([4, 9])
     other.stop()
   })
+
+  it('tell every entry of a crash, also one that starts later', async () => {
+    bench.submit('job', 1)
+    await bench.waitFor(() => bench.runCount === 1)
+    const number = bench.workers.findIndex(worker => worker.runCount > 0)
+    bench.workers[number]!.faults.isDown = true
+    const crashed: number[] = []
+    const later = new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' })
+    later.handleCrash = crash => { crashed.push(crash.runs.length) }
+    const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}`, failureDomain: 'a' }, { timers, log, scheduler: later, configCache: new fleet.ConfigCache() })
+    await bench.waitFor(() => bench.agents[number]!.executor.counters.workerCrashes === 1)
+    await other.start()
+    for (const agent of bench.agents) agent.updateEntries([{ address: other.identity.address, failureDomain: 'a' }])
+    await bench.waitFor(() => crashed.length > 0, 2_000)
+    expect(crashed).to.deep.equal([1])
+    other.stop()
+  })
 })
--- /dev/null
+++ b/test/unit/scheduler/crashRecords.test.ts
@@ -0,0 +1,64 @@
+/** Verdicts on tasks that were aboard when workers crashed. */
+import { expect } from 'chai'
+import * as scheduler from '@egretvalve/scheduler'
+import * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+
+function refOf (jobId: string): workers.TaskRef {
+  return { jobId, step: 0, index: 0 }
+}
+
+/** A crash with one task of each job aboard; `earlierCrashes` is what their entries knew. */
+function createCrash (crashId: string, jobIds: readonly string[], earlierCrashes = 0): workers.WorkerCrash {
+  return { crashId, kind: workers.CrashKind.Down, runs: jobIds.map(jobId => ({ task: refOf(jobId), attempt: 1, earlierCrashes, runMs: 50 })) }
+}
+
+function createRecords (): { timers: settings.FakeTimers, records: scheduler.CrashRecords } {
+  const timers = new settings.FakeTimers()
+  return { timers, records: new scheduler.CrashRecords(timers) }
+}
+
+describe('crash records', () => {
+  it('give up the one task that was aboard in two crashes, and none of those that were aboard in one', () => {
+    const { records } = createRecords()
+    expect(records.record(createCrash('w-1', ['guilty', 'early']))).to.deep.equal([])
+    expect(records.record(createCrash('w-2', ['guilty', 'late']))).to.deep.equal([refOf('guilty')])
+    expect(['guilty', 'early', 'late'].map(jobId => records.isGivenUp(refOf(jobId)))).to.deep.equal([true, false, false])
+  })
+
+  it('give up nothing when several tasks share two crashes, and each of them after a third', () => {
+    const { records } = createRecords()
+    for (const crashId of ['w-1', 'w-2']) expect(records.record(createCrash(crashId, ['first', 'second']))).to.deep.equal([])
+    expect(records.record(createCrash('w-3', ['first', 'other']))).to.deep.equal([refOf('first')])
+    expect(records.isGivenUp(refOf('second'))).to.equal(false)
+  })
+
+  it('count a crash once that is reported twice', () => {
+    const { records } = createRecords()
+    for (let report = 0; report < 4; report++) records.record(createCrash('w-1', ['job']))
+    expect(records.crashesOf(refOf('job'))).to.equal(1)
+  })
+
+  it('count the crashes that only the entry which ordered the run knew of', () => {
+    const { records } = createRecords()
+    expect(records.record(createCrash('w-1', ['job'], 1))).to.deep.equal([refOf('job')])
+  })
+
+  it('forget a task that has ended well', () => {
+    const { records } = createRecords()
+    records.record(createCrash('w-1', ['job']))
+    records.clear(refOf('job'))
+    expect(records.record(createCrash('w-2', ['job']))).to.deep.equal([])
+  })
+
+  it('expire, and stay bounded', () => {
+    const { timers, records } = createRecords()
+    records.record(createCrash('w-1', ['job']))
+    timers.advance(61_000)
+    records.record(createCrash('w-2', ['other']))
+    expect(records.crashesOf(refOf('job'))).to.equal(0)
+    for (let crash = 0; crash < 300; crash++) records.record(createCrash(`many-${crash}`, Array.from({ length: 50 }, (_, index) => `job-${crash}-${index}`)))
+    expect(records.crashesOf(refOf('job-0-0'))).to.equal(0)
+    expect(records.crashesOf(refOf('job-299-49'))).to.equal(1)
+  })
+})
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -10,7 +10,7 @@
 
 class FakePort implements scheduler.AgentPort {
   /** Tasks sent, oldest first. */
-  readonly ordered: Array<{ ref: workers.TaskRef, attempt: number }> = []
+  readonly ordered: Array<{ ref: workers.TaskRef, attempt: number, crashes: number }> = []
   readonly stopped: workers.TaskRef[] = []
   readonly demands: Array<workers.Demand | undefined> = []
   /** Time since the last message of the agent. */
@@ -22,8 +22,8 @@
     return this.idleMs
   }
 
-  sendTask (_job: scheduler.Job, task: scheduler.Task): void {
-    this.ordered.push({ ref: task.ref, attempt: task.attempt })
+  sendTask (_job: scheduler.Job, task: scheduler.Task, _expiresInMs: number, crashes: number): void {
+    this.ordered.push({ ref: task.ref, attempt: task.attempt, crashes })
   }
 
   stop (ref: workers.TaskRef): void {
@@ -281,4 +281,31 @@
     created.handleSlowRuns(slow, [{ ref: first!.ref, elapsedMs: 300, percent: 40, stalledMs: 250 }, { ref: second!.ref, elapsedMs: 200, percent: 30, stalledMs: 0 }])
     expect(slow.stopped.map(({ index }) => index)).to.deep.equal([first!.ref.index, second!.ref.index])
   })
+
+  it('answers a job at once that is handed in again after another entry gave up one of its tasks', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const lost = { task: { jobId: 'job', step: 0, index: 1 }, attempt: 1, earlierCrashes: 0, runMs: 50 }
+    for (const crashId of ['w-1', 'w-2']) created.handleCrash({ crashId, kind: workers.CrashKind.Down, runs: [lost] })
+    const { outcomes } = submit(createJob('job', 2))
+    expect(outcomes).to.deep.equal([{ kind: 'failed', reason: 'task 0.1 given up: 2 workers crashed while they ran it' }])
+    await passTime(timers, 100)
+    expect(port.ordered).to.deep.equal([])
+  })
+
+  it('continues the count of crashes when a job is handed in again after its caller left', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const first = submit(createJob('job', 1))
+    await flushEventLoop()
+    created.handleCrash({ crashId: 'w-1', kind: workers.CrashKind.Down, runs: [{ task: port.ordered[0]!.ref, attempt: 1, earlierCrashes: 0, runMs: 50 }] })
+    created.cancel(first.job)
+    const second = submit(createJob('job', 1))
+    await flushEventLoop()
+    expect(port.ordered.at(-1)).to.include({ attempt: 2, crashes: 1 })
+    created.handleCrash({ crashId: 'w-2', kind: workers.CrashKind.Replaced, runs: [{ task: port.ordered[0]!.ref, attempt: 2, earlierCrashes: 1, runMs: 50 }] })
+    expect(second.outcomes.map(({ kind }) => kind)).to.deep.equal(['failed'])
+  })
 })
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -19,7 +19,7 @@
 }
 
 function createExecutor (worker: standin.StandinWorker, timers: settings.FakeTimers, endings: workers.TaskEnding[]): workers.RunExecutor {
-  return new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCapacityReserved: () => {} })
+  return new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
 }
 
 async function createBench (clockRate = 1): Promise<Bench> {
@@ -31,7 +31,7 @@
   executor.applyReport(worker.report())
   await passTime(timers, 20)
   const order = (index: number, changes: Partial<workers.TaskOrder> = {}): workers.TaskOrder => ({
-    owner: 'entry-1', task: { jobId: 'job', step: 0, index }, attempt: 1, spec: 'x', size: TASK_SIZE, estimatedMs: WORK_MS, age: new workers.Age(timers), expiresAfterMs: 2_000, ...changes
+    owner: 'entry-1', task: { jobId: 'job', step: 0, index }, attempt: 1, spec: 'x', size: TASK_SIZE, estimatedMs: WORK_MS, crashes: 0, age: new workers.Age(timers), expiresAfterMs: 2_000, ...changes
   })
   return { timers, worker, runRecorder, executor, endings, order }
 }
@@ -93,7 +93,7 @@
       const executor = createExecutor(worker, timers, endings)
       executor.applyReport(worker.report())
       await passTime(timers, 20)
-      executor.submit({ owner: 'e', task: { jobId: 'job', step: 0, index: 0 }, attempt: 1, spec: '', size: TASK_SIZE, estimatedMs: 5_000, age: new workers.Age(timers), expiresAfterMs: 10_000 })
+      executor.submit({ owner: 'e', task: { jobId: 'job', step: 0, index: 0 }, attempt: 1, spec: '', size: TASK_SIZE, estimatedMs: 5_000, crashes: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 })
       await passTime(timers, 5_200)
       expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Done])
     }
@@ -112,7 +112,7 @@
   it('lets the worker end all runs with the first owner lease, also when the agent stands still', async () => {
     const { timers, worker, endings, order } = await createBench()
     const leaseEndsAtMs: Record<string, number> = { 'entry-1': timers.nowMs() + 300, 'entry-2': timers.nowMs() + 5_000 }
-    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => leaseEndsAtMs[owner]! - timers.nowMs() } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCapacityReserved: () => {} })
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => leaseEndsAtMs[owner]! - timers.nowMs() } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
     executor.applyReport(worker.report())
     while (!executor.load.isPresent) await passTime(timers, 5)
     worker.faults.isStalled = true
@@ -128,7 +128,7 @@
   it('returns a task whose owner lease has nearly expired, and starts those of other owners', async () => {
     const { timers, worker, endings, order } = await createBench()
     const remainingMs: Record<string, number> = { 'entry-1': workers.DEFAULT_WORKER_OPTIONS.minStartLeaseMs - 1, 'entry-2': 1_000 }
-    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => remainingMs[owner]! } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCapacityReserved: () => {} })
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => remainingMs[owner]! } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
     executor.applyReport(worker.report())
     while (!executor.load.isPresent) await passTime(timers, 5)
     executor.submit(order(0, { owner: 'entry-1' }))
@@ -248,11 +248,11 @@
     const timers = new settings.FakeTimers()
     const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => 5_000, sizeOf: () => TASK_SIZE, timers, runRecorder: new standin.RunRecorder() })
     const runsAtLoss: number[] = []
-    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: () => { runsAtLoss.push(worker.runCount) }, onLoad: () => {}, onCapacityReserved: () => {} })
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: () => { runsAtLoss.push(worker.runCount) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
     executor.applyReport(worker.report())
     await passTime(timers, 20)
     worker.restart()
-    executor.submit({ owner: 'e', task: { jobId: 'job', step: 0, index: 0 }, attempt: 1, spec: '', size: TASK_SIZE, estimatedMs: 5_000, age: new workers.Age(timers), expiresAfterMs: 10_000 })
+    executor.submit({ owner: 'e', task: { jobId: 'job', step: 0, index: 0 }, attempt: 1, spec: '', size: TASK_SIZE, estimatedMs: 5_000, crashes: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 })
     executor.applyReport(worker.report())
     await passTime(timers, 1_000)
     expect(runsAtLoss).to.deep.equal([0])
