Observe the suspects of a crash on separate workers, so that a second crash names the task that causes them

Cause: what is known of a crash did not decide where its tasks run next. Now only runs that began up to 250 ms before the crash are suspects; a suspect goes to a worker without suspects of other jobs, the emptiest, and other tasks avoid it while it is observed (1.5 times its age at the crash and 40 ms). A crash names the only observed job at once; three suspicions or four crashes end a task in any case. The agent enforces that two entries don't observe two jobs at a time.

--- a/packages/bench/src/jobs/modelFleet.ts
+++ b/packages/bench/src/jobs/modelFleet.ts
@@ -162,7 +162,7 @@
     return 0
   }
 
-  sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, crashes: number): void {
+  sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, suspicion: scheduler.Suspicion): void {
     const step = job.stepOf(task)
     this.agent.receiveOrder({
       owner: this.owner,
@@ -171,7 +171,7 @@
       spec: '',
       size: step.size,
       estimatedMs: step.estimatedMs,
-      crashes,
+      ...suspicion,
       age: new workers.Age(this.agent.timers),
       expiresAfterMs: expiresInMs
     }, this)
--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -49,15 +49,15 @@
   }
 
   /** Queues a task; all tasks of one event loop turn are sent in one message. */
-  sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, crashes: number): void {
+  sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, suspicion: scheduler.Suspicion): void {
     this.unreportedTasks.add(workers.taskKey(task.ref))
     const last = this.orders.at(-1)
     const { jobId, step } = task.ref
     if (last?.jobId === jobId && last.step === step) {
-      last.tasks!.push({ index: task.ref.index, attempt: task.attempt, crashes })
+      last.tasks!.push({ index: task.ref.index, attempt: task.attempt, ...suspicion })
       return
     }
-    this.orders.push(encodeOrder(job, task, expiresInMs, crashes))
+    this.orders.push(encodeOrder(job, task, expiresInMs, suspicion))
     if (this.orders.length === 1) setImmediate(() => { this.flush() })
   }
 
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -20,6 +20,7 @@
     labels: [...load.labels],
     received,
     waiting: load.waiting,
+    hasSuspect: load.hasSuspect,
     pace: load.runTimeRatio
   }
 }
@@ -35,6 +36,7 @@
     labels: message?.labels ?? [],
     received: message?.received ?? 0,
     waiting: message?.waiting ?? 0,
+    hasSuspect: message?.hasSuspect ?? false,
     runTimeRatio: readNumber(message?.pace)
   }
 }
@@ -45,7 +47,7 @@
 }
 
 /** Encodes the order of one task. Further tasks of the same step can be appended to it. */
-export function encodeOrder (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, crashes: number): protocol.runs.IRunOrder {
+export function encodeOrder (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, suspicion: scheduler.Suspicion): protocol.runs.IRunOrder {
   const step = job.stepOf(task)
   return {
     jobId: job.id,
@@ -54,7 +56,7 @@
     size: step.size,
     estimatedMs: step.estimatedMs,
     expiresInMs,
-    tasks: [{ index: task.ref.index, attempt: task.attempt, crashes }]
+    tasks: [{ index: task.ref.index, attempt: task.attempt, ...suspicion }]
   }
 }
 
@@ -68,6 +70,7 @@
     size: decodeSize(message.size),
     estimatedMs: readNumber(message.estimatedMs),
     crashes: task.crashes ?? 0,
+    observationMs: readNumber(task.observationMs),
     age,
     expiresAfterMs: readNumber(message.expiresInMs)
   }))
@@ -106,7 +109,7 @@
 
 /** Encodes a crash of the worker. */
 export function encodeCrash ({ crashId, kind, runs: lost }: workers.WorkerCrash): protocol.runs.IWorkerCrash {
-  return { crashId, kind, runs: lost.slice(0, MAX_LOST_RUNS).map(({ task, attempt, earlierCrashes, runMs }) => ({ ...task, attempt, earlierCrashes, runMs })) }
+  return { crashId, kind, runs: lost.slice(0, MAX_LOST_RUNS).map(({ task, ...run }) => ({ ...task, ...run })) }
 }
 
 /** Decodes a crash of a worker. An unknown kind, from a newer agent, becomes `Down`. */
@@ -119,6 +122,7 @@
       task: { jobId: run.jobId ?? '', step: run.step ?? 0, index: run.index ?? 0 },
       attempt: run.attempt ?? 0,
       earlierCrashes: run.earlierCrashes ?? 0,
+      isObserved: run.isObserved ?? false,
       runMs: readNumber(run.runMs)
     }))
   }
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -8,10 +8,18 @@
   job: Job
   task: Task
   attempt: number
+  /** Time for which the run is observed, in milliseconds; 0 for a task that is not suspected of a crash. */
+  observationMs: number
   /** Link on which the task was sent or, after a reconnect, reported as held. */
   port: AgentPort
 }
 
+/** What an order tells about crashes of workers under the task; see `workers.TaskOrder`. */
+export interface Suspicion {
+  crashes: number
+  observationMs: number
+}
+
 /** Link to an agent. */
 export interface AgentPort {
   readonly agentId: string
@@ -20,8 +28,8 @@
   readonly failureDomain: string
   /** Returns the time since the agent's last message, in milliseconds. */
   sinceLastMessageMs: () => number
-  /** Sends a task. `expiresInMs` is the time until the deadline of its job, `crashes` the number of workers that crashed while they ran the task. */
-  sendTask: (job: Job, task: Task, expiresInMs: number, crashes: number) => void
+  /** Sends a task. `expiresInMs` is the time until the deadline of its job. */
+  sendTask: (job: Job, task: Task, expiresInMs: number, suspicion: Suspicion) => void
   stop: (ref: workers.TaskRef) => void
   /** Sends the demand of the most urgent tasks that wait for capacity; undefined when none waits. */
   sendDemand: (demand: workers.Demand | undefined) => void
--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -2,10 +2,17 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 
-/** Crashes after which a task is given up whatever else was aboard. */
-const MAX_CRASHES = 3
-/** Crashes after which a task is given up if it was the only one aboard that had met a crash before. */
-const MIN_CRASHES = 2
+/** Age of a run up to which it is suspected of a crash, in milliseconds. What crashes a worker mostly does so soon after its start. */
+const SUSPECT_AGE_MS = 250
+/** Suspicions at which a task is given up if no other job was observed on the worker. */
+const MIN_SUSPICIONS = 2
+/** Suspicions at which a task is given up whatever else was aboard. */
+const MAX_SUSPICIONS = 3
+/** Crashes at which a task is given up at any age of its runs, so that one that crashes late ends too. */
+const MAX_CRASHES = 4
+/** The next run of a suspect is observed for this many times its age at the crash, and a constant. */
+const OBSERVATION_AGE_FACTOR = 1.5
+const OBSERVATION_MARGIN_MS = 40
 /** Time for which a crash is remembered, in milliseconds. Covers the attempts of a caller that submits its job again. */
 const RETENTION_MS = 60_000
 /** Bound of the tasks and crashes that are remembered; the oldest are forgotten first. */
@@ -13,11 +20,18 @@
 const MAX_CRASH_IDS = 1_000
 
 interface CrashRecord {
+  /** Workers that crashed while they ran the task. */
   crashes: number
+  /** Those of them that crashed soon after its start. */
+  suspicions: number
+  /** Age of the run at the last of these, in milliseconds. */
+  suspectAgeMs: number
   atMs: number
   isGivenUp: boolean
 }
 
+const NO_RECORD: CrashRecord = { crashes: 0, suspicions: 0, suspectAgeMs: 0, atMs: 0, isGivenUp: false }
+
 /** Remembers crashes. Reports may come late, twice and from agents that know of earlier crashes. */
 export class CrashRecords {
   /** By task key, the latest crash last. */
@@ -32,25 +46,35 @@
     this.evict()
     if (this.crashIds.has(crash.crashId)) return []
     this.crashIds.set(crash.crashId, this.timers.nowMs())
-    const suspects = crash.runs.filter(run => this.earlierCrashes(run) > 0)
+    const observedJobs = new Set(crash.runs.filter(({ isObserved }) => isObserved).map(({ task }) => task.jobId))
     const givenUp: workers.TaskRef[] = []
     for (const run of crash.runs) {
-      const crashes = this.earlierCrashes(run) + 1
-      const isGuilty = crashes >= MAX_CRASHES || (crashes >= MIN_CRASHES && suspects.length === 1)
-      const wasGivenUp = this.isGivenUp(run.task)
-      this.set(run.task, { crashes, atMs: this.timers.nowMs(), isGivenUp: isGuilty || wasGivenUp })
-      if (isGuilty && !wasGivenUp) givenUp.push(run.task)
+      const before = this.find(run.task)
+      const record = this.count(run, before, observedJobs.size === 1)
+      this.set(run.task, record)
+      if (record.isGivenUp && !before.isGivenUp) givenUp.push(run.task)
     }
     return givenUp
   }
 
   /** Returns how many workers have crashed while they ran the task. */
   crashesOf (task: workers.TaskRef): number {
-    return this.records.get(workers.taskKey(task))?.crashes ?? 0
+    return this.find(task).crashes
+  }
+
+  /** Returns for how long the next run of the task is observed, in milliseconds; 0 for a task that is not suspected of a crash. */
+  observationMsOf (task: workers.TaskRef): number {
+    const { suspicions, suspectAgeMs } = this.find(task)
+    return suspicions === 0 ? 0 : suspectAgeMs * OBSERVATION_AGE_FACTOR + OBSERVATION_MARGIN_MS
+  }
+
+  /** True while no crash is remembered. */
+  get isEmpty (): boolean {
+    return this.records.size === 0
   }
 
   isGivenUp (task: workers.TaskRef): boolean {
-    return this.records.get(workers.taskKey(task))?.isGivenUp === true
+    return this.find(task).isGivenUp
   }
 
   /** Forgets the crashes of a task that has ended well, and so did not cause them. */
@@ -58,9 +82,23 @@
     this.records.delete(workers.taskKey(task))
   }
 
-  /** Crashes before this one, by the records here and by those of the entry that ordered the run. */
-  private earlierCrashes (run: workers.LostRun): number {
-    return Math.max(this.crashesOf(run.task), run.earlierCrashes)
+  private find (task: workers.TaskRef): CrashRecord {
+    return this.records.get(workers.taskKey(task)) ?? NO_RECORD
+  }
+
+  /** Adds a crash to a task's record. The entry that ordered the run may have known of earlier ones. */
+  private count (run: workers.LostRun, before: CrashRecord, isOnlyObservedJob: boolean): CrashRecord {
+    const isSuspect = run.runMs <= SUSPECT_AGE_MS
+    const crashes = Math.max(before.crashes, run.earlierCrashes) + 1
+    const suspicions = Math.max(before.suspicions, run.isObserved ? 1 : 0) + (isSuspect ? 1 : 0)
+    const isNamed = run.isObserved && isOnlyObservedJob && suspicions >= MIN_SUSPICIONS
+    return {
+      crashes,
+      suspicions,
+      suspectAgeMs: isSuspect ? run.runMs : before.suspectAgeMs,
+      atMs: this.timers.nowMs(),
+      isGivenUp: before.isGivenUp || isNamed || suspicions >= MAX_SUSPICIONS || crashes >= MAX_CRASHES
+    }
   }
 
   private set (task: workers.TaskRef, record: CrashRecord): void {
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -4,7 +4,7 @@
 import * as workers from '@egretvalve/workers'
 import type { AgentRecord, Agents } from './agents.ts'
 import type { CrashRecords } from './crashRecords.ts'
-import { type Candidate, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
+import { type Candidate, chooseForSuspect, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
 import type { SchedulerOptions } from './defaults.ts'
 import { events } from './events.ts'
 import { type Job, type Task, TaskPhase } from './job.ts'
@@ -52,7 +52,7 @@
   place (job: Job, reserved: Set<string>): void {
     const placed: string[] = []
     this.placeTasks(job, reserved, placed)
-    if (placed.length > 0) this.context.log.event(events.TasksPlaced, { jobId: job.id, tasks: placed.join(' '), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+    this.logPlaced(job, placed)
   }
 
   /** Places waiting tasks and adds a description of each to `placed`: step, index, attempt, agent, its free cores, its speed factor and the milliseconds since its last message. */
@@ -61,6 +61,7 @@
     let candidates: Candidate[] = []
     let sample: Candidate[] = []
     for (const task of job.waitingTasks()) {
+      if (this.isSuspect(task)) continue
       if (task.ref.step !== step) {
         step = task.ref.step
         candidates = this.findCandidates(job, step, reserved)
@@ -71,6 +72,41 @@
     }
   }
 
+  /** Sends the waiting tasks of a job that are suspected of a crash to a worker without suspects of other jobs. Without one they wait, and reserve nothing. */
+  placeSuspects (job: Job): void {
+    if (this.context.crashRecords.isEmpty) return
+    const placed: string[] = []
+    let chosen: Candidate | undefined
+    for (const task of job.waitingTasks()) {
+      if (!this.isSuspect(task)) continue
+      const step = job.stepOf(task)
+      const isFull = chosen === undefined || !workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size)
+      if (isFull) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED)), step)
+      if (chosen === undefined) continue
+      this.send(job, task, chosen)
+      placed.push(this.describePlacement(task))
+    }
+    this.logPlaced(job, placed)
+  }
+
+  private isSuspect (task: Task): boolean {
+    return this.context.crashRecords.observationMsOf(task.ref) > 0
+  }
+
+  /** Returns true while a worker runs a task that is suspected of a crash, or is about to start one. */
+  private hasSuspect (agent: AgentRecord): boolean {
+    if (agent.view.hasSuspect) return true
+    if (this.context.crashRecords.isEmpty) return false
+    for (const { task, observationMs } of agent.sent.values()) {
+      if (this.nowMs - task.sentAtMs < observationMs) return true
+    }
+    return false
+  }
+
+  private logPlaced (job: Job, placed: readonly string[]): void {
+    if (placed.length > 0) this.context.log.event(events.TasksPlaced, { jobId: job.id, tasks: placed.join(' '), ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+  }
+
   private describePlacement (task: Task): string {
     const agent = this.context.agents.get(task.agentId!)!
     const freeCores = Math.round(agent.view.free.cpuMilli / 1_000)
@@ -130,23 +166,26 @@
       speedFactor: this.context.speeds.factorOf(agent.agentId),
       hasDataRack: step.dataRack !== undefined && agent.view.hasLabel(step.dataRack),
       isOwnDomain: agent.view.failureDomain === this.context.failureDomain,
-      hasSibling: false
+      hasSibling: false,
+      hasSuspect: this.hasSuspect(agent)
     }
   }
 
   private send (job: Job, task: Task, chosen: Candidate): void {
     const agent = this.context.agents.get(chosen.agentId)!
     const step = job.stepOf(task)
+    const { crashRecords } = this.context
+    const observationMs = crashRecords.observationMsOf(task.ref)
     task.attempt++
     task.phase = TaskPhase.Sent
     task.agentId = agent.agentId
     task.sentAtMs = this.nowMs
     job.recordSent()
     this.sentCount++
-    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, port: agent.port! })
+    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, observationMs, port: agent.port! })
     agent.view.recordSent(step.size)
     this.context.ejection.recordSent(agent.agentId)
-    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, this.context.crashRecords.crashesOf(task.ref))
+    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, { crashes: crashRecords.crashesOf(task.ref), observationMs })
   }
 
   private get nowMs (): number {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -421,6 +421,9 @@
       if (!this.placer.hasUnreserved(reserved)) break
       if (!this.hasPassedDeadline(job)) this.placer.place(job, reserved)
     }
+    for (const { job } of queue) {
+      if (job.hasWaitingTask && !this.hasPassedDeadline(job)) this.placer.placeSuspects(job)
+    }
     this.demandNotifier.update(queue, this.agents, nowMs)
   }
 
--- a/packages/scheduler/src/workerChoice.ts
+++ b/packages/scheduler/src/workerChoice.ts
@@ -14,6 +14,8 @@
   isOwnDomain: boolean
   /** True when another task of the same job was placed on it in this dispatch pass. */
   hasSibling: boolean
+  /** True while it runs a task that is suspected of a crash, and may crash too. */
+  hasSuspect: boolean
 }
 
 /** Weights of the choice; see `SchedulerOptions`. */
@@ -28,11 +30,14 @@
 /** Bonus for a worker that already gets tasks of the job: their orders and ends share messages. */
 const SIBLING_BONUS_MS = 5
 
+/** Cost of a worker that may crash under a suspect, so that it is chosen only when no other has capacity. A crash by another task would also blame the suspect. */
+const SUSPECT_PENALTY_MS = 500
+
 /** Returns the cost of a task on a worker with free capacity: its expected run time, corrected by load and bonuses, in milliseconds. */
 export function expectedCostMs (candidate: Candidate, step: StepSpec, expectedMs: number, options: ChoiceOptions): number {
   const isRemote = step.dataRack !== undefined && !candidate.hasDataRack
   const runMs = expectedMs * candidate.speedFactor * (isRemote ? options.remoteDataFactor : 1)
-  return runMs + candidate.usedShare * options.loadPenaltyMs - (candidate.isOwnDomain ? OWN_DOMAIN_BONUS_MS : 0) - (candidate.hasSibling ? SIBLING_BONUS_MS : 0)
+  return runMs + candidate.usedShare * options.loadPenaltyMs - (candidate.isOwnDomain ? OWN_DOMAIN_BONUS_MS : 0) - (candidate.hasSibling ? SIBLING_BONUS_MS : 0) + (candidate.hasSuspect ? SUSPECT_PENALTY_MS : 0)
 }
 
 /** Chooses the worker with the lowest cost among those with free capacity for the task. */
@@ -49,6 +54,16 @@
   return best
 }
 
+/** Chooses the worker for a task that may crash it: one without another such task, and with the least to lose. */
+export function chooseForSuspect (candidates: readonly Candidate[], step: StepSpec): Candidate | undefined {
+  let best: Candidate | undefined
+  for (const candidate of candidates) {
+    if (candidate.hasSuspect || !workers.fits(candidate.free, step.size)) continue
+    if (best === undefined || candidate.usedShare < best.usedShare) best = candidate
+  }
+  return best
+}
+
 /** Chooses the worker to reserve for a task that fits nowhere yet, so that smaller tasks don't use up its capacity: the one with the most free processors. */
 export function chooseReserved (candidates: readonly Candidate[]): Candidate | undefined {
   let best: Candidate | undefined
--- a/packages/scheduler/src/workerView.ts
+++ b/packages/scheduler/src/workerView.ts
@@ -52,6 +52,11 @@
     return this.load?.isPresent === true && !this.load.isDraining
   }
 
+  /** True while the worker runs a task that is suspected of a crash, by its last report. */
+  get hasSuspect (): boolean {
+    return this.load?.hasSuspect === true
+  }
+
   hasLabel (label: string): boolean {
     return this.load?.labels.includes(label) === true
   }
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -18,6 +18,8 @@
   attempt: number
   /** Crashes of workers that ran the task earlier, as far as its entry knew when it ordered the run. */
   earlierCrashes: number
+  /** True when the run was observed because its task was suspected of an earlier crash. */
+  isObserved: boolean
   /** Time from the start of the run to the crash, in milliseconds. */
   runMs: number
 }
@@ -30,9 +32,14 @@
   runs: readonly LostRun[]
 }
 
+/** Returns true while a run of a task that is suspected of a crash may still show whether it caused it. */
+export function isObserved ({ order, startedAtMs }: ActiveRun, nowMs: number): boolean {
+  return nowMs - startedAtMs < order.observationMs
+}
+
 /** Describes the runs that were lost at `nowMs`. */
 export function describeLostRuns (runs: readonly ActiveRun[], nowMs: number): LostRun[] {
-  return runs.map(({ order, startedAtMs }) => ({ task: order.task, attempt: order.attempt, earlierCrashes: order.crashes, runMs: Math.round(nowMs - startedAtMs) }))
+  return runs.map(run => ({ task: run.order.task, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, nowMs), runMs: Math.round(nowMs - run.startedAtMs) }))
 }
 
 /** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt, run time in milliseconds and earlier crashes. */
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -1,7 +1,7 @@
 /** Starts tasks ordered by entries on the worker beside the agent, or returns them immediately when the worker has no free capacity. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import type { WorkerCrash } from './crash.ts'
+import { isObserved, type WorkerCrash } from './crash.ts'
 import { DEFAULT_WORKER_OPTIONS, type WorkerOptions } from './defaults.ts'
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
 import { events } from './events.ts'
@@ -43,6 +43,8 @@
   free: RunSize
   labels: readonly string[]
   waiting: number
+  /** True while a task is observed that is suspected of a crash. */
+  hasSuspect: boolean
   /** Run-time ratio: run time of tasks over their estimates; 0 when there is too little data. */
   runTimeRatio: number
 }
@@ -94,7 +96,7 @@
   get load (): ExecutorLoad {
     const { report, session } = this
     if (report === undefined || session === undefined) {
-      return { isPresent: false, isDraining: false, service: '', total: NO_SIZE, free: NO_SIZE, labels: [], waiting: this.waiting.length, runTimeRatio: 0 }
+      return { isPresent: false, isDraining: false, service: '', total: NO_SIZE, free: NO_SIZE, labels: [], waiting: this.waiting.length, hasSuspect: false, runTimeRatio: 0 }
     }
     const waitingSize = this.waiting.reduce((sum, order) => addSize(sum, order.size), NO_SIZE)
     return {
@@ -105,6 +107,7 @@
       free: subtractSize(session.free, waitingSize),
       labels: report.labels,
       waiting: this.waiting.length,
+      hasSuspect: this.isObserving(() => true),
       runTimeRatio: session.runTimeRatio.value
     }
   }
@@ -267,13 +270,28 @@
       if (order.age.ms > order.expiresAfterMs) this.returnTask(order, ReturnReason.Expired)
       else if (this.ownerLeases.remainingMs(order.owner) < this.options.minStartLeaseMs) this.returnTask(order, ReturnReason.OwnerLeaseExpired)
       else if (session.find(taskKey(order.task)) !== undefined) remaining.push(order)
-      else if (fits(this.reservations.freeCapacityFor(order.owner, session.free), order.size)) session.start(order)
+      else if (order.observationMs > 0 && this.isObserving(other => other.task.jobId !== order.task.jobId)) this.returnTask(order, ReturnReason.SuspectRunning)
+      else if (fits(this.reservations.freeCapacityFor(order.owner, session.free), order.size)) this.start(order, session)
       else this.returnTask(order, ReturnReason.NoCapacity)
     }
     this.waiting = remaining
     this.handleLoadChange()
   }
 
+  private start (order: TaskOrder, session: WorkerSession): void {
+    session.start(order)
+    if (order.observationMs > 0) this.services.timers.after(order.observationMs, () => { this.handleLoadChange() })
+  }
+
+  /** Returns true while a matching task that is suspected of a crash is observed. */
+  private isObserving (matches: (order: TaskOrder) => boolean): boolean {
+    const nowMs = this.services.timers.nowMs()
+    for (const run of this.runs) {
+      if (isObserved(run, nowMs) && matches(run.order)) return true
+    }
+    return false
+  }
+
   /** Reports deferred ends that are due, returns tasks that have waited too long for an earlier run to end, and drops a worker that has stopped reporting. */
   private checkTimeouts (): void {
     this.reportDeferredEnds(false)
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -13,6 +13,8 @@
   estimatedMs: number
   /** Number of workers that have crashed while they ran the task. */
   crashes: number
+  /** Time from its start for which the run keeps suspects of other jobs off the worker, so that another crash names the job, in milliseconds; 0 for a task that is not suspected of a crash. */
+  observationMs: number
   /** Time since the order arrived. */
   age: Age
   /** Age after which the task must not start, in milliseconds. */
@@ -36,6 +38,8 @@
   Expired = 'expired',
   /** The entry has not been heard for so long that it may have placed the task elsewhere. */
   OwnerLeaseExpired = 'owner lease expired',
+  /** A task of another job that is suspected of a crash is being observed. */
+  SuspectRunning = 'another suspect runs',
   EarlierRun = 'earlier run not ended in time',
   WorkerLeft = 'worker left',
   WorkerDraining = 'worker is draining',
