Contain a queue whose tasks crash workers again and again: it keeps a cell of the workers, the others keep the rest

Callers of all queues saw late answers and 503 while two crashes for each crashing job took more workers down than return. Cause: every job of every queue could run on every worker, so one queue's crashes cost all of them. A second task that is given up within 5 s now contains its queue: its jobs run on 0.4 of the workers, of which one is left to suspects, until 5 s after the last such crash; other queues use the rest. Admission counts the workers that a queue may use; while all of a contained queue's workers are down its jobs are refused at once, with a Retry-After of about the time in which a worker is back. A queue with most of the work is spared.

--- a/packages/bench/src/jobs/modelFleet.ts
+++ b/packages/bench/src/jobs/modelFleet.ts
@@ -168,6 +168,7 @@
       owner: this.owner,
       task: task.ref,
       attempt: task.attempt,
+      queue: job.terms.queue,
       spec: '',
       size: step.size,
       estimatedMs: step.estimatedMs,
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -52,6 +52,7 @@
   return {
     jobId: job.id,
     step: task.ref.step,
+    queue: job.terms.queue,
     spec: job.spec.spec,
     size: step.size,
     estimatedMs: step.estimatedMs,
@@ -66,6 +67,7 @@
     owner,
     task: { jobId: message.jobId ?? '', step: message.step ?? 0, index: task.index ?? 0 },
     attempt: task.attempt ?? 1,
+    queue: message.queue ?? '',
     spec: message.spec ?? '',
     size: decodeSize(message.size),
     estimatedMs: readNumber(message.estimatedMs),
@@ -120,6 +122,7 @@
     kind,
     runs: (message.runs ?? []).slice(0, MAX_LOST_RUNS).map(run => ({
       task: { jobId: run.jobId ?? '', step: run.step ?? 0, index: run.index ?? 0 },
+      queue: run.queue ?? '',
       attempt: run.attempt ?? 0,
       earlierCrashes: run.earlierCrashes ?? 0,
       isObserved: run.isObserved ?? false,
--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -41,18 +41,18 @@
 
   constructor (private readonly timers: settings.Timers) {}
 
-  /** Records a crash. Returns the tasks that are given up from now on. */
-  record (crash: workers.WorkerCrash): workers.TaskRef[] {
+  /** Records a crash. Returns the runs whose tasks are given up from now on. */
+  record (crash: workers.WorkerCrash): workers.LostRun[] {
     this.evict()
     if (this.crashIds.has(crash.crashId)) return []
     this.crashIds.set(crash.crashId, this.timers.nowMs())
     const observedJobs = new Set(crash.runs.filter(({ isObserved }) => isObserved).map(({ task }) => task.jobId))
-    const givenUp: workers.TaskRef[] = []
+    const givenUp: workers.LostRun[] = []
     for (const run of crash.runs) {
       const before = this.find(run.task)
       const record = this.count(run, before, observedJobs.size === 1)
       this.set(run.task, record)
-      if (record.isGivenUp && !before.isGivenUp) givenUp.push(run.task)
+      if (record.isGivenUp && !before.isGivenUp) givenUp.push(run)
     }
     return givenUp
   }
--- a/packages/scheduler/src/events.ts
+++ b/packages/scheduler/src/events.ts
@@ -16,5 +16,7 @@
   AgentLost: { code: 11010, level: Warn, message: 'runs of a disconnected agent marked lost' },
   WorkerEjected: { code: 11011, level: Warn, message: 'worker ejected: it fails too often and gets no tasks' },
   WorkerRestored: { code: 11012, level: Info, message: 'worker no longer ejected: it gets tasks again' },
-  TaskGivenUp: { code: 11013, level: Warn, message: 'task given up: workers crash while they run it' }
+  TaskGivenUp: { code: 11013, level: Warn, message: 'task given up: workers crash while they run it' },
+  QueueContained: { code: 11014, level: Warn, message: 'queue contained: its tasks crash workers, and it keeps only a part of them' },
+  QueueReleased: { code: 11015, level: Info, message: 'queue no longer contained' }
 })
--- a/packages/scheduler/src/fleetCapacity.ts
+++ b/packages/scheduler/src/fleetCapacity.ts
@@ -1,6 +1,6 @@
 /** The share of the workers' capacity that an entry can expect to use, and the work queued up to a job. */
 import * as workers from '@egretvalve/workers'
-import type { Agents } from './agents.ts'
+import type { AgentRecord, Agents } from './agents.ts'
 import type { Job } from './job.ts'
 import { estimatedWorkCoreMs, type StepSpec } from './model.ts'
 import type { SpeedEstimate } from './speed.ts'
@@ -17,11 +17,11 @@
   return false
 }
 
-/** Returns the work of waiting tasks with the same or a more urgent priority, and of the job itself, in core-milliseconds. */
-export function workAheadCoreMs (open: Iterable<Job>, job: Job, speeds: SpeedEstimate): number {
+/** Returns the work of waiting tasks of competing jobs with the same or a more urgent priority, and of the job itself, in core-milliseconds. */
+export function workAheadCoreMs (open: Iterable<Job>, job: Job, speeds: SpeedEstimate, competes: (other: Job) => boolean): number {
   let work = 0
   for (const other of open) {
-    if (other === job || other.terms.priority > job.terms.priority) continue
+    if (other === job || other.terms.priority > job.terms.priority || !competes(other)) continue
     for (const task of other.waitingTasks()) {
       const step = other.stepOf(task)
       work += step.size.cpuMilli / 1000 * speeds.expectedMs(step.estimatedMs)
@@ -30,13 +30,13 @@
   return work + estimatedWorkCoreMs(job.spec.steps)
 }
 
-/** Returns the cores that this entry can expect to use: the fleet's cores times the entry's share of those in use. */
-export function ownCores (agents: Agents, service: string): number {
+/** Returns the cores that this entry can expect to use: the cores of the workers that `mayUse` admits times the entry's share of those in use. */
+export function ownCores (agents: Agents, service: string, mayUse: (agent: AgentRecord) => boolean): number {
   let total = 0
   let used = 0
   let own = 0
   for (const agent of agents.all) {
-    if (agent.port === undefined || agent.view.service !== service || !agent.view.acceptsRuns) continue
+    if (agent.port === undefined || agent.view.service !== service || !agent.view.acceptsRuns || !mayUse(agent)) continue
     total += agent.view.total.cpuMilli
     used += agent.view.total.cpuMilli * agent.view.usedShare
     for (const sent of agent.sent.values()) own += sent.job.stepOf(sent.task).size.cpuMilli
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission.ts'
 export * from './agents.ts'
 export * from './workerChoice.ts'
+export * from './containment.ts'
 export * from './crashRecords.ts'
 export * from './defaults.ts'
 export * from './demandNotifier.ts'
--- a/packages/scheduler/src/model.ts
+++ b/packages/scheduler/src/model.ts
@@ -27,6 +27,8 @@
 
 /** Terms of the queue that a job was submitted to. */
 export interface JobTerms {
+  /** Name of the queue, the same at all entries. */
+  queue: string
   service: string
   /** 0 is the most urgent. */
   priority: number
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -3,6 +3,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import type { AgentRecord, Agents } from './agents.ts'
+import type { Containment } from './containment.ts'
 import type { CrashRecords } from './crashRecords.ts'
 import { type Candidate, chooseForSuspect, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
 import type { SchedulerOptions } from './defaults.ts'
@@ -20,6 +21,7 @@
   speeds: SpeedEstimate
   ejection: placement.Ejection
   crashRecords: CrashRecords
+  containment: Containment
   failureDomain: string
   /** Returns a number from 0 to 1. */
   random: () => number
@@ -81,7 +83,7 @@
       if (!this.isSuspect(task)) continue
       const step = job.stepOf(task)
       const isFull = chosen === undefined || !workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size)
-      if (isFull) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED)), step)
+      if (isFull) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED, true)), step)
       if (chosen === undefined) continue
       this.send(job, task, chosen)
       placed.push(this.describePlacement(task))
@@ -132,11 +134,12 @@
   }
 
   /** Lists the workers that are eligible for tasks of a step and not reserved for others. */
-  private findCandidates (job: Job, number: number, reserved: ReadonlySet<string>): Candidate[] {
+  private findCandidates (job: Job, number: number, reserved: ReadonlySet<string>, isSuspect = false): Candidate[] {
     const step = job.spec.steps[number]!
     const candidates: Candidate[] = []
+    const mayUse = this.context.containment.filterFor(job.terms.queue, job.terms.service, isSuspect)
     for (const agent of this.context.agents.all) {
-      if (!reserved.has(agent.agentId) && this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
+      if (!reserved.has(agent.agentId) && mayUse(agent) && this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
     }
     return candidates
   }
--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -2,6 +2,7 @@
 import type * as settings from '@egretvalve/settings'
 import { type ArrivalState, canServe, expectedWaitMs, latestUsefulStartMs } from './admission.ts'
 import type { Agents } from './agents.ts'
+import type { Containment } from './containment.ts'
 import { fitsSomewhere, ownCores, workAheadCoreMs } from './fleetCapacity.ts'
 import type { Job } from './job.ts'
 import type { SpeedEstimate } from './speed.ts'
@@ -9,6 +10,9 @@
 /** Time without any worker for which jobs wait instead of being refused, as after a start of the whole system. */
 const NO_WORKER_WAIT_MS = 1_500
 
+/** Expected wait while the workers of a contained queue are down, in milliseconds: crashed workers are back after some seconds. */
+const CRASHED_WORKER_WAIT_MS = 3_000
+
 /** Why a job is refused, and the expected wait from which the caller's retry time is computed. */
 export interface Refusal {
   reason: string
@@ -20,6 +24,7 @@
   timers: settings.Timers
   agents: Agents
   speeds: SpeedEstimate
+  containment: Containment
   /** Jobs that have not ended. */
   open: ReadonlyMap<string, Job>
   /** Returns the number of workers that accept runs. */
@@ -43,7 +48,7 @@
 
   /** Returns why a job that arrives is refused, or undefined when it is accepted. */
   findAtArrival (job: Job): Refusal | undefined {
-    const { agents, speeds } = this.context
+    const { agents } = this.context
     if (this.context.workerCount() === 0) {
       const isWaiting = this.nowMs - this.workerSeenAtMs < NO_WORKER_WAIT_MS
       return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
@@ -51,23 +56,32 @@
     const unplaceable = job.spec.steps.find(step => !fitsSomewhere(agents, job, step))
     if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
     const state: ArrivalState = {
-      workAheadCoreMs: workAheadCoreMs(this.context.open.values(), job, speeds),
-      cores: ownCores(agents, job.terms.service),
+      workAheadCoreMs: this.workAheadOf(job),
+      cores: this.coresFor(job),
       expectedMs: this.expectedMs(job),
       lagMs: this.context.lagMs(),
       deadlineInMs: job.deadlineMs,
       latestUsefulStartMs: this.latestUsefulStartOf(job)
     }
-    return canServe(state) ? undefined : { reason: 'can not be served in useful time', waitMs: expectedWaitMs(state) }
+    if (canServe(state)) return undefined
+    return this.findContained(job) ?? { reason: 'can not be served in useful time', waitMs: expectedWaitMs(state) }
   }
 
   /** Returns why a waiting job, of which nothing has started, is refused, or undefined while it may wait. */
   findWhileWaiting (job: Job): Refusal | undefined {
+    const contained = this.findContained(job)
+    if (contained !== undefined) return contained
     if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: 'can not end before the deadline', waitMs: this.expectedWaitFor(job) }
     if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: 'no room in useful time', waitMs: this.expectedWaitFor(job) }
     return undefined
   }
 
+  /** Returns a refusal while the job's queue is contained and all workers that it may use are down. */
+  private findContained (job: Job): Refusal | undefined {
+    const isServable = !this.context.containment.isContained(job.terms.queue) || this.coresFor(job) > 0
+    return isServable ? undefined : { reason: 'the tasks of the queue crash its workers', waitMs: CRASHED_WORKER_WAIT_MS }
+  }
+
   private get nowMs (): number {
     return this.context.timers.nowMs()
   }
@@ -83,7 +97,16 @@
   }
 
   private expectedWaitFor (job: Job): number {
-    const { open, agents, speeds } = this.context
-    return workAheadCoreMs(open.values(), job, speeds) / Math.max(1, ownCores(agents, job.terms.service))
+    return this.workAheadOf(job) / Math.max(1, this.coresFor(job))
+  }
+
+  private workAheadOf (job: Job): number {
+    const { open, speeds, containment } = this.context
+    const isContained = containment.isContained(job.terms.queue)
+    return workAheadCoreMs(open.values(), job, speeds, other => containment.isContained(other.terms.queue) === isContained)
+  }
+
+  private coresFor ({ terms }: Job): number {
+    return ownCores(this.context.agents, terms.service, this.context.containment.filterFor(terms.queue, terms.service))
   }
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,12 +5,13 @@
 import * as workers from '@egretvalve/workers'
 import { retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
+import { Containment } from './containment.ts'
 import { CrashRecords } from './crashRecords.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
 import { DemandNotifier, type QueuedJob } from './demandNotifier.ts'
 import { events } from './events.ts'
 import { Job, TaskPhase } from './job.ts'
-import type { JobOutcome, JobSpec, JobTerms } from './model.ts'
+import { estimatedWorkCoreMs, type JobOutcome, type JobSpec, type JobTerms } from './model.ts'
 import { compareJobs } from './order.ts'
 import { Placer } from './placer.ts'
 import { Refusals } from './refusals.ts'
@@ -69,6 +70,7 @@
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
   private readonly crashRecords: CrashRecords
+  private readonly containment: Containment
   private readonly placer: Placer
   private readonly demandNotifier: DemandNotifier
   private readonly refusals: Refusals
@@ -83,6 +85,7 @@
     this.checkedAtMs = services.timers.nowMs()
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
     this.crashRecords = new CrashRecords(services.timers)
+    this.containment = new Containment(services.timers, this.agents, (queue, isContained) => { services.log.event(isContained ? events.QueueContained : events.QueueReleased, { queue }) })
     this.demandNotifier = new DemandNotifier(services.random)
     this.placer = new Placer({
       timers: services.timers,
@@ -92,11 +95,12 @@
       speeds: this.speeds,
       ejection: this.ejection,
       crashRecords: this.crashRecords,
+      containment: this.containment,
       failureDomain: services.failureDomain,
       random: services.random,
       entryCount: () => services.entryCount?.() ?? 1
     })
-    this.refusals = new Refusals({ timers: services.timers, agents: this.agents, speeds: this.speeds, open: this.open, workerCount: () => this.workerCount, lagMs: () => services.lagMs?.() ?? 0 })
+    this.refusals = new Refusals({ timers: services.timers, agents: this.agents, speeds: this.speeds, containment: this.containment, open: this.open, workerCount: () => this.workerCount, lagMs: () => services.lagMs?.() ?? 0 })
     this.tick = services.timers.every(this.options.tickMs, () => { this.runPeriodicChecks() })
   }
 
@@ -154,6 +158,7 @@
       this.giveUp(job, givenUp.ref)
       return job
     }
+    this.containment.recordWork(terms.queue, estimatedWorkCoreMs(spec.steps))
     const refusal = this.refusals.findAtArrival(job)
     if (refusal !== undefined) {
       this.refuse(job, refusal.reason, refusal.waitMs)
@@ -246,10 +251,13 @@
 
   /** Records a crash of a worker, and fails the jobs of tasks that are given up for it. */
   handleCrash (crash: workers.WorkerCrash): void {
-    for (const ref of this.crashRecords.record(crash)) {
-      this.services.log.event(events.TaskGivenUp, { jobId: ref.jobId, step: ref.step, index: ref.index, crashes: this.crashRecords.crashesOf(ref), crashId: crash.crashId })
-      const job = this.open.get(ref.jobId)
-      if (job !== undefined) this.giveUp(job, ref)
+    const queues = new Set(crash.runs.map(({ queue }) => queue))
+    if (queues.size === 1) this.containment.recordCrash(crash.runs[0]!.queue)
+    for (const { task, queue } of this.crashRecords.record(crash)) {
+      this.services.log.event(events.TaskGivenUp, { jobId: task.jobId, step: task.step, index: task.index, queue, crashes: this.crashRecords.crashesOf(task), crashId: crash.crashId })
+      this.containment.recordVerdict(queue)
+      const job = this.open.get(task.jobId)
+      if (job !== undefined) this.giveUp(job, task)
     }
   }
 
@@ -333,6 +341,7 @@
     if (!isStalled) for (const agent of [...this.agents.all]) this.checkAgent(agent)
     for (const job of [...this.open.values()]) this.checkJob(job)
     this.evictEnded()
+    this.containment.sweep()
     this.scheduleDispatch()
   }
 
@@ -424,7 +433,8 @@
     for (const { job } of queue) {
       if (job.hasWaitingTask && !this.hasPassedDeadline(job)) this.placer.placeSuspects(job)
     }
-    this.demandNotifier.update(queue, this.agents, nowMs)
+    // Agents reserve capacity for a demand; those outside of its cell would reserve it in vain for a contained queue.
+    this.demandNotifier.update(queue.filter(({ job }) => !this.containment.isContained(job.terms.queue)), this.agents, nowMs)
   }
 
   private logEjectionChange (change: placement.StandingChange): void {
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -15,6 +15,8 @@
 /** A run that was lost with its worker. */
 export interface LostRun {
   task: TaskRef
+  /** Name of the queue to which the job was submitted. */
+  queue: string
   attempt: number
   /** Crashes of workers that ran the task earlier, as far as its entry knew when it ordered the run. */
   earlierCrashes: number
@@ -39,7 +41,7 @@
 
 /** Describes the runs that were lost at `nowMs`. */
 export function describeLostRuns (runs: readonly ActiveRun[], nowMs: number): LostRun[] {
-  return runs.map(run => ({ task: run.order.task, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, nowMs), runMs: Math.round(nowMs - run.startedAtMs) }))
+  return runs.map(run => ({ task: run.order.task, queue: run.order.queue, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, nowMs), runMs: Math.round(nowMs - run.startedAtMs) }))
 }
 
 /** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt, run time in milliseconds and earlier crashes. */
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -8,6 +8,8 @@
   owner: string
   task: TaskRef
   attempt: number
+  /** Name of the queue to which the job was submitted. */
+  queue: string
   spec: string
   size: RunSize
   estimatedMs: number
--- /dev/null
+++ b/test/unit/scheduler/containment.test.ts
@@ -0,0 +1,71 @@
+/** Containment of queues whose tasks crash workers again and again. */
+import { expect } from 'chai'
+import * as scheduler from '@egretvalve/scheduler'
+import * as settings from '@egretvalve/settings'
+
+const WORKERS = 10
+const SERVICE = 'spares'
+
+interface Bench {
+  timers: settings.FakeTimers
+  containment: scheduler.Containment
+  changes: Array<[string, boolean]>
+  /** Number of workers that the tasks of a queue may use. */
+  count: (queue: string, isSuspect?: boolean) => number
+}
+
+function createBench (): Bench {
+  const timers = new settings.FakeTimers()
+  const agents = new scheduler.Agents()
+  const total = { cpuMilli: 32_000, memoryMb: 1_024, accelerators: 0 }
+  for (let number = 0; number < WORKERS; number++) {
+    agents.connect({ agentId: `agent-${number}`, incarnation: 'life', failureDomain: 'a', sinceLastMessageMs: () => 0, sendTask: () => {}, stop: () => {}, sendDemand: () => {} }, { isPresent: true, isDraining: false, service: SERVICE, total, free: total, labels: [], waiting: 0, hasSuspect: false, runTimeRatio: 0, received: 0 })
+  }
+  const changes: Array<[string, boolean]> = []
+  const containment = new scheduler.Containment(timers, agents, (queue, isContained) => { changes.push([queue, isContained]) })
+  for (const queue of ['crashing', 'first', 'second']) containment.recordWork(queue, 1_000)
+  const count = (queue: string, isSuspect = false): number => [...agents.all].filter(containment.filterFor(queue, SERVICE, isSuspect)).length
+  return { timers, containment, changes, count }
+}
+
+describe('containment of a queue whose tasks crash workers', () => {
+  it('begins with the second task that is given up, and leaves most workers to the other queues', () => {
+    const { containment, changes, count } = createBench()
+    containment.recordVerdict('crashing')
+    expect([count('crashing'), count('first')]).to.deep.equal([WORKERS, WORKERS])
+    containment.recordVerdict('crashing')
+    expect([count('crashing'), count('crashing', true), count('first')]).to.deep.equal([3, 1, 6])
+    expect(changes).to.deep.equal([['crashing', true]])
+  })
+
+  it('does not begin for verdicts that are far apart', () => {
+    const { timers, containment, count } = createBench()
+    for (let verdict = 0; verdict < 3; verdict++) {
+      containment.recordVerdict('crashing')
+      timers.advance(6_000)
+      containment.sweep()
+    }
+    expect(count('first')).to.equal(WORKERS)
+  })
+
+  it('ends some seconds after the last crash, and is prolonged by crashes with only that queue aboard', () => {
+    const { timers, containment, changes, count } = createBench()
+    for (let verdict = 0; verdict < 2; verdict++) containment.recordVerdict('crashing')
+    timers.advance(4_000)
+    containment.recordCrash('crashing')
+    timers.advance(4_000)
+    containment.sweep()
+    expect(count('first')).to.equal(6)
+    timers.advance(2_000)
+    containment.sweep()
+    expect(count('first')).to.equal(WORKERS)
+    expect(changes).to.deep.equal([['crashing', true], ['crashing', false]])
+  })
+
+  it('spares a queue that has most of the work, as its cell could not carry it', () => {
+    const { containment, count } = createBench()
+    containment.recordWork('crashing', 10_000)
+    for (let verdict = 0; verdict < 2; verdict++) containment.recordVerdict('crashing')
+    expect(count('crashing')).to.equal(WORKERS)
+  })
+})
