--- a/packages/analysis/src/submissions.ts
+++ b/packages/analysis/src/submissions.ts
@@ -56,6 +56,8 @@
   endedAtMs: number
   /** Attempts of each task, in order, by step and index. */
   tasks: Map<string, Attempt[]>
+  /** Number of tasks that were given up because workers crashed while they ran them. */
+  givenUpTasks: number
   /** Number of runs that were stopped to be moved to another worker. */
   moves: number
 }
@@ -69,7 +71,7 @@
   private readonly open = new Map<string, Submission>()
 
   add (record: LogRecord): void {
-    const { JobAccepted, JobEnded, JobRefused, TasksPlaced, TaskNotCompleted, TaskMoved } = scheduler.events
+    const { JobAccepted, JobEnded, JobRefused, TasksPlaced, TaskNotCompleted, TaskMoved, TaskGivenUp } = scheduler.events
     switch (record.event) {
       case JobAccepted.code: return this.accept(record)
       case JobEnded.code: return this.end(record, readText(record, 'outcome') as SubmissionEnd)
@@ -77,6 +79,7 @@
       case TasksPlaced.code: return this.place(record)
       case TaskNotCompleted.code: return this.endAttempt(record)
       case TaskMoved.code: return this.move(record)
+      case TaskGivenUp.code: return this.giveUp(record)
       case workers.events.RunEnded.code: return this.endRun(record)
       default:
     }
@@ -141,6 +144,12 @@
     if (submission !== undefined) submission.moves++
   }
 
+  /** Every entry that hears of the crash logs it; only the one that has the job counts. */
+  private giveUp (record: LogRecord): void {
+    const submission = this.open.get(readText(record, 'jobId'))
+    if (submission?.entryId === record.nodeId) submission.givenUpTasks++
+  }
+
   private findAttempt (record: LogRecord, agentId: string): Attempt | undefined {
     const attempts = this.open.get(readText(record, 'jobId'))?.tasks.get(`${readNumber(record, 'step')}.${readNumber(record, 'index')}`)
     return attempts?.filter(attempt => attempt.agentId === agentId).at(-1)
@@ -165,6 +174,7 @@
     endReason: '',
     endedAtMs: record.atMs,
     tasks: new Map(),
+    givenUpTasks: 0,
     moves: 0
   }
 }
--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -24,14 +24,21 @@
   slowFactor: number
   /** Share of the worker's capacity that is there. Runs that exceed it go on. */
   capacityShare: number
+  /** Starts beyond the capacity are counted. False while the worker's agent may not know of a change yet. */
+  countsOverloads: boolean
 }
 
+/** Crashes of workers after which a task should not be started again. */
+const CRASH_BUDGET = 3
+
 /** Records the runs on all workers of a test and detects concurrent runs of the same task. */
 export class RunRecorder {
   /** Keys of tasks that started while another run of them was active; one entry per such start. */
   readonly concurrentRuns: string[] = []
   /** Number of crashes of a worker by the key of the task that caused them. */
   readonly crashes = new Map<string, number>()
+  /** Number of starts of a task after it had crashed `CRASH_BUDGET` workers, by its key. */
+  readonly startsBeyondBudget = new Map<string, number>()
   /** Number of starts that brought a worker over its capacity. */
   overloads = 0
   /** Number of starts by task key. */
@@ -45,6 +52,7 @@
     this.activeRuns.set(key, activeCount)
     this.starts.set(key, (this.starts.get(key) ?? 0) + 1)
     if (activeCount > 1) this.concurrentRuns.push(key)
+    if ((this.crashes.get(key) ?? 0) >= CRASH_BUDGET) this.startsBeyondBudget.set(key, (this.startsBeyondBudget.get(key) ?? 0) + 1)
   }
 
   recordCrash (key: string): void {
@@ -88,7 +96,7 @@
 
 /** An in-memory `WorkerDriver` with injectable faults. */
 export class StandinWorker implements workers.WorkerDriver {
-  readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1, capacityShare: 1 }
+  readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1, capacityShare: 1, countsOverloads: true }
   bornAtMs: number
   private runs = new Map<string, StandinRun>()
   private ended: workers.EndedRun[] = []
@@ -196,7 +204,7 @@
     if (call.ref.run <= (this.highestEnded.get(key) ?? 0)) return refuse(workers.StartRefusal.Superseded)
     if (!workers.fits(this.freeCapacity(), this.options.sizeOf(call.ref.task))) {
       if (this.options.isUnguarded !== true) return refuse(workers.StartRefusal.NoCapacity)
-      this.options.runRecorder.overloads++
+      if (this.faults.countsOverloads) this.options.runRecorder.overloads++
     }
     this.runs.set(key, { ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs() })
     this.options.runRecorder.recordStart(key)
