Count a task's crashes alike in whatever order the reports come

Cause: the agents send their recent crashes to a new entry, the later ones first by chance, and each added one to the highest count that any report named. The count is now the larger of the reports and of what the entries knew at the order. The test failed before (5 of 3 crashes).

--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -20,7 +20,9 @@
 const MAX_CRASH_IDS = 1_000
 
 interface CrashRecord {
-  /** Workers that crashed while they ran the task. */
+  /** Reports of crashes of workers that ran the task. */
+  reports: number
+  /** Workers that crashed while they ran the task: as many as were reported, or more if the entry that ordered a run knew of more. */
   crashes: number
   /** Those of them that crashed soon after its start. */
   suspicions: number
@@ -30,7 +32,7 @@
   isGivenUp: boolean
 }
 
-const NO_RECORD: CrashRecord = { crashes: 0, suspicions: 0, suspectAgeMs: 0, atMs: 0, isGivenUp: false }
+const NO_RECORD: CrashRecord = { reports: 0, crashes: 0, suspicions: 0, suspectAgeMs: 0, atMs: 0, isGivenUp: false }
 
 /** Remembers crashes. Reports may come late, twice and from agents that know of earlier crashes. */
 export class CrashRecords {
@@ -89,10 +91,12 @@
   /** Adds a crash to a task's record. The entry that ordered the run may have known of earlier ones. */
   private count (run: workers.LostRun, before: CrashRecord, isOnlyObservedJob: boolean): CrashRecord {
     const isSuspect = run.runMs <= SUSPECT_AGE_MS
-    const crashes = Math.max(before.crashes, run.earlierCrashes) + 1
+    const reports = before.reports + 1
+    const crashes = Math.max(reports, before.crashes, run.earlierCrashes + 1)
     const suspicions = Math.max(before.suspicions, run.isObserved ? 1 : 0) + (isSuspect ? 1 : 0)
     const isNamed = run.isObserved && isOnlyObservedJob && suspicions >= MIN_SUSPICIONS
     return {
+      reports,
       crashes,
       suspicions,
       suspectAgeMs: isSuspect ? run.runMs : before.suspectAgeMs,
--- a/test/unit/scheduler/crashRecords.test.ts
+++ b/test/unit/scheduler/crashRecords.test.ts
@@ -53,6 +53,15 @@
     expect(records.crashesOf(refOf('job'))).to.equal(1)
   })
 
+  it('count the same crashes alike in whatever order their reports come', () => {
+    const history = [0, 1, 2].map(earlierCrashes => ({ ...createCrash(`w-${earlierCrashes}`, []), runs: [{ task: refOf('job'), queue: 'queue', attempt: earlierCrashes + 1, earlierCrashes, isObserved: false, runMs: 900 }] }))
+    for (const reports of [history, [...history].reverse(), [history[1]!, history[2]!, history[0]!]]) {
+      const { records } = createRecords()
+      for (const crash of reports) records.record(crash)
+      expect([records.crashesOf(refOf('job')), records.isGivenUp(refOf('job'))]).to.deep.equal([3, false])
+    }
+  })
+
   it('count the crash that only the entry which ordered the run knew of', () => {
     const { records } = createRecords()
     expect(records.record(createCrash('w-2', ['job'], ['job'])).map(({ task }) => task)).to.deep.equal([refOf('job')])
