--- a/packages/scheduler/src/containment.ts
+++ b/packages/scheduler/src/containment.ts
@@ -6,8 +6,8 @@
 import type * as settings from '@egretvalve/settings'
 import type { AgentRecord, Agents } from './agents.ts'
 
-/** Tasks given up within the window from which their queue is contained. */
-const MIN_VERDICTS = 2
+/** Jobs with a task that was given up within the window from which their queue is contained. */
+const MIN_JOBS = 2
 const VERDICT_WINDOW_MS = 5_000
 /** Time after the last crash by a task of the queue at which the containment ends, in milliseconds. A crashed worker is back sooner. */
 const QUIET_MS = 5_000
@@ -21,8 +21,8 @@
 const MIN_WORK_CORE_MS = 1
 
 interface QueueState {
-  /** Times of the latest verdicts, oldest first. */
-  verdictsAtMs: number[]
+  /** Time of the latest verdict on a task of each job, by the job's id, oldest first. */
+  verdictsAtMs: Map<string, number>
   containedUntilMs: number
 }
 
@@ -44,13 +44,15 @@
     this.work.set(queue, { coreMs: this.recentWorkOf(queue) + coreMs, atMs: this.timers.nowMs() })
   }
 
-  /** Records that a task of a queue was given up. Contains the queue when that happens repeatedly. */
-  recordVerdict (queue: string): void {
+  /** Records that a task of a job was given up. Contains the queue when that happens to several jobs. */
+  recordVerdict (queue: string, jobId: string): void {
     const nowMs = this.timers.nowMs()
-    const state = this.queues.get(queue) ?? { verdictsAtMs: [], containedUntilMs: Number.NEGATIVE_INFINITY }
+    const state = this.queues.get(queue) ?? { verdictsAtMs: new Map(), containedUntilMs: Number.NEGATIVE_INFINITY }
     this.queues.set(queue, state)
-    state.verdictsAtMs = [...state.verdictsAtMs.filter(atMs => atMs > nowMs - VERDICT_WINDOW_MS), nowMs].slice(-MIN_VERDICTS)
-    if (state.verdictsAtMs.length < MIN_VERDICTS || this.workShareOf(queue) > MAX_WORK_SHARE) return
+    state.verdictsAtMs.delete(jobId)
+    state.verdictsAtMs.set(jobId, nowMs)
+    dropOldVerdicts(state, nowMs)
+    if (state.verdictsAtMs.size < MIN_JOBS || this.workShareOf(queue) > MAX_WORK_SHARE) return
     if (state.containedUntilMs < nowMs) this.onChange(queue, true)
     state.containedUntilMs = nowMs + QUIET_MS
   }
@@ -77,9 +79,10 @@
   /** Ends containments whose time is up, and forgets queues without recent verdicts. */
   sweep (): void {
     const nowMs = this.timers.nowMs()
-    for (const [queue, { verdictsAtMs, containedUntilMs }] of this.queues) {
-      if (containedUntilMs > nowMs || verdictsAtMs.at(-1)! > nowMs - VERDICT_WINDOW_MS) continue
-      if (containedUntilMs > Number.NEGATIVE_INFINITY) this.onChange(queue, false)
+    for (const [queue, state] of this.queues) {
+      dropOldVerdicts(state, nowMs)
+      if (state.containedUntilMs > nowMs || state.verdictsAtMs.size > 0) continue
+      if (state.containedUntilMs > Number.NEGATIVE_INFINITY) this.onChange(queue, false)
       this.queues.delete(queue)
     }
     for (const queue of this.work.keys()) {
@@ -93,9 +96,9 @@
    */
   filterFor (queue: string, service: string, isSuspect = false): (agent: AgentRecord) => boolean {
     if (!this.isActive) return () => true
-    const [ward, ...rest] = this.cellOf(service)
-    if (!this.isContained(queue)) return ({ agentId }) => agentId !== ward && !rest.includes(agentId)
-    return ({ agentId }) => isSuspect ? agentId === ward : rest.includes(agentId)
+    const [quarantine, ...rest] = this.cellOf(service)
+    if (!this.isContained(queue)) return ({ agentId }) => agentId !== quarantine && !rest.includes(agentId)
+    return ({ agentId }) => isSuspect ? agentId === quarantine : rest.includes(agentId)
   }
 
   /** Returns the cell of a service. Every entry orders the workers alike, so that their cells agree as far as they know the same workers. */
@@ -124,3 +127,10 @@
     return recent === undefined ? 0 : recent.coreMs * 0.5 ** ((this.timers.nowMs() - recent.atMs) / WORK_HALF_LIFE_MS)
   }
 }
+
+function dropOldVerdicts ({ verdictsAtMs }: QueueState, nowMs: number): void {
+  for (const [jobId, atMs] of verdictsAtMs) {
+    if (atMs > nowMs - VERDICT_WINDOW_MS) return
+    verdictsAtMs.delete(jobId)
+  }
+}
--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -24,7 +24,9 @@
   reports: number
   /** Workers that crashed while they ran the task: as many as were reported, or more if the entry that ordered a run knew of more. */
   crashes: number
-  /** Those of them that crashed soon after its start. */
+  /** Reports of those that crashed soon after its start. */
+  suspectReports: number
+  /** Workers that crashed soon after its start: as many as were reported, or one more than a report of an observed run shows. */
   suspicions: number
   /** Age of the run at the last of these, in milliseconds. */
   suspectAgeMs: number
@@ -32,7 +34,7 @@
   isGivenUp: boolean
 }
 
-const NO_RECORD: CrashRecord = { reports: 0, crashes: 0, suspicions: 0, suspectAgeMs: 0, atMs: 0, isGivenUp: false }
+const NO_RECORD: CrashRecord = { reports: 0, crashes: 0, suspectReports: 0, suspicions: 0, suspectAgeMs: 0, atMs: 0, isGivenUp: false }
 
 /** Remembers crashes. Reports may come late, twice and from agents that know of earlier crashes. */
 export class CrashRecords {
@@ -93,11 +95,13 @@
     const isSuspect = run.runMs <= SUSPECT_AGE_MS
     const reports = before.reports + 1
     const crashes = Math.max(reports, before.crashes, run.earlierCrashes + 1)
-    const suspicions = Math.max(before.suspicions, run.isObserved ? 1 : 0) + (isSuspect ? 1 : 0)
+    const suspectReports = before.suspectReports + (isSuspect ? 1 : 0)
+    const suspicions = Math.max(suspectReports, before.suspicions, (run.isObserved ? 1 : 0) + (isSuspect ? 1 : 0))
     const isNamed = run.isObserved && isOnlyObservedJob && suspicions >= MIN_SUSPICIONS
     return {
       reports,
       crashes,
+      suspectReports,
       suspicions,
       suspectAgeMs: isSuspect ? run.runMs : before.suspectAgeMs,
       atMs: this.timers.nowMs(),
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -255,7 +255,7 @@
     if (queues.size === 1) this.containment.recordCrash(crash.runs[0]!.queue)
     for (const { task, queue } of this.crashRecords.record(crash)) {
       this.services.log.event(events.TaskGivenUp, { jobId: task.jobId, step: task.step, index: task.index, queue, crashes: this.crashRecords.crashesOf(task), crashId: crash.crashId })
-      this.containment.recordVerdict(queue)
+      this.containment.recordVerdict(queue, task.jobId)
       const job = this.open.get(task.jobId)
       if (job !== undefined) this.giveUp(job, task)
     }
--- a/test/unit/scheduler/crashRecords.test.ts
+++ b/test/unit/scheduler/crashRecords.test.ts
@@ -62,6 +62,12 @@
     }
   })
 
+  it('suspect a task of the same crashes alike in whatever order their reports come', () => {
+    const { records } = createRecords()
+    expect(records.record(createCrash('w-2', ['first', 'second'], ['first', 'second']))).to.deep.equal([])
+    expect(records.record(createCrash('w-1', ['first', 'second']))).to.deep.equal([])
+  })
+
   it('count the crash that only the entry which ordered the run knew of', () => {
     const { records } = createRecords()
     expect(records.record(createCrash('w-2', ['job'], ['job'])).map(({ task }) => task)).to.deep.equal([refOf('job')])
