A service with fewer than five workers is not divided by containment

Found in reading: with two to four workers the cell was empty or held only the worker for suspects, so a contained queue was refused whole.

--- a/packages/scheduler/src/containment.ts
+++ b/packages/scheduler/src/containment.ts
@@ -13,6 +13,8 @@
 const QUIET_MS = 5_000
 /** Share of the workers in the cell. */
 const CELL_SHARE = 0.4
+/** Workers in the smallest cell: one for suspects and one for the other jobs. A service with too few workers for it is not divided. */
+const MIN_CELL_SIZE = 2
 /** Share of the recent work above which a queue is not contained, since the cell could not carry it and there is little else to protect. */
 const MAX_WORK_SHARE = 0.5
 /** Time in which the weight of past work halves, in milliseconds. */
@@ -96,7 +98,9 @@
    */
   filterFor (queue: string, service: string, isSuspect = false): (agent: AgentRecord) => boolean {
     if (!this.isActive) return () => true
-    const [quarantine, ...rest] = this.cellOf(service)
+    const cell = this.cellOf(service)
+    if (cell.length < MIN_CELL_SIZE) return () => true
+    const [quarantine, ...rest] = cell
     if (!this.isContained(queue)) return ({ agentId }) => agentId !== quarantine && !rest.includes(agentId)
     return ({ agentId }) => isSuspect ? agentId === quarantine : rest.includes(agentId)
   }
--- a/test/unit/scheduler/containment.test.ts
+++ b/test/unit/scheduler/containment.test.ts
@@ -14,11 +14,11 @@
   count: (queue: string, isSuspect?: boolean) => number
 }
 
-function createBench (): Bench {
+function createBench (workerCount = WORKERS): Bench {
   const timers = new settings.FakeTimers()
   const agents = new scheduler.Agents()
   const total = { cpuMilli: 32_000, memoryMb: 1_024, accelerators: 0 }
-  for (let number = 0; number < WORKERS; number++) {
+  for (let number = 0; number < workerCount; number++) {
     agents.connect({ agentId: `agent-${number}`, incarnation: 'life', failureDomain: 'a', sinceLastMessageMs: () => 0, sendTask: () => {}, stop: () => {}, sendDemand: () => {} }, { isPresent: true, isDraining: false, service: SERVICE, total, free: total, labels: [], waiting: 0, hasSuspect: false, runTimeRatio: 0, received: 0 })
   }
   const changes: Array<[string, boolean]> = []
@@ -68,4 +68,12 @@
     for (let verdict = 0; verdict < 2; verdict++) containment.recordVerdict('crashing', `job-${verdict}`)
     expect(count('crashing')).to.equal(WORKERS)
   })
+
+  it('leaves workers to the queue in every fleet, and all of them in one that is too small to divide', () => {
+    for (const [workerCount, forJobs, forSuspects, forOthers] of [[2, 2, 2, 2], [4, 4, 4, 4], [5, 1, 1, 3], [11, 3, 1, 7]] as const) {
+      const { containment, count } = createBench(workerCount)
+      for (let verdict = 0; verdict < 2; verdict++) containment.recordVerdict('crashing', `job-${verdict}`)
+      expect([count('crashing'), count('crashing', true), count('first')], `${workerCount} workers`).to.deep.equal([forJobs, forSuspects, forOthers])
+    }
+  })
 })
