A worker that falls silent may have crashed right after its last answer: count the age of its runs up to then

The age now ends with the worker's last answer. The test failed before (2,100 ms in place of 1,000).

--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -22,7 +22,7 @@
   earlierCrashes: number
   /** True when the run was observed because its task was suspected of an earlier crash. */
   isObserved: boolean
-  /** Time from the start of the run to the crash, in milliseconds. */
+  /** Time from the start of the run to the crash, or to the last answer of a worker that fell silent, in milliseconds. */
   runMs: number
 }
 
@@ -39,9 +39,9 @@
   return nowMs - startedAtMs < order.observationMs
 }
 
-/** Describes the runs that were lost at `nowMs`. */
-export function describeLostRuns (runs: readonly ActiveRun[], nowMs: number): LostRun[] {
-  return runs.map(run => ({ task: run.order.task, queue: run.order.queue, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, nowMs), runMs: Math.round(nowMs - run.startedAtMs) }))
+/** Describes the runs that were lost in a crash at `crashedAtMs`. Later starts have an age of 0. */
+export function describeLostRuns (runs: readonly ActiveRun[], crashedAtMs: number): LostRun[] {
+  return runs.map(run => ({ task: run.order.task, queue: run.order.queue, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, crashedAtMs), runMs: Math.max(0, Math.round(crashedAtMs - run.startedAtMs)) }))
 }
 
 /** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt, run time in milliseconds and earlier crashes. */
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -309,7 +309,9 @@
   }
 
   private reportCrash (kind: CrashKind): void {
-    const runs = describeLostRuns(this.registry.all, this.services.timers.nowMs())
+    // A worker that fell silent may have crashed right after its last answer.
+    const crashedAtMs = kind === CrashKind.Unresponsive ? this.lastAnswerAtMs : this.services.timers.nowMs()
+    const runs = describeLostRuns(this.registry.all, crashedAtMs)
     if (runs.length === 0 || this.isLeaving) return
     const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, runs }
     this.services.log.event(events.WorkerCrashed, { workerId: this.worker.workerId, crashId: crash.crashId, kind, runs: formatLostRuns(runs) })
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -85,6 +85,26 @@
     expect(crashes[0]!.runs.map(({ task, earlierCrashes, isObserved }) => [task.index, earlierCrashes, isObserved])).to.deep.equal([[0, 1, true], [2, 0, false]])
   })
 
+  it('counts the age of the runs of a worker that fell silent up to its last answer, so that they can be suspected', async () => {
+    const { timers, endings, order } = await createBench()
+    const worker = new standin.StandinWorker({ workerId: 'w-2', total: TOTAL, workOf: () => 5_000, sizeOf: () => TASK_SIZE, timers, runRecorder: new standin.RunRecorder() })
+    const crashes: workers.WorkerCrash[] = []
+    const observer = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: crash => { crashes.push(crash) }, onCapacityReserved: () => {} })
+    observer.applyReport(worker.report())
+    while (!observer.load.isPresent) await passTime(timers, 5)
+    observer.submit(order(0))
+    await passTime(timers, 1_000)
+    observer.submit(order(1, { crashes: 1, observationMs: 100 }))
+    await passTime(timers, 40)
+    worker.faults.isUnresponsive = true
+    while (crashes.length === 0) await passTime(timers, 5)
+    expect(crashes[0]!.kind).to.equal(workers.CrashKind.Unresponsive)
+    const [early, late] = crashes[0]!.runs
+    expect(early!.runMs).to.be.within(850, 1_060)
+    expect(late!.runMs).to.be.at.most(60)
+    expect([early!.isObserved, late!.isObserved]).to.deep.equal([false, true])
+  })
+
   it('reserves freed capacity for the entry with the more urgent task', async () => {
     const { timers, executor, endings, order } = await createBench()
     for (let index = 0; index < 4; index++) executor.submit(order(index))
