--- a/packages/scheduler/src/containment.ts
+++ b/packages/scheduler/src/containment.ts
@@ -59,7 +59,7 @@
     state.containedUntilMs = nowMs + QUIET_MS
   }
 
-  /** Records a crash with runs of only this queue aboard. Prolongs its containment. */
+  /** Records a crash that ended runs of only this queue. Prolongs its containment. */
   recordCrash (queue: string): void {
     const state = this.queues.get(queue)
     if (state !== undefined && this.isContained(queue)) state.containedUntilMs = this.timers.nowMs() + QUIET_MS
--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -1,4 +1,4 @@
-/** Crashes of workers by the tasks that were aboard, and which tasks are given up for them. */
+/** Crashes of workers by the tasks that ran on them, and which tasks are given up for them. */
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 
@@ -6,7 +6,7 @@
 const SUSPECT_AGE_MS = 250
 /** Suspicions at which a task is given up if no other job was observed on the worker. */
 const MIN_SUSPICIONS = 2
-/** Suspicions at which a task is given up whatever else was aboard. */
+/** Suspicions at which a task is given up whatever else ran on the worker. */
 const MAX_SUSPICIONS = 3
 /** Crashes at which a task is given up at any age of its runs, so that one that crashes late ends too. */
 const MAX_CRASHES = 4
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -1,4 +1,4 @@
-/** Crashes of a worker: which runs were aboard when it went down. */
+/** Crashes of a worker: which runs were active when it went down. */
 import type { TaskRef } from './driver.ts'
 import type { ActiveRun } from './runRegistry.ts'
 
--- a/packages/workers/src/events.ts
+++ b/packages/workers/src/events.ts
@@ -22,6 +22,6 @@
   OrphanedRun: { code: 10017, level: Warn, message: 'orphaned run: worker runs a task that this agent did not start; it is stopped' },
   TaskReturned: { code: 10018, level: Info, message: 'task was returned to its entry without a start' },
   TakenOver: { code: 10019, level: Info, message: 'worker taken over; runs of an earlier incarnation of the agent have ended' },
-  WorkerCrashed: { code: 10020, level: Warn, message: 'worker crashed; these runs were aboard' },
+  WorkerCrashed: { code: 10020, level: Warn, message: 'worker crashed; its active runs are lost' },
   CapacityChanged: { code: 10021, level: Info, message: 'capacity of the worker has changed' }
 })
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -17,7 +17,7 @@
 export interface ExecutorHandlers {
   onEnd: (ending: TaskEnding) => void
   onLoad: () => void
-  /** The worker has crashed with runs aboard. Called before their ends. */
+  /** The worker has crashed while runs were active. Called before their ends. */
   onCrash: (crash: WorkerCrash) => void
   /** Free capacity has been reserved for these entries for a short time. */
   onCapacityReserved: (owners: readonly string[]) => void
@@ -59,7 +59,7 @@
 
 /** Runs tasks on one worker. */
 export class RunExecutor {
-  /** Number of ends by kind, and of crashes of the worker with runs aboard, since the process started. */
+  /** Number of ends by kind, and of crashes of the worker while runs were active, since the process started. */
   readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0, workerCrashes: 0 }
   private readonly options: WorkerOptions
   private readonly fencing: FencingToken
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -29,7 +29,7 @@
 /** Callbacks of a session. */
 export interface SessionHandlers {
   onEnd: (ending: TaskEnding) => void
-  /** The worker has crashed with runs aboard. Called before their ends. */
+  /** The worker has crashed while runs were active. Called before their ends. */
   onCrash: (crash: WorkerCrash) => void
   /** The state has changed. */
   onChange: () => void
--- a/test/failure/crashingTasks.test.ts
+++ b/test/failure/crashingTasks.test.ts
@@ -56,7 +56,7 @@
     }
   })
 
-  it('fail their jobs at once when they are given up, and none of the jobs aboard the same workers', async () => {
+  it('fail their jobs at once when they are given up, and none of the jobs that ran on the same workers', async () => {
     for (const seed of SEEDS) {
       const { crashing, others, crashes } = await play(seed, 0.02, true)
       expect(crashes.size).to.be.greaterThan(0)
--- a/test/unit/scheduler/containment.test.ts
+++ b/test/unit/scheduler/containment.test.ts
@@ -48,7 +48,7 @@
     expect(count('first')).to.equal(WORKERS)
   })
 
-  it('ends some seconds after the last crash, and is prolonged by crashes with only that queue aboard', () => {
+  it('ends some seconds after the last crash, and is prolonged by crashes that end only its runs', () => {
     const { timers, containment, changes, count } = createBench()
     for (let verdict = 0; verdict < 2; verdict++) containment.recordVerdict('crashing', `job-${verdict}`)
     timers.advance(4_000)
--- a/test/unit/scheduler/crashRecords.test.ts
+++ b/test/unit/scheduler/crashRecords.test.ts
@@ -1,4 +1,4 @@
-/** Verdicts on tasks that were aboard when workers crashed. */
+/** Verdicts on tasks that were running when workers crashed. */
 import { expect } from 'chai'
 import * as scheduler from '@egretvalve/scheduler'
 import * as settings from '@egretvalve/settings'
@@ -8,7 +8,7 @@
   return { jobId, step: 0, index: 0 }
 }
 
-/** A crash with one task of each job aboard. `observed` are the jobs whose runs were observed as suspects. */
+/** A crash with one running task of each job. `observed` are the jobs whose runs were observed as suspects. */
 function createCrash (crashId: string, jobIds: readonly string[], observed: readonly string[] = [], runMs = 50): workers.WorkerCrash {
   return { crashId, kind: workers.CrashKind.Down, runs: jobIds.map(jobId => ({ task: refOf(jobId), queue: 'queue', attempt: 1, earlierCrashes: 0, isObserved: observed.includes(jobId), runMs })) }
 }
@@ -19,17 +19,17 @@
 }
 
 describe('crash records', () => {
-  it('give up the one task that was observed in a second crash, and none of those that were aboard in one', () => {
+  it('give up the one task that was observed in a second crash, and none of those that were running in one', () => {
     const { records } = createRecords()
-    expect(records.record(createCrash('w-1', ['guilty', 'early']))).to.deep.equal([])
-    expect(records.record(createCrash('w-2', ['guilty', 'late'], ['guilty'])).map(({ task }) => task)).to.deep.equal([refOf('guilty')])
-    expect(['guilty', 'early', 'late'].map(jobId => records.isGivenUp(refOf(jobId)))).to.deep.equal([true, false, false])
+    expect(records.record(createCrash('w-1', ['crashing', 'early']))).to.deep.equal([])
+    expect(records.record(createCrash('w-2', ['crashing', 'late'], ['crashing'])).map(({ task }) => task)).to.deep.equal([refOf('crashing')])
+    expect(['crashing', 'early', 'late'].map(jobId => records.isGivenUp(refOf(jobId)))).to.deep.equal([true, false, false])
   })
 
   it('do not give up a bystander of two crashes that was not observed in the second', () => {
     const { records } = createRecords()
-    records.record(createCrash('w-1', ['bystander', 'guilty']))
-    expect(records.record(createCrash('w-2', ['bystander', 'guilty'], ['guilty'])).map(({ task }) => task)).to.deep.equal([refOf('guilty')])
+    records.record(createCrash('w-1', ['bystander', 'crashing']))
+    expect(records.record(createCrash('w-2', ['bystander', 'crashing'], ['crashing'])).map(({ task }) => task)).to.deep.equal([refOf('crashing')])
   })
 
   it('give up nothing when several jobs were observed in a second crash, and each of them after a third', () => {
