--- a/test/failure/crashingTasks.test.ts
+++ b/test/failure/crashingTasks.test.ts
@@ -65,6 +65,15 @@
     }
   })
 
+  it('fail their jobs at once when they are given up, and none of the jobs that ran on the same workers, while their queue is contained', async () => {
+    for (const seed of SEEDS) {
+      const { crashing, others, crashes } = await play(seed, 0.04, true)
+      expect(crashes.size).to.be.greaterThan(0)
+      for (const { failedAfterMs, refusedAfterMs } of crashing) expect(failedAfterMs ?? refusedAfterMs ?? Number.POSITIVE_INFINITY, `seed ${seed}`).to.be.at.most(MAX_VERDICT_MS)
+      expect(others.filter(({ failedAfterMs }) => failedAfterMs !== undefined), `seed ${seed}`).to.deep.equal([])
+    }
+  })
+
   it('cost the other jobs little when one job in ten of a kind crashes its workers', async () => {
     for (const seed of SEEDS) {
       const [before, after] = [await play(seed, 0.1, false), await play(seed, 0.1, true)].map(({ others }) => bench.creditShare(bench.countCredit(others).get('')))
