Measure how long connections wait to be accepted, and count it as waiting time of their first request

What callers saw: their requests were read seconds after they were sent, started, and stopped when they left. Deadline and latency objective counted from the moment at which a request was read.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 /** Building blocks of every process: broker, HTTP server and client, gRPC links, TLS, graceful stop. */
+export * from './acceptDelay.ts'
 export * from './addresses.ts'
 export * from './broker.ts'
 export * from './httpCaller.ts'
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -5,6 +5,7 @@
 import type * as moleculer from 'moleculer'
 import ApiService from 'moleculer-web'
 import * as protocol from '@egretvalve/protocol'
+import type { AcceptDelay } from './acceptDelay.ts'
 import { formatAddress, parseAddress } from './addresses.ts'
 import { readBody } from './body.ts'
 import type { LinkTls } from './links.ts'
@@ -21,6 +22,8 @@
   body: Buffer
   /** Aborts if the caller closes its connection before the response has been written. */
   signal: AbortSignal
+  /** Time for which the request waited for its connection to be accepted, in milliseconds; 0 for later requests of a connection. */
+  waitedMs: number
 }
 
 /** A response. Handlers serialize objects themselves. */
@@ -48,6 +51,8 @@
   requestTimeoutMs: number
   /** Key material; plain text without it. */
   tls?: LinkTls
+  /** Measures how long connections wait to be accepted. */
+  acceptDelay?: AcceptDelay
 }
 
 /** Longest interval between checks for connections that exceed the request time limit. */
@@ -85,6 +90,8 @@
   private inProgress = 0
   private isStopping = false
   private onIdle: (() => void) | undefined
+  /** Time that each connection waited to be accepted, in milliseconds, until its first request. */
+  private readonly acceptDelaysMs = new WeakMap<net.Socket, number>()
 
   constructor (private readonly options: WebServerOptions) {
     this.maxBodyBytes = options.maxBodyBytes
@@ -143,7 +150,10 @@
     for (const route of this.options.routes) {
       aliases[`${route.method} ${route.path}`] = (request, response) => { this.serve(route, request, response) }
     }
-    const { requestTimeoutMs, tls } = this.options
+    const { requestTimeoutMs, tls, acceptDelay } = this.options
+    const recordAccepted = (socket: net.Socket): void => {
+      if (acceptDelay !== undefined && !acceptDelay.handleAccepted(socket)) this.acceptDelaysMs.set(socket, acceptDelay.valueMs)
+    }
     return {
       name: this.options.name,
       mixins: [ApiService as unknown as moleculer.ServiceSchema],
@@ -155,7 +165,7 @@
       },
       methods: {
         createServer (this: HttpService) {
-          this.server ??= createHttpServer(this.httpHandler, requestTimeoutMs, tls)
+          this.server ??= createHttpServer(this.httpHandler, requestTimeoutMs, tls).on('connection', recordAccepted)
         }
       }
     } as unknown as moleculer.ServiceSchema
@@ -176,6 +186,8 @@
   private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
     const abort = new AbortController()
     response.once('close', () => { if (!response.writableEnded) abort.abort() })
+    const waitedMs = this.acceptDelaysMs.get(request.socket) ?? 0
+    this.acceptDelaysMs.delete(request.socket)
     const body = await readBody(request, this.maxBodyBytes)
     if (body.err) return errorResponse(413, protocol.ErrorCode.InvalidInput, body.val.message, 'body')
     const target = new URL(request.url ?? '/', 'http://local')
@@ -187,7 +199,8 @@
         query: target.searchParams,
         headers: request.headers,
         body: body.val,
-        signal: abort.signal
+        signal: abort.signal,
+        waitedMs
       })
     } catch (thrown) {
       const error = protocol.toStepError(thrown, `${route.method} ${route.path}`, 'local')
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -30,6 +30,7 @@
 
 /** A submitted job. */
 export class Job {
+  /** Time at which the caller's request reached this VM. */
   readonly arrivedAtMs: number
   /** Also counts the time for which the VM was suspended. */
   readonly age: workers.Age
@@ -45,13 +46,13 @@
   private possibleStarts = 0
   private readonly waiters = new Set<(outcome: JobOutcome) => void>()
 
-  constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0) {
-    this.arrivedAtMs = nowMs
+  constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0, waitedMs = 0) {
+    this.arrivedAtMs = nowMs - waitedMs
     this.age = age
     const objectiveMs = terms.slackFactor * longestChainMs(spec.steps) + terms.targetLatencyMs
-    this.dueAtMs = nowMs + objectiveMs
-    this.usefulUntilMs = nowMs + objectiveMs * USEFUL_UNTIL_FACTOR
-    this.deadlineAtMs = nowMs + deadlineMs
+    this.dueAtMs = this.arrivedAtMs + objectiveMs
+    this.usefulUntilMs = this.arrivedAtMs + objectiveMs * USEFUL_UNTIL_FACTOR
+    this.deadlineAtMs = this.arrivedAtMs + deadlineMs
     this.tasks = spec.steps.map((step, number) => createTasks(spec.jobId, step, number, earlierAttempts))
   }
 
--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -60,8 +60,8 @@
       cores: this.coresFor(job),
       expectedMs: this.expectedMs(job),
       lagMs: this.context.lagMs(),
-      deadlineInMs: job.deadlineMs,
-      latestUsefulStartMs: this.latestUsefulStartOf(job)
+      deadlineInMs: job.deadlineAtMs - this.nowMs,
+      latestUsefulStartMs: this.latestUsefulStartOf(job) - (this.nowMs - job.arrivedAtMs)
     }
     if (canServe(state)) return undefined
     return this.findContained(job) ?? { reason: 'can not be served in useful time', waitMs: expectedWaitMs(state) }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -144,15 +144,15 @@
   /**
    * Accepts or refuses a job. A resubmission of a job that is open, has succeeded or has failed shares the outcome of the first
    * submission. A job that was cancelled because its caller's connection broke, or that expired, runs again; its earlier runs
-   * were stopped when it ended. `deadlineMs` counts from now.
+   * were stopped when it ended. `deadlineMs` counts from the time at which the request reached this VM, `waitedMs` ago.
    */
-  submit (spec: JobSpec, terms: JobTerms, deadlineMs: number): Job {
+  submit (spec: JobSpec, terms: JobTerms, deadlineMs: number, waitedMs = 0): Job {
     const known = this.find(spec.jobId)
     if (known !== undefined && !isRepeatable(known)) {
       this.services.log.event(events.JobResubmitted, { jobId: spec.jobId, outcome: known.outcome?.kind ?? 'open' })
       return known
     }
-    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0)
+    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0, waitedMs)
     const givenUp = job.tasks.flat().find(task => this.crashRecords.isGivenUp(task.ref))
     if (givenUp !== undefined) {
       this.giveUp(job, givenUp.ref)
@@ -168,7 +168,7 @@
     this.open.set(job.id, job)
     this.counters.accepted++
     job.advance()
-    this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0) })
+    this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0), waitedMs: Math.round(waitedMs) })
     this.scheduleDispatch()
     return job
   }
