--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -53,6 +53,8 @@
   tls?: LinkTls
   /** Measures how long connections wait to be accepted. */
   acceptDelay?: AcceptDelay
+  /** Called with each request before its body is read, and its `waitedMs`. A response answers the request at once, at a fraction of the cost of a route. */
+  screen?: (request: http.IncomingMessage, waitedMs: number) => WebResponse | undefined
 }
 
 /** Longest interval between checks for connections that exceed the request time limit. */
@@ -154,6 +156,15 @@
     const recordAccepted = (socket: net.Socket): void => {
       if (acceptDelay !== undefined && !acceptDelay.handleAccepted(socket)) this.acceptDelaysMs.set(socket, acceptDelay.valueMs)
     }
+    const screened = (handle: http.RequestListener): http.RequestListener => (request, response) => {
+      const answer = this.options.screen?.(request, this.acceptDelaysMs.get(request.socket) ?? 0)
+      if (answer === undefined) {
+        handle(request, response)
+        return
+      }
+      this.acceptDelaysMs.delete(request.socket)
+      writeResponse(response, answer, this.isStopping || this.closesConnectionsAfterResponses)
+    }
     return {
       name: this.options.name,
       mixins: [ApiService as unknown as moleculer.ServiceSchema],
@@ -165,7 +176,7 @@
       },
       methods: {
         createServer (this: HttpService) {
-          this.server ??= createHttpServer(this.httpHandler, requestTimeoutMs, tls).on('connection', recordAccepted)
+          this.server ??= createHttpServer(screened(this.httpHandler), requestTimeoutMs, tls).on('connection', recordAccepted)
         }
       }
     } as unknown as moleculer.ServiceSchema
--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -27,6 +27,11 @@
   return Math.max(0, Math.min(deadlineMs * MAX_WAIT_SHARE, usefulForMs * ESTIMATE_ERROR_FACTOR - expectedMs))
 }
 
+/** Returns true for a request that has waited so long before it was read that its job would be refused. */
+export function hasWaitedTooLong (waitedMs: number, deadlineMs: number): boolean {
+  return waitedMs > deadlineMs * MAX_WAIT_SHARE
+}
+
 /** Returns the expected wait for capacity, in milliseconds; infinite without cores. */
 export function expectedWaitMs (state: ArrivalState): number {
   return state.cores <= 0 ? Number.POSITIVE_INFINITY : state.workAheadCoreMs / state.cores
