--- a/packages/scheduler/src/overload.ts
+++ b/packages/scheduler/src/overload.ts
@@ -5,13 +5,12 @@
 const PERIOD_MS = 100
 /** Delay of requests within this process above which fewer jobs are accepted, in milliseconds: a small part of the latency objectives. */
 const TARGET_DELAY_MS = 50
-/** Factor of the accepted share in each period above the target, and in each period far above it. */
-const DECREASE_FACTOR = 0.85
-const FAST_DECREASE_FACTOR = 0.6
-/** Multiple of the target from which the delay counts as far above it. */
-const FAST_DECREASE_TARGETS = 5
-/** Increase of the accepted share in each period below the target. */
-const INCREASE = 0.04
+/** Lowest factor by which the accepted share falls at once. */
+const MIN_DECREASE_FACTOR = 0.3
+/** Increase of the accepted share in the first period below the target. It grows with each further one, so that full service is back within two seconds. */
+const INCREASE = 0.02
+/** Number of periods below the target after which the increase has doubled. */
+const INCREASE_DOUBLING_PERIODS = 5
 /** Lowest accepted share. Keeps some service, whose delay shows when the load falls. */
 const MIN_SHARE = 0.05
 
@@ -24,9 +23,13 @@
   random: () => number
 }
 
-/** Adapts the share of arriving jobs that is accepted, by additive increase and multiplicative decrease, so that requests wait hardly at all. */
+/** Adapts the share of arriving jobs that is accepted, so that requests hardly wait: it falls with the delay and rises while there is none. */
 export class OverloadControl {
   private share = 1
+  /** Number of periods below the target since the last one above it. */
+  private calmPeriods = 0
+  /** Monotonic time at which the last decrease has taken effect, in milliseconds. */
+  private effectiveAtMs = 0
   private readonly handle: settings.TimerHandle
 
   constructor (private readonly services: OverloadServices) {
@@ -49,7 +52,21 @@
 
   private adapt (): void {
     const delayMs = this.services.delayMs()
-    if (delayMs <= TARGET_DELAY_MS) this.share = Math.min(1, this.share + INCREASE)
-    else this.share = Math.max(MIN_SHARE, this.share * (delayMs > TARGET_DELAY_MS * FAST_DECREASE_TARGETS ? FAST_DECREASE_FACTOR : DECREASE_FACTOR))
+    if (delayMs <= TARGET_DELAY_MS) this.increase()
+    else this.decrease(delayMs)
+  }
+
+  private increase (): void {
+    this.share = Math.min(1, this.share + INCREASE * (1 + this.calmPeriods / INCREASE_DOUBLING_PERIODS))
+    this.calmPeriods++
+  }
+
+  /** Lowers the share by the square root of the excess, since the wait grows as long as the excess lasts. Its effect shows when the requests that wait now have been read. */
+  private decrease (delayMs: number): void {
+    this.calmPeriods = 0
+    const nowMs = this.services.timers.nowMs()
+    if (nowMs < this.effectiveAtMs) return
+    this.effectiveAtMs = nowMs + delayMs
+    this.share = Math.max(MIN_SHARE, this.share * Math.max(MIN_DECREASE_FACTOR, Math.sqrt(TARGET_DELAY_MS / delayMs)))
   }
 }
