--- a/test/unit/protocol/json.test.ts
+++ b/test/unit/protocol/json.test.ts
@@ -36,6 +36,28 @@
     it(`rejects ${name}`, () => { expect(refusalOf(body)).to.equal(expected) })
   }
 
+  const DEPTH = 100_000
+  const nestings: ReadonlyArray<[string, string]> = [
+    ['lists', `{"team":{"a":${'['.repeat(DEPTH)}${']'.repeat(DEPTH)}}}`],
+    ['objects', `{"team":${'{"a":'.repeat(DEPTH)}1${'}'.repeat(DEPTH)}}`],
+    ['lists without any text', `${'['.repeat(DEPTH)}${']'.repeat(DEPTH)}`],
+    ['lists that follow the last text', `{"team":"a","tasks":${'['.repeat(DEPTH)}${']'.repeat(DEPTH)}}`]
+  ]
+  for (const [name, body] of nestings) {
+    it(`rejects 100,000 nested ${name}`, () => { expect(refusalOf(body)).to.equal('body: got more than 64 nested lists and objects; expected at most that many') })
+  }
+
+  it('accepts 64 nested lists and objects and braces within texts', () => {
+    expect(protocol.parseStrictJson(Buffer.from(`${'['.repeat(63)}{"a":"${'[{'.repeat(DEPTH)}"}${']'.repeat(63)}`)).ok).to.equal(true)
+    expect(protocol.parseStrictJson(Buffer.from(`${'['.repeat(64)}{}${']'.repeat(64)}`)).ok).to.equal(false)
+  })
+
+  it('rejects a key of 100,000 characters with a bounded description', () => {
+    const key = 'k'.repeat(DEPTH)
+    expect(refusalOf(`{"team":"a","tasks":[],"${key}":1}`).length).to.be.below(300)
+    expect(refusalOf(`{"team":"a","${key}":1,"${key}":2}`).length).to.be.below(300)
+  })
+
   it('reports a body that is not JSON', () => {
     expect(refusalOf('{"team":')).to.match(/^body: got text that is not JSON/)
   })
--- a/test/unit/settings/timerService.test.ts
+++ b/test/unit/settings/timerService.test.ts
@@ -37,3 +37,18 @@
     expect(calls.filter(call => call === 'other').length).to.be.at.most(1)
   })
 })
+
+describe('TimerService', () => {
+  it('waits for delays that exceed 32 bits instead of calling back at once', async () => {
+    const timers = new settings.TimerService()
+    let calls = 0
+    const abort = new AbortController()
+    const handles = [2 ** 31, 1e300, Number.POSITIVE_INFINITY].flatMap(delayMs => [timers.after(delayMs, () => { calls++ }), timers.every(delayMs, () => { calls++ })])
+    const slept = timers.sleep(2 ** 31, abort.signal).then(() => { calls++ })
+    await timers.sleep(PERIOD_MS)
+    expect(calls).to.equal(0)
+    for (const handle of handles) handle.cancel()
+    abort.abort()
+    await slept
+  })
+})
