Reject JSON nested more than 64 levels deep, and bound every text that describes a rejected value

What an operator would have seen: one entry of another writer in the store's list, nested 5,000 levels deep or more, ended every entry and agent that read the list, again at each restart. A worker's report like it was answered with 500, a configuration like it ended the following of the configuration with the process.

Cause: the description of the rejected value used JSON.stringify, which is recursive and throws a RangeError; nothing expected an exception there.

Change: the scan for duplicate keys also counts open lists and objects and refuses more than 64, before the value reaches a schema or a description. Field names in a description are truncated like values.

Why it works: JSON.parse and the scan are not recursive, and what passes them is too shallow for any recursive function to overflow the stack.

--- a/packages/protocol/src/json.ts
+++ b/packages/protocol/src/json.ts
@@ -1,12 +1,14 @@
-/** Strict JSON parsing: valid UTF-8, no duplicate keys, validated by a schema. */
+/** Strict JSON parsing: valid UTF-8, no duplicate keys, bounded nesting, validated by a schema. */
 import { isUtf8 } from 'node:buffer'
 import * as results from 'ts-results'
 import type * as zod from 'zod'
-import { findDuplicateKey } from './jsonKeys.ts'
+import { assertNever } from './errors.ts'
+import { findStructureProblem } from './jsonKeys.ts'
+import { truncateText } from './text.ts'
 
 /** Reason why an input was rejected. */
 export interface InputProblem {
-  /** Path of the field, such as `tasks.3.body`; `body` for the whole input. */
+  /** Path of the field, such as `tasks.3.body`, truncated; `body` for the whole input. */
   field: string
   /** Description of the given value, truncated. */
   given: string
@@ -21,6 +23,8 @@
 
 const WHOLE_INPUT = 'body'
 const MAX_QUOTED_CHARS = 80
+/** Levels of lists and objects that an input may have. No schema has ten. */
+const MAX_DEPTH = 64
 
 /** Parses a JSON body and validates it against a schema. Returns the first problem found. */
 export function parseJson<T> (body: Buffer, schema: zod.ZodType<T>): results.Result<T, InputProblem> {
@@ -31,7 +35,7 @@
   return results.Err(describeIssue(checked.error.issues[0]!, value.val))
 }
 
-/** Parses a JSON body. Rejects invalid UTF-8 and duplicate keys within an object. */
+/** Parses a JSON body. Rejects invalid UTF-8, duplicate keys within an object and nesting that would overflow the stack of the functions that receive the value. */
 export function parseStrictJson (body: Buffer): results.Result<unknown, InputProblem> {
   if (!isUtf8(body)) return rejectWholeInput('bytes that are not UTF-8', 'JSON in UTF-8')
   const text = body.toString('utf8')
@@ -41,9 +45,13 @@
   } catch (thrown) {
     return rejectWholeInput(text === '' ? 'nothing' : `text that is not JSON (${(thrown as SyntaxError).message})`, 'a JSON object')
   }
-  const duplicate = findDuplicateKey(text)
-  if (duplicate === undefined) return results.Ok(value)
-  return results.Err({ field: duplicate, given: 'the key more than once in one object', expects: 'each key once' })
+  const problem = findStructureProblem(text, MAX_DEPTH)
+  switch (problem?.kind) {
+    case undefined: return results.Ok(value)
+    case 'duplicate': return results.Err({ field: truncateText(problem.key, MAX_QUOTED_CHARS), given: 'the key more than once in one object', expects: 'each key once' })
+    case 'nesting': return rejectWholeInput(`more than ${MAX_DEPTH} nested lists and objects`, 'at most that many')
+    default: return assertNever(problem)
+  }
 }
 
 function rejectWholeInput (given: string, expects: string): results.Err<InputProblem> {
@@ -54,7 +62,7 @@
 
 function describeIssue (issue: Issue, input: unknown): InputProblem {
   const path = issue.code === 'unrecognized_keys' ? [...issue.path, issue.keys[0]!] : issue.path
-  const field = path.length === 0 ? WHOLE_INPUT : path.map(String).join('.')
+  const field = path.length === 0 ? WHOLE_INPUT : truncateText(path.map(String).join('.'), MAX_QUOTED_CHARS)
   return { field, given: describeGiven(readPath(input, path)), expects: describeExpected(issue) }
 }
 
@@ -67,8 +75,7 @@
 function describeGiven (value: unknown): string {
   if (value === undefined) return 'nothing'
   if (Array.isArray(value)) return `a list of ${value.length}`
-  const text = JSON.stringify(value)
-  return text.length <= MAX_QUOTED_CHARS ? text : `${text.slice(0, MAX_QUOTED_CHARS)}… (${text.length} characters)`
+  return truncateText(JSON.stringify(value), MAX_QUOTED_CHARS)
 }
 
 function describeExpected (issue: Issue): string {
