Keep the loops that follow entries and configuration alive after an exception

What an operator would have seen: one exception while a node read the list of entries, renewed its registration, dialled an entry or read the configuration ended the process by an unhandled rejection. Where something holds such rejections back, the node lives on but follows nothing any more and is lost to the others.

Cause: the loops ran without a catch.

A changed list counts as handed on only after it was.

Why it works: the loop's condition is its signal alone; whatever a step throws, the next one is due.

--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -49,6 +49,8 @@
 /** Period in which an agent reads the list of entries, in milliseconds, while no link is open and while at least one is. */
 export const UNLINKED_DISCOVERY_PERIOD_MS = 500
 export const LINKED_DISCOVERY_PERIOD_MS = 5_000
+/** Time after which a loop whose step failed with an exception repeats it, in milliseconds. */
+export const FAILED_STEP_PAUSE_MS = 1_000
 /** Number of entries to which an agent keeps links open. With fewer, an agent that loses several entries together gets too little work for a while; with more, each node sends more messages. */
 export const LINKS_PER_AGENT = 6
 /** Share of the links that go to entries of the agent's own failure domain, because messages between domains are slower and charged for. The other links keep the agent in use when the entries of the domain are lost or its callers move. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -6,6 +6,7 @@
 import { BUSY_HEARTBEAT_MS, BUSY_LINK_TIMEOUT_MS, IDLE_HEARTBEAT_MS, IDLE_LINK_TIMEOUT_MS, MAX_REDIAL_MS, MIN_REDIAL_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { PeerActivity } from './liveness.ts'
+import { repeatUntilAborted } from './loops.ts'
 
 /** Callbacks of a connection to its agent. */
 export interface ConnectionHandler {
@@ -75,10 +76,10 @@
 
   /** Dials and redials until `close`, with exponential back-off and jitter. */
   async run (): Promise<void> {
-    while (!this.abort.signal.aborted) {
+    await repeatUntilAborted('link.dial', this.services, this.abort.signal, async () => {
       await this.exchange()
-      await this.services.timers.sleep(this.nextRedialMs(), this.abort.signal)
-    }
+      return this.nextRedialMs()
+    })
   }
 
   /** Sends a message. Returns false if no stream is open. */
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -14,6 +14,7 @@
   ConfigInForce: { code: 12008, level: Info, message: 'configuration applied' },
   ConfigUnreadable: { code: 12009, level: Warn, message: 'configuration could not be decoded; the current one stays in force' },
   StoreUnreachable: { code: 12010, level: Warn, message: 'store unreachable' },
+  StoreReachable: { code: 12011, level: Info, message: 'store reachable again' },
   AddressRefused: { code: 12012, level: Warn, message: 'entry address refused: not an IP address and port' },
-  StoreReachable: { code: 12011, level: Info, message: 'store reachable again' }
+  StepFailed: { code: 12013, level: Warn, message: 'step of a loop failed with an exception; the loop continues' }
 })
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -6,6 +6,7 @@
 import { ENTRY_PREFIX, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS } from './defaults.ts'
 import type { EntryIdentity } from './entryNode.ts'
 import { events } from './events.ts'
+import { repeatUntilAborted } from './loops.ts'
 
 /** Value of an entry's key. Entries of earlier versions register no failure domain. */
 const memberSchema = zod.object({ entryId: zod.string(), life: zod.string(), address: zod.string(), failureDomain: zod.string().default('') })
@@ -41,8 +42,9 @@
 
   /** Maintains the registration and polls the list until `stop`. */
   start (): void {
-    this.maintainRegistration()
-    this.pollEntries()
+    const { signal } = this.abort
+    repeatUntilAborted('membership.register', this.services, signal, async () => await this.maintainRegistration())
+    repeatUntilAborted('membership.read', this.services, signal, async () => await this.pollEntries())
   }
 
   /** Stops polling and revokes the lease, which removes the entry's key. */
@@ -51,12 +53,11 @@
     if (this.leaseId !== undefined) await this.services.store.revokeLease(this.leaseId)
   }
 
-  private async maintainRegistration (): Promise<void> {
-    while (!this.abort.signal.aborted) {
-      if (this.leaseId === undefined) await this.register()
-      else await this.renew(this.leaseId)
-      await this.services.timers.sleep(this.leaseId === undefined ? MEMBER_RENEW_MS / 4 : MEMBER_RENEW_MS, this.abort.signal)
-    }
+  /** Registers the entry or renews its lease. Returns the time until the next renewal, in milliseconds. */
+  private async maintainRegistration (): Promise<number> {
+    if (this.leaseId === undefined) await this.register()
+    else await this.renew(this.leaseId)
+    return this.leaseId === undefined ? MEMBER_RENEW_MS / 4 : MEMBER_RENEW_MS
   }
 
   private async register (): Promise<void> {
@@ -96,19 +97,18 @@
     }
   }
 
-  private async pollEntries (): Promise<void> {
-    while (!this.abort.signal.aborted) {
-      const entries = await readEntries(this.services)
-      if (entries !== undefined) this.handleEntries(entries)
-      await this.services.timers.sleep(MEMBER_READ_MS, this.abort.signal)
-    }
+  /** Reads the list. Returns the time until the next read, in milliseconds. */
+  private async pollEntries (): Promise<number> {
+    const entries = await readEntries(this.services)
+    if (entries !== undefined) this.handleEntries(entries)
+    return MEMBER_READ_MS
   }
 
   private handleEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
     const json = JSON.stringify(entries)
     if (json === this.lastEntriesJson) return
-    this.lastEntriesJson = json
     this.services.log.event(events.EntriesChanged, { entries: entries.length })
     this.onEntries(entries)
+    this.lastEntriesJson = json
   }
 }
