Decide in one place what a usable address is: an IP address and a port from 1 to 65535

What an operator would have seen: an entry of another writer with port 0, 70000, 1e9, -1 or 80.5, with a host name or with a failure domain of 100,000 characters counted as an entry: every entry passed it on to all agents and divided the fleet's capacity by one more. Agents refused most of them, but dialled ports such as 1e3 again and again. A backend server announced at port 70000 was accepted, and each start on it threw.

Cause: each reader had a pattern of its own, or none, and Number() accepts more than a port.

Why it works: an unusable entry is dropped where it is decoded, so that no node of any version receives it from this one.

--- a/packages/agent/src/announcement/schema.ts
+++ b/packages/agent/src/announcement/schema.ts
@@ -1,4 +1,5 @@
 /** Schema of a backend server's announcement. */
+import * as runtime from '@egretvalve/runtime'
 import * as zod from 'zod'
 
 const MAX_SLOTS = 10_000
@@ -7,7 +8,7 @@
 
 export const announcementSchema = zod.strictObject({
   service: zod.string().min(1).max(100),
-  address: zod.string().regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/, 'an IPv4 address and port'),
+  address: zod.string().refine(runtime.isSocketAddress, 'an IP address and a port from 1 to 65535'),
   slots: zod.int().min(1).max(MAX_SLOTS),
   connections: zod.int().min(1).max(MAX_SLOTS),
   cores: zod.number().min(0).default(0),
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -1,12 +1,10 @@
 /** The agent of a leased worker: executes the orders of entries and reports their outcome over the same links. */
-import * as net from 'node:net'
-import type * as protocol from '@egretvalve/protocol'
-import * as runtime from '@egretvalve/runtime'
+import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { ConfigCache, decodeCopy } from './configCopy.ts'
 import { CONFIG_COPY_DELAY_MS, LOAD_REPORT_BASE_LINKS, LOAD_REPORT_PERIOD_MS, LOW_LOAD_FREE_SHARE, LOW_LOAD_REPORT_PERIOD_MS, LOW_LOAD_REPORT_STEP_SHARE, SLOW_RUN_REPORT_PERIOD_MS } from './defaults.ts'
-import type { RegisteredEntry } from './entryChoice.ts'
+import { isUsableEntry, type RegisteredEntry } from './entryChoice.ts'
 import { EntryConnection } from './entryConnection.ts'
 import { EntryLinks } from './entryLinks.ts'
 import { events } from './events.ts'
@@ -31,6 +29,8 @@
   configCache?: ConfigCache
 }
 
+const MAX_LOGGED_ADDRESS_CHARS = 80
+
 /** An agent with its links to entries and its run executor. */
 export class AgentNode {
   readonly executor: workers.RunExecutor
@@ -80,13 +80,10 @@
     return this.links.openLinks.length > 0
   }
 
-  /** Updates the known entries. Entries whose address is not an IP address and port are logged and dropped. */
+  /** Updates the known entries. Those that can't be used are logged and dropped. */
   updateEntries (entries: readonly RegisteredEntry[]): void {
-    this.links.updateEntries(entries.filter(entry => {
-      if (isDialable(entry)) return true
-      this.services.log.event(events.AddressRefused, { address: entry.address.slice(0, 80) })
-      return false
-    }))
+    for (const { address } of entries.filter(entry => !isUsableEntry(entry))) this.services.log.event(events.AddressRefused, { address: protocol.truncateText(address, MAX_LOGGED_ADDRESS_CHARS) })
+    this.links.updateEntries(entries.filter(isUsableEntry))
   }
 
   /** Sets the addresses to dial while no link is open. */
@@ -283,9 +280,3 @@
     return encodeLoad(reported, connection.received)
   }
 }
-
-/** Returns true for an IP address and port. Host names are not dialled. */
-function isDialable ({ address }: RegisteredEntry): boolean {
-  const { host, port } = runtime.parseAddress(address)
-  return net.isIP(host) !== 0 && port > 0 && port < 65_536
-}
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -63,5 +63,7 @@
 export const LINK_CLOSE_NOTICE_MS = 1_000
 /** Time after which an address that is neither in newer lists nor linked is removed, in milliseconds. */
 export const ENTRY_RETENTION_MS = 10_000
+/** Longest id or failure domain of an entry, in characters. */
+export const MAX_NAME_CHARS = 200
 /** Prefix of the keys of entries in the store. */
 export const ENTRY_PREFIX = 'egretvalve/entries/'
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -1,15 +1,22 @@
 /** Registration of entries in the store, and the list of registered entries. */
 import type * as platform from '@egretvalve/platform'
 import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import * as zod from 'zod'
-import { ENTRY_PREFIX, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS } from './defaults.ts'
+import { ENTRY_PREFIX, MAX_NAME_CHARS, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS } from './defaults.ts'
 import type { EntryIdentity } from './entryNode.ts'
 import { events } from './events.ts'
 import { repeatUntilAborted } from './loops.ts'
 
 /** Value of an entry's key. Entries of earlier versions register no failure domain. */
-const memberSchema = zod.object({ entryId: zod.string(), life: zod.string(), address: zod.string(), failureDomain: zod.string().default('') })
+const name = zod.string().max(MAX_NAME_CHARS)
+const memberSchema = zod.object({
+  entryId: name,
+  life: name,
+  address: zod.string().refine(runtime.isSocketAddress, 'an IP address and a port from 1 to 65535'),
+  failureDomain: name.default('')
+})
 
 /** Dependencies of the membership. */
 export interface MembershipServices {
