Log an unusable entry once for each change instead of at every read

What an operator would have seen: each entry of another writer cost a log line at every read of the list, every two seconds on each entry and up to twice a second on each agent: 5,000 odd entries filled the log's budget and pushed other lines out.

Cause: the reader and the agent logged what they refused without knowing what they had logged.

Change: ProblemLog remembers what was logged in which state and writes ten lines a list, the last with the number of those omitted. Unusable entries get an event of their own, 12014; 12006 remains for a list that can't be read.

Why it works: the state is the store's revision of the item, which only a write changes.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -11,6 +11,7 @@
 import { runLivenessChecks } from './liveness.ts'
 import { decodeDemand, decodeEntry, decodeOrder, encodeCrash, encodeEnd, encodeLoad } from './messages.ts'
 import { Owners } from './owners.ts'
+import { ProblemLog } from './problemLog.ts'
 import { RecentCrashes } from './recentCrashes.ts'
 
 /** Identity of an agent process. Sent in the greeting under these field names. */
@@ -44,6 +45,7 @@
   private readonly ownersWithNewReservations = new Set<string>()
   private readonly handles: settings.TimerHandle[] = []
   private readonly crashes: RecentCrashes
+  private readonly refusedAddresses: ProblemLog
   private configReceivedAtMs = 0
   private isFlushScheduled = false
   private loadTimer: settings.TimerHandle | undefined
@@ -56,6 +58,7 @@
     this.clock = new workers.ElapsedClock(services.timers)
     this.owners = new Owners(services.timers, this.clock)
     this.crashes = new RecentCrashes(services.timers)
+    this.refusedAddresses = new ProblemLog(({ key }, omitted) => { services.log.event(events.AddressRefused, { address: key, omitted }) })
     this.links = new EntryLinks({
       ...identity,
       timers: services.timers,
@@ -82,7 +85,8 @@
 
   /** Updates the known entries. Those that can't be used are logged and dropped. */
   updateEntries (entries: readonly RegisteredEntry[]): void {
-    for (const { address } of entries.filter(entry => !isUsableEntry(entry))) this.services.log.event(events.AddressRefused, { address: protocol.truncateText(address, MAX_LOGGED_ADDRESS_CHARS) })
+    const refused = entries.filter(entry => !isUsableEntry(entry))
+    this.refusedAddresses.report(refused.map(({ address }) => ({ key: protocol.truncateText(address, MAX_LOGGED_ADDRESS_CHARS), state: '', reason: '' })))
     this.links.updateEntries(entries.filter(isUsableEntry))
   }
 
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -16,5 +16,6 @@
   StoreUnreachable: { code: 12010, level: Warn, message: 'store unreachable' },
   StoreReachable: { code: 12011, level: Info, message: 'store reachable again' },
   AddressRefused: { code: 12012, level: Warn, message: 'entry address refused: not an IP address and port' },
-  StepFailed: { code: 12013, level: Warn, message: 'step of a loop failed with an exception; the loop continues' }
+  StepFailed: { code: 12013, level: Warn, message: 'step of a loop failed with an exception; the loop continues' },
+  EntryUnusable: { code: 12014, level: Warn, message: 'entry of another writer in the list; it is not used' }
 })
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -8,6 +8,7 @@
 import type { EntryIdentity } from './entryNode.ts'
 import { events } from './events.ts'
 import { repeatUntilAborted } from './loops.ts'
+import { type ItemProblem, ProblemLog } from './problemLog.ts'
 
 /** Value of an entry's key. Entries of earlier versions register no failure domain. */
 const name = zod.string().max(MAX_NAME_CHARS)
@@ -25,18 +26,32 @@
   store: platform.Store
 }
 
-/** Reads the registered entries. Unreadable ones are logged and omitted. Returns undefined if the store call fails. */
-export async function readEntries (services: MembershipServices): Promise<protocol.runs.IEntryAddress[] | undefined> {
-  const read = await services.store.list(ENTRY_PREFIX)
-  if (read.err) {
-    services.log.event(events.EntryListUnreadable, { failure: read.val.failure, reason: read.val.error.describe() })
-    return undefined
+/** Reads the list of registered entries. */
+export class EntryListReader {
+  private readonly problemLog: ProblemLog
+
+  constructor (private readonly services: MembershipServices) {
+    this.problemLog = new ProblemLog(({ key, reason }, omitted) => { services.log.event(events.EntryUnusable, { key, reason, omitted }) })
+  }
+
+  /** Returns the registered entries without those that another writer has left and that name no entry to use, which are logged. Returns undefined if the store call fails. */
+  async read (): Promise<protocol.runs.IEntryAddress[] | undefined> {
+    const { store, log } = this.services
+    const read = await store.list(ENTRY_PREFIX)
+    if (read.err) {
+      log.event(events.EntryListUnreadable, { failure: read.val.failure, reason: read.val.error.describe() })
+      return undefined
+    }
+    const entries: protocol.runs.IEntryAddress[] = []
+    const problems: ItemProblem[] = []
+    for (const { key, value, revision } of read.val.values) {
+      const parsed = protocol.parseJson(Buffer.from(value), memberSchema)
+      if (parsed.ok) entries.push(parsed.val)
+      else problems.push({ key, state: String(revision), reason: protocol.describeInputProblem(parsed.val) })
+    }
+    this.problemLog.report(problems)
+    return entries
   }
-  return read.val.values.flatMap(({ key, value }) => {
-    const parsed = protocol.parseJson(Buffer.from(value), memberSchema)
-    if (parsed.err) services.log.event(events.EntryListUnreadable, { key, reason: protocol.describeInputProblem(parsed.val) })
-    return parsed.ok ? [parsed.val] : []
-  })
 }
 
 /** Registers one entry and polls the list of all entries. `onEntries` is called whenever the list changes. */
@@ -44,8 +59,11 @@
   private leaseId: string | undefined
   private lastEntriesJson = ''
   private readonly abort = new AbortController()
+  private readonly reader: EntryListReader
 
-  constructor (private readonly identity: EntryIdentity, private readonly services: MembershipServices, private readonly onEntries: (entries: readonly protocol.runs.IEntryAddress[]) => void) {}
+  constructor (private readonly identity: EntryIdentity, private readonly services: MembershipServices, private readonly onEntries: (entries: readonly protocol.runs.IEntryAddress[]) => void) {
+    this.reader = new EntryListReader(services)
+  }
 
   /** Maintains the registration and polls the list until `stop`. */
   start (): void {
@@ -106,7 +124,7 @@
 
   /** Reads the list. Returns the time until the next read, in milliseconds. */
   private async pollEntries (): Promise<number> {
-    const entries = await readEntries(this.services)
+    const entries = await this.reader.read()
     if (entries !== undefined) this.handleEntries(entries)
     return MEMBER_READ_MS
   }
