Refuse a peer's document or an administration body that is nested too deep, and keep the others

What an operator would have seen: one team's document nested 5,000 levels deep in a message between entries and agents threw out of the handling of the message: the documents after it were not taken, and the stream ended, again with each new stream. At the administration API such a body, or one with a repeated key, went to the handlers unchecked.

Cause: both read JSON without the checks of protocol.parseStrictJson, and the description of a rejected value is recursive.

Change: both use parseStrictJson; texts from a message are truncated in the log.

Why it works: what is too deep is refused as one document, before a schema or a description sees it.

--- a/packages/config/src/registry.ts
+++ b/packages/config/src/registry.ts
@@ -6,6 +6,9 @@
 import { describeConfigProblem } from './checks.ts'
 import { events } from './events.ts'
 
+/** Longest text from a message in a log line, in characters. */
+const MAX_LOGGED_CHARS = 500
+
 /** Source from which a node received a version. */
 export enum ConfigSource {
   /** An operator's change that this entry accepted. */
@@ -86,18 +89,15 @@
   private readMessage (message: protocol.wire.ITeamConfig): AcceptedConfig | undefined {
     const team = message.team ?? ''
     const version = message.version ?? 0
-    const document = parseDocument(parseJson(message.documentJson ?? ''))
+    const value = protocol.parseStrictJson(Buffer.from(message.documentJson ?? ''))
+    if (value.err) return this.refuseMessage(team, version, protocol.describeInputProblem(value.val))
+    const document = parseDocument(value.val)
     if (document.ok && document.val.team === team) return { team, version, document: document.val }
-    const reason = document.err ? document.val.map(describeConfigProblem).join('; ') : `the document belongs to team ${document.val.team}`
-    this.log.event(events.documentInvalid, { team, version, reason })
-    return undefined
+    return this.refuseMessage(team, version, document.err ? document.val.map(describeConfigProblem).join('; ') : `the document belongs to team ${document.val.team}`)
   }
-}
 
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
+  private refuseMessage (team: string, version: number, reason: string): undefined {
+    this.log.event(events.documentInvalid, { team: protocol.truncateText(team, MAX_LOGGED_CHARS), version, reason: protocol.truncateText(reason, MAX_LOGGED_CHARS) })
     return undefined
   }
 }
--- a/packages/entry/src/admin/webRoutes.ts
+++ b/packages/entry/src/admin/webRoutes.ts
@@ -29,9 +29,6 @@
 
 function parseBody (body: Buffer): ParsedBody {
   if (body.length === 0) return { isValid: true, value: undefined }
-  try {
-    return { isValid: true, value: JSON.parse(body.toString('utf8')) }
-  } catch (thrown) {
-    return { isValid: false, message: `body: got no JSON (${thrown instanceof Error ? thrown.message : String(thrown)}); expected a JSON object` }
-  }
+  const parsed = protocol.parseStrictJson(body)
+  return parsed.ok ? { isValid: true, value: parsed.val } : { isValid: false, message: protocol.describeInputProblem(parsed.val) }
 }
