Wait for delays that exceed 32 bits instead of calling back at once

What an operator would have seen: a delay of 2^31 ms or more, such as from a grace period of a month in the settings file, ended after 1 ms, so that a planned stop was cut short. A periodic callback of such a period kept the process awake each millisecond.

Cause: setTimeout takes a delay that does not fit into 32 bits for 1 ms.

Change: the timer service, the only source of timers, waits 24.8 days at most.

Why it works: no delay reaches setTimeout that it would misread.

--- a/packages/settings/src/timers.ts
+++ b/packages/settings/src/timers.ts
@@ -19,6 +19,8 @@
 
 /** Fraction of its period by which a periodic callback may run early, so that several callbacks share one wake-up. */
 const MAX_EARLY_FRACTION = 0.25
+/** Longest delay of the runtime's timers, in milliseconds: 24.8 days. A longer one would count as 1 ms. */
+const MAX_DELAY_MS = 2 ** 31 - 1
 
 interface PeriodicTimer {
   periodMs: number
@@ -26,7 +28,7 @@
   callback: () => void
 }
 
-/** Timers on the clocks of the process. Periodic callbacks share wake-ups. */
+/** Timers on the clocks of the process. Periodic callbacks share wake-ups. A delay or wait of more than `MAX_DELAY_MS` ends after that time. */
 export class TimerService implements Timers {
   private readonly periodicTimers = new Set<PeriodicTimer>()
   private wakeUpTimer: NodeJS.Timeout | undefined
@@ -41,7 +43,7 @@
   }
 
   after (delayMs: number, callback: () => void): TimerHandle {
-    const timer = setTimeout(callback, delayMs)
+    const timer = setTimeout(callback, Math.min(delayMs, MAX_DELAY_MS))
     return { cancel: () => clearTimeout(timer) }
   }
 
@@ -65,7 +67,7 @@
         signal?.removeEventListener('abort', finish)
         resolve()
       }
-      const timer = setTimeout(finish, delayMs)
+      const timer = setTimeout(finish, Math.min(delayMs, MAX_DELAY_MS))
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
@@ -77,7 +79,7 @@
     if (firstMs === this.wakeUpAtMs) return
     clearTimeout(this.wakeUpTimer)
     this.wakeUpAtMs = firstMs
-    this.wakeUpTimer = firstMs === Number.POSITIVE_INFINITY ? undefined : setTimeout(() => { this.handleWakeUp() }, Math.max(0, firstMs - this.nowMs()))
+    this.wakeUpTimer = firstMs === Number.POSITIVE_INFINITY ? undefined : setTimeout(() => { this.handleWakeUp() }, Math.min(MAX_DELAY_MS, Math.max(0, firstMs - this.nowMs())))
   }
 
   private handleWakeUp (): void {
