--- a/test/failure/hostileRunLink.test.ts
+++ b/test/failure/hostileRunLink.test.ts
@@ -28,6 +28,8 @@
 const MALFORMED_REPORTS: protocol.runs.IFromAgent[] = [
   { report: { ends: [{}], load: {}, slow: [{ elapsedMs: Number.NaN }] } },
   { report: { load: { isPresent: true, service: 'spares', total: { cpuMilli: 4_294_967_295 }, free: { cpuMilli: 4_294_967_295 }, pace: Number.POSITIVE_INFINITY } } },
+  { report: { load: { isPresent: true, service: 'spares', total: { cpuMilli: 32_000 }, free: { cpuMilli: 32_000 }, labels: Array(20_000).fill('x'), pace: 1e300 } } },
+  { report: { slow: [{ elapsedMs: 1e300, percent: 1e-300, stalledMs: 1e300 }], ends: [{ jobId: '__proto__', kind: 99, runMs: 1e300 }], crashes: [{ crashId: '__proto__', runs: Array(5_000).fill({ jobId: 'x', earlierCrashes: 4_294_967_295, runMs: 1e300 }) }] }, sentAtMs: Number.POSITIVE_INFINITY },
   { held: { runs: [{}, { jobId: 'x'.repeat(10_000) }] } },
   { beat: { configVersion: 4_294_967_295 } },
   { config: { version: 4_294_967_295, document: Buffer.from('{"version":1') } },
@@ -38,6 +40,10 @@
   { orders: { orders: [{}, { jobId: 'odd', tasks: [{}], estimatedMs: Number.NaN, expiresInMs: Number.NaN }] } },
   { stop: {} },
   { demand: { count: 4_294_967_295, rank: 1, latestStartInMs: Number.NaN, size: {} } },
+  { demand: { count: 1, rank: 4_294_967_295, latestStartInMs: 1e300, size: { cpuMilli: 4_294_967_295 } }, heardAtMs: Number.POSITIVE_INFINITY },
+  { orders: { orders: [{ jobId: '__proto__', tasks: [{ index: 4_294_967_295, attempt: 4_294_967_295, observationMs: 1e300 }], estimatedMs: 1e300, expiresInMs: 1e300, size: { cpuMilli: 1 } }] } },
+  { entries: { entries: [{ address: '127.0.0.1:1e3' }, { address: '127.0.0.1:1', failureDomain: 'd'.repeat(100_000) }] } },
+  { entries: { entries: Array(20_000).fill({ address: '127.0.0.1:70000' }) } },
   { entries: { entries: [{}, { address: 'not an address' }, { address: '127.0.0.1:99999' }] } },
   { config: { version: 4_294_967_295, document: Buffer.from('{"version":1') } },
   {}
