Take a run-time ratio that no estimate explains for unknown

Cause: infinite ratios were taken for unknown, but not ones too large or too small to mean anything.

Change: one function says which ratios, from 1/1,000 to 1,000, say something about a worker. The agent applies it to each job and the entry to each report.

Why it works: no value outside the bounds enters a median on either side.

--- a/packages/scheduler/src/speed.ts
+++ b/packages/scheduler/src/speed.ts
@@ -1,4 +1,5 @@
 /** Relative speed of the workers, from the run-time ratios that their agents report. */
+import * as workers from '@egretvalve/workers'
 
 /** Bounds of the speed factor, so that a few unusual jobs neither exclude a worker nor attract all tasks to it. */
 const MIN_FACTOR = 0.6
@@ -9,9 +10,9 @@
   private readonly runTimeRatios = new Map<string, number>()
   private medianRatio = 1
 
-  /** Records a worker's run-time ratio; 0 means unknown. */
+  /** Records a worker's run-time ratio; 0 and implausible ones count as unknown. */
   record (agentId: string, runTimeRatio: number): void {
-    if (runTimeRatio > 0) this.runTimeRatios.set(agentId, runTimeRatio)
+    if (workers.isPlausibleRatio(runTimeRatio)) this.runTimeRatios.set(agentId, runTimeRatio)
     else this.runTimeRatios.delete(agentId)
     const sorted = [...this.runTimeRatios.values()].sort((left, right) => left - right)
     if (sorted.length > 0) this.medianRatio = sorted[Math.floor((sorted.length - 1) / 2)]!
--- a/packages/workers/src/runTimeRatio.ts
+++ b/packages/workers/src/runTimeRatio.ts
@@ -9,6 +9,14 @@
 const CACHE_MS = 100
 /** Lowest percentage from which the total time of a run is extrapolated. */
 const MIN_PERCENT = 4
+/** Bounds of a ratio that a rough estimate and a slow worker explain. Beyond them the estimate says nothing about the worker. */
+const MIN_RATIO = 0.001
+const MAX_RATIO = 1_000
+
+/** Returns true for a ratio of run time to estimate that says something about the worker. */
+export function isPlausibleRatio (ratio: number): boolean {
+  return ratio >= MIN_RATIO && ratio <= MAX_RATIO
+}
 
 interface JobRatio {
   logRatio: number
@@ -52,8 +60,9 @@
   }
 
   private record (jobId: string, runMs: number, estimatedMs: number): void {
-    if (estimatedMs <= 0 || runMs <= 0) return
+    const ratio = runMs / estimatedMs
+    if (!isPlausibleRatio(ratio)) return
     this.jobs.delete(jobId)
-    this.jobs.set(jobId, { logRatio: Math.log(runMs / estimatedMs), atMs: this.timers.nowMs() })
+    this.jobs.set(jobId, { logRatio: Math.log(ratio), atMs: this.timers.nowMs() })
   }
 }
--- a/test/failure/hostileRunLink.test.ts
+++ b/test/failure/hostileRunLink.test.ts
@@ -29,7 +29,7 @@
   { report: { ends: [{}], load: {}, slow: [{ elapsedMs: Number.NaN }] } },
   { report: { load: { isPresent: true, service: 'spares', total: { cpuMilli: 4_294_967_295 }, free: { cpuMilli: 4_294_967_295 }, pace: Number.POSITIVE_INFINITY } } },
   { report: { load: { isPresent: true, service: 'spares', total: { cpuMilli: 32_000 }, free: { cpuMilli: 32_000 }, labels: Array(20_000).fill('x'), pace: 1e300 } } },
-  { report: { slow: [{ elapsedMs: 1e300, percent: 1e-300, stalledMs: 1e300 }], ends: [{ jobId: '__proto__', kind: 99, runMs: 1e300 }], crashes: [{ crashId: '__proto__', runs: Array(5_000).fill({ jobId: 'x', earlierCrashes: 4_294_967_295, runMs: 1e300 }) }] }, sentAtMs: Number.POSITIVE_INFINITY },
+  { report: { slow: [{ elapsedMs: 1e300, percent: 1e-300, stalledMs: 1e300 }], ends: [{ jobId: '__proto__', kind: 99 as protocol.runs.EndKind, runMs: 1e300 }], crashes: [{ crashId: '__proto__', runs: Array(5_000).fill({ jobId: 'x', earlierCrashes: 4_294_967_295, runMs: 1e300 }) }] }, sentAtMs: Number.POSITIVE_INFINITY },
   { held: { runs: [{}, { jobId: 'x'.repeat(10_000) }] } },
   { beat: { configVersion: 4_294_967_295 } },
   { config: { version: 4_294_967_295, document: Buffer.from('{"version":1') } },
