--- a/packages/agent/src/announcement/schema.ts
+++ b/packages/agent/src/announcement/schema.ts
@@ -8,7 +8,7 @@
 
 export const announcementSchema = zod.strictObject({
   service: zod.string().min(1).max(100),
-  address: zod.string().refine(runtime.isSocketAddress, 'an IP address and a port from 1 to 65535'),
+  address: zod.string().refine(runtime.isIpv4SocketAddress, 'an IPv4 address and port'),
   slots: zod.int().min(1).max(MAX_SLOTS),
   connections: zod.int().min(1).max(MAX_SLOTS),
   cores: zod.number().min(0).default(0),
--- a/packages/runtime/src/addresses.ts
+++ b/packages/runtime/src/addresses.ts
@@ -22,6 +22,11 @@
   return net.isIP(text.slice(0, Math.max(0, separator))) !== 0 && PORT_PATTERN.test(port) && Number(port) <= MAX_PORT
 }
 
+/** Returns true for an IPv4 address and a port from 1 to 65535. */
+export function isIpv4SocketAddress (text: string): boolean {
+  return isSocketAddress(text) && net.isIPv4(parseAddress(text).host)
+}
+
 export function formatAddress (host: string, port: number): string {
   return `${host}:${port}`
 }
--- a/test/unit/agent/announcementRoutes.test.ts
+++ b/test/unit/agent/announcementRoutes.test.ts
@@ -16,7 +16,7 @@
 
   it('is accepted', async () => { expect(await announce({})).to.equal(200) })
 
-  for (const address of ['127.0.0.1:0', '127.0.0.1:70000', '127.0.0.1:99999', '127.0.0.999:9000', '127.0.0.1', '127.0.0.1:1e3', 'host:9000']) {
+  for (const address of ['127.0.0.1:0', '127.0.0.1:70000', '127.0.0.1:99999', '127.0.0.999:9000', '127.0.0.1', '127.0.0.1:1e3', 'host:9000', '::1:9000', '[::1]:9000']) {
     it(`is rejected with address ${address}`, async () => { expect(await announce({ address })).to.equal(400) })
   }
 })
