--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -15,6 +15,8 @@
   readonly failureDomain: string
   /** Highest configuration version that the agent has reported or was sent. */
   configVersion: number
+  /** True if the agent is linked to another entry that isn't overloaded. */
+  othersHaveRoom = false
   private readonly activity: PeerActivity
   private orders: protocol.runs.IRunOrder[] = []
   /** Time of the last message read, on the agent's clock. */
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -116,7 +116,7 @@
       onHeard: (from, heardAtMs) => { this.owners.recordMessage(from.incarnation, heardAtMs) },
       onMessage: (from, message) => { this.receive(from, message) },
       isBusy: target => this.executor.heldBy(target.incarnation).length > 0,
-      createHeartbeat: target => ({ configVersion: this.configCache.version, load: target.reportedLoadSequence < this.loadSequence ? this.createLoad(target) : undefined })
+      createHeartbeat: target => ({ configVersion: this.configCache.version, load: target.reportedLoadSequence < this.loadSequence ? this.createLoad(target) : undefined, othersHaveRoom: this.recordTold(target) })
     }, { ...this.services, clock: this.clock })
     connection.run()
     return connection
@@ -141,7 +141,25 @@
     else if (message.demand != null) this.executor.updateDemand(connection.incarnation, decodeDemand(message.demand, this.services.timers.nowMs()))
     else if (message.config != null) this.configCache.offer(decodeCopy(message.config))
     else if (message.entries != null) this.handleEntryList(message.entries.entries ?? [])
-    else if (message.beat != null) this.forwardConfig(connection, message.beat.configVersion ?? 0)
+    else if (message.beat != null) this.handleHeartbeat(connection, message.beat)
+  }
+
+  private handleHeartbeat (connection: EntryConnection, heartbeat: protocol.runs.IBeat): void {
+    connection.isOverloaded = heartbeat.isOverloaded === true
+    this.forwardConfig(connection, heartbeat.configVersion ?? 0)
+    for (const other of this.links.openLinks) {
+      if (other.toldOthersHaveRoom !== this.haveOthersRoom(other)) other.sendHeartbeat()
+    }
+  }
+
+  /** True if an entry other than that of the connection is linked and not overloaded. */
+  private haveOthersRoom (connection: EntryConnection): boolean {
+    return this.links.openLinks.some(other => other !== connection && !other.isOverloaded)
+  }
+
+  private recordTold (connection: EntryConnection): boolean {
+    connection.toldOthersHaveRoom = this.haveOthersRoom(connection)
+    return connection.toldOthersHaveRoom
   }
 
   private handleOrders (connection: EntryConnection, orders: readonly protocol.runs.IRunOrder[]): void {
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -39,6 +39,10 @@
   openedAtMs = 0
   /** Number of tasks received on the current stream. */
   received = 0
+  /** True if the entry is overloaded, by its last heartbeat. */
+  isOverloaded = false
+  /** Whether the entry was last told that others have room. */
+  toldOthersHaveRoom = false
   /** Sequence number of the load last reported to the entry. */
   reportedLoadSequence = 0
   /** Load last reported to the entry. */
@@ -126,6 +130,8 @@
     this.isGreeted = true
     this.openedAtMs = this.services.timers.nowMs()
     this.sentConfigVersion = 0
+    this.isOverloaded = false
+    this.toldOthersHaveRoom = false
     this.redialMs = MIN_REDIAL_MS
     this.services.log.event(events.LinkOpened, { peer: this.address, entryId: greeting.entryId ?? '', life: this.incarnation })
     this.handler.onOpen(this, greeting)
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -25,6 +25,8 @@
   log: settings.Log
   scheduler: scheduler.Scheduler
   configCache: ConfigCache
+  /** Returns true while this entry refuses a part of its jobs. */
+  isOverloaded?: () => boolean
 }
 
 /** Upper limit of the random delay before a new configuration is sent to agents, in milliseconds. An agent that another entry has updated in the meantime is skipped. */
@@ -63,6 +65,14 @@
     return this.connections.size
   }
 
+  /** True if some linked agent is linked to another entry that isn't overloaded. */
+  get hasRoomElsewhere (): boolean {
+    for (const connection of this.connections.values()) {
+      if (connection.othersHaveRoom) return true
+    }
+    return false
+  }
+
   /** Sets the list of entries and sends it to all linked agents. */
   setEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
     this.entries = [...entries]
@@ -88,7 +98,7 @@
 
   private handleGreeting ({ greeting, sentAtMs }: protocol.runs.IFromAgent, outbox: runtime.Outbox<protocol.runs.IFromEntry>, stream: Pick<runtime.LinkStream<unknown, unknown>, 'destroy'>): AgentConnection | undefined {
     if (greeting == null) return undefined
-    const connection = new AgentConnection(greeting, outbox, this.services.timers, () => ({ configVersion: this.services.configCache.version }), () => { stream.destroy() })
+    const connection = new AgentConnection(greeting, outbox, this.services.timers, () => ({ configVersion: this.services.configCache.version, isOverloaded: this.services.isOverloaded?.() === true }), () => { stream.destroy() })
     connection.recordMessage(sentAtMs ?? 0)
     const previous = this.connections.get(connection.agentId)
     if (previous !== undefined) this.close(previous, 'agent opened another link')
@@ -120,6 +130,7 @@
 
   private handleHeartbeat (connection: AgentConnection, heartbeat: protocol.runs.IBeat): void {
     this.recordConfigVersion(connection, heartbeat.configVersion ?? 0)
+    connection.othersHaveRoom = heartbeat.othersHaveRoom === true
     if (heartbeat.load != null) this.services.scheduler.handleLoad(connection, decodeLoad(heartbeat.load))
     connection.sendHeartbeat()
   }
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -55,6 +55,8 @@
   acceptDelay?: AcceptDelay
   /** Called with each request before its body is read, and its `waitedMs`. A response answers the request at once, at a fraction of the cost of a route. */
   screen?: (request: http.IncomingMessage, waitedMs: number) => WebResponse | undefined
+  /** Returns true if the connection of a request that is answered now should be closed after it. */
+  closesConnection?: () => boolean
 }
 
 /** Longest interval between checks for connections that exceed the request time limit. */
@@ -143,6 +145,11 @@
     await this.options.broker.destroyService(this.service)
   }
 
+  /** True if the connection of a request that is answered now is closed after it. */
+  private get closesConnection (): boolean {
+    return this.isStopping || this.closesConnectionsAfterResponses || this.options.closesConnection?.() === true
+  }
+
   private server (): http.Server {
     return (this.service as unknown as { server: http.Server }).server
   }
@@ -163,7 +170,7 @@
         return
       }
       this.acceptDelaysMs.delete(request.socket)
-      writeResponse(response, answer, this.isStopping || this.closesConnectionsAfterResponses)
+      writeResponse(response, answer, this.closesConnection)
     }
     return {
       name: this.options.name,
@@ -186,7 +193,7 @@
     this.inProgress++
     try {
       const answer = await this.answer(route, request, response)
-      writeResponse(response, answer, this.isStopping || this.closesConnectionsAfterResponses)
+      writeResponse(response, answer, this.closesConnection)
       await waitForClose(response)
     } finally {
       this.inProgress--
