--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,4 +1,5 @@
 // Builds target/egretvalve.cjs, the loader of the platform programs, with the bundled program and its V8 code cache.
+// `--readable` leaves names and lines in place, for profiles (scripts/readProfile.ts).
 import { execFileSync } from 'node:child_process'
 import { copyFileSync, mkdirSync, readFileSync, rmSync } from 'node:fs'
 import { bundle } from './bundle.mjs'
@@ -9,7 +10,7 @@
 
 mkdirSync('target', { recursive: true })
 rmSync(CACHE, { force: true })
-await bundle('platform/src/main.ts', PROGRAM, { minify: true, alias: { undici: './scripts/undiciPool.mjs', moleculer: './scripts/moleculerCore.cjs' } })
+await bundle('platform/src/main.ts', PROGRAM, { minify: !process.argv.includes('--readable'), alias: { undici: './scripts/undiciPool.mjs', moleculer: './scripts/moleculerCore.cjs' } })
 copyFileSync('platform/loader.cjs', LOADER)
 
 // V8 rejects a code cache that was created under other flags, so the flags come from the start command of the deployment.
--- a/scripts/measureNodes.ts
+++ b/scripts/measureNodes.ts
@@ -1,6 +1,7 @@
 /**
  * Measures the mean processor time and wake-ups per entry and per agent of a fleet.
- * Usage: `npx tsx scripts/measureNodes.ts --entries 3,8 --agents 11 --jobs-per-s 80`. Requires a build of `target/`.
+ * Usage: `npx tsx scripts/measureNodes.ts --entries 3,8 --agents 11 --jobs-per-s 80 --warm-up-s 10`. Requires a build of `target/`. The
+ * stand-ins share this process: above some 100 jobs a second and 10 agents they limit the load, and the share served falls.
  */
 import * as fs from 'node:fs'
 import { parseArgs } from 'node:util'
@@ -14,21 +15,33 @@
 /** Clock ticks per second in /proc (USER_HZ). */
 const TICKS_PER_S = 100
 
-/** Returns the processor time of a process and the wake-ups of its main thread since its start. */
-function readUsage (processId: number): { cpuMs: number, wakeUps: number } {
-  const fields = fs.readFileSync(`/proc/${processId}/stat`, 'utf8').split(') ')[1]!.split(' ')
+interface Usage {
+  /** Processor time of the main thread in its own code and in the kernel, and of all other threads. */
+  ownMs: number
+  kernelMs: number
+  otherThreadsMs: number
+  /** Wake-ups of the main thread. */
+  wakeUps: number
+}
+
+function readTimes (path: string): { ownMs: number, kernelMs: number } {
+  const fields = fs.readFileSync(path, 'utf8').split(') ')[1]!.split(' ')
+  return { ownMs: Number(fields[11]) * 1_000 / TICKS_PER_S, kernelMs: Number(fields[12]) * 1_000 / TICKS_PER_S }
+}
+
+/** Returns the usage of a process since its start. */
+function readUsage (processId: number): Usage {
+  const main = readTimes(`/proc/${processId}/task/${processId}/stat`)
+  const all = readTimes(`/proc/${processId}/stat`)
   const wakeUps = /voluntary_ctxt_switches:\s+(\d+)/.exec(fs.readFileSync(`/proc/${processId}/task/${processId}/status`, 'utf8'))![1]!
-  return { cpuMs: (Number(fields[11]) + Number(fields[12])) * 1_000 / TICKS_PER_S, wakeUps: Number(wakeUps) }
+  return { ...main, otherThreadsMs: all.ownMs + all.kernelMs - main.ownMs - main.kernelMs, wakeUps: Number(wakeUps) }
 }
 
-function formatUsage (name: string, nodes: readonly SoakNode[], before: Map<SoakNode, { cpuMs: number, wakeUps: number }>, seconds: number): string {
-  const usages = nodes.map(node => {
-    const now = readUsage(node.process.processId!)
-    const earlier = before.get(node)!
-    return { cpuMs: (now.cpuMs - earlier.cpuMs) / seconds, wakeUps: (now.wakeUps - earlier.wakeUps) / seconds }
-  })
-  const mean = (select: (usage: { cpuMs: number, wakeUps: number }) => number): string => (usages.reduce((sum, usage) => sum + select(usage), 0) / usages.length).toFixed(1)
-  return `${name}: ${mean(usage => usage.cpuMs)} ms/s, ${mean(usage => usage.wakeUps)} wake-ups/s`
+function formatUsage (name: string, nodes: readonly SoakNode[], before: ReadonlyMap<SoakNode, Usage>, seconds: number): string {
+  const usages = nodes.map(node => ({ now: readUsage(node.process.processId!), earlier: before.get(node)! }))
+  const mean = (field: keyof Usage): string => (usages.reduce((sum, { now, earlier }) => sum + now[field] - earlier[field], 0) / usages.length / seconds).toFixed(1)
+  const startUpMs = usages.reduce((sum, { earlier }) => sum + earlier.ownMs + earlier.kernelMs + earlier.otherThreadsMs, 0) / usages.length
+  return `${name}: ${startUpMs.toFixed(0)} ms before, own code ${mean('ownMs')}, kernel ${mean('kernelMs')}, other threads ${mean('otherThreadsMs')} ms/s, ${mean('wakeUps')} wake-ups/s`
 }
 
 /** Submits jobs at a fixed rate and returns the share that was answered with 200; 1 where none were submitted. */
@@ -59,6 +72,10 @@
     agents: { type: 'string', default: '11' },
     'jobs-per-s': { type: 'string', default: '0' },
     seconds: { type: 'string', default: '8' },
+    /** Time under load before the measurement; code that runs often is compiled in it. */
+    'warm-up-s': { type: 'string', default: '0' },
+    /** Second octet of the addresses; runs at the same time need different values. */
+    net: { type: 'string', default: '40' },
     profile: { type: 'string' },
     flags: { type: 'string', default: '' }
   }
@@ -68,12 +85,14 @@
   const flags = values.flags.split(' ').filter(Boolean)
   if (values.profile !== undefined) flags.push('--cpu-prof', `--cpu-prof-dir=${values.profile}`)
   for (const entries of values.entries.split(',').map(Number)) {
-    const fleet = new SoakFleet({ entries, agents: Number(values.agents), net: 40, flags }, () => RUN_MS)
+    const fleet = new SoakFleet({ entries, agents: Number(values.agents), net: Number(values.net), flags }, () => RUN_MS)
     await fleet.start()
     await timers.sleep(WARM_UP_MS)
+    const jobsPerS = Number(values['jobs-per-s'])
+    await generateLoad(fleet, jobsPerS, Number(values['warm-up-s']), timers)
     const before = new Map([...fleet.entries, ...fleet.agents].map(node => [node, readUsage(node.process.processId!)]))
     const seconds = Number(values.seconds)
-    const servedShare = await generateLoad(fleet, Number(values['jobs-per-s']), seconds, timers)
+    const servedShare = await generateLoad(fleet, jobsPerS, seconds, timers)
     const lines = [formatUsage('entry', fleet.entries, before, seconds), formatUsage('agent', fleet.agents, before, seconds)]
     process.stdout.write(`${entries} entries, ${values.agents} agents, ${values['jobs-per-s']} jobs/s, share served ${servedShare.toFixed(3)}: ${lines.join('; ')}\n`)
     if (values.profile !== undefined) await Promise.all([...fleet.entries, ...fleet.agents].map(async node => { await node.process.end('SIGTERM') }))
