--- a/packages/runtime/src/httpCaller.ts
+++ b/packages/runtime/src/httpCaller.ts
@@ -49,24 +49,8 @@
 
   async call (call: HttpCall): Promise<HttpOutcome> {
     return await new Promise(resolve => {
-      const exchange = new CallHandler(outcome => {
-        timeout.cancel()
-        call.signal?.removeEventListener('abort', abort)
-        resolve(outcome)
-      })
-      const abort = (): void => { exchange.abort() }
-      const timeout = this.options.timers.after(call.timeoutMs, abort)
-      call.signal?.addEventListener('abort', abort, { once: true })
-      if (call.signal?.aborted === true) {
-        abort()
-        return
-      }
-      this.pool.dispatch({
-        path: call.path,
-        method: call.method,
-        headers: call.body === undefined ? call.headers : { 'content-type': 'application/json', ...call.headers },
-        body: call.body === undefined ? null : JSON.stringify(call.body)
-      }, exchange)
+      const exchange = new CallHandler(call, this.options.timers, resolve)
+      if (!exchange.isSettled) this.pool.dispatch({ path: call.path, method: call.method, headers: listHeaders(call), body: call.body === undefined ? null : JSON.stringify(call.body) }, exchange)
     })
   }
 
@@ -75,48 +59,70 @@
   }
 }
 
-/** Handles one call at undici's dispatcher level, because the streams and abort signals of its request API cost more than the call itself. */
+/** Lists names and values in turn, the form that undici reads without a search for iterators. */
+function listHeaders (call: HttpCall): string[] {
+  const headers: string[] = call.body === undefined ? [] : ['content-type', 'application/json']
+  for (const name in call.headers) headers.push(name, call.headers[name]!)
+  return headers
+}
+
+/**
+ * Handles one call at undici's dispatcher level, because the streams and abort signals of its request API cost more than the call itself.
+ * The handler has the form that undici's connections call directly; other forms are wrapped, which creates several objects a call.
+ */
 class CallHandler implements undici.Dispatcher.DispatchHandler {
-  private controller: undici.Dispatcher.DispatchController | undefined
+  isSettled = false
+  private readonly timeout: settings.TimerHandle | undefined
+  private abortRequest: ((error: Error) => void) | undefined
   private status = 0
-  private readonly chunks: Buffer[] = []
-  private isAborted = false
-  private isSettled = false
-
-  constructor (private readonly resolve: (outcome: HttpOutcome) => void) {}
+  private firstChunk: Buffer | undefined
+  private chunks: Buffer[] | undefined
+
+  constructor (private readonly request: HttpCall, timers: settings.Timers, private readonly resolve: (outcome: HttpOutcome) => void) {
+    if (request.signal?.aborted === true) {
+      this.abort()
+      return
+    }
+    this.timeout = timers.after(request.timeoutMs, this.abort)
+    request.signal?.addEventListener('abort', this.abort, { once: true })
+  }
 
   /** Settles the call as unanswered. A call that is still waiting for a connection will not be sent. */
-  abort (): void {
-    this.isAborted = true
+  private readonly abort = (): void => {
     this.settle({ kind: 'unanswered', reason: ABORT_REASON })
-    this.controller?.abort(new Error(ABORT_REASON))
+    this.abortRequest?.(new Error(ABORT_REASON))
   }
 
-  onRequestStart (controller: undici.Dispatcher.DispatchController): void {
-    this.controller = controller
-    if (this.isAborted) controller.abort(new Error(ABORT_REASON))
+  onConnect (abort: (error?: Error) => void): void {
+    if (this.isSettled) abort(new Error(ABORT_REASON))
+    else this.abortRequest = abort
   }
 
-  onResponseStart (_controller: undici.Dispatcher.DispatchController, status: number): void {
+  onHeaders (status: number): boolean {
     this.status = status
+    return true
   }
 
-  onResponseData (_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    this.chunks.push(chunk)
+  onData (chunk: Buffer): boolean {
+    if (this.firstChunk === undefined) this.firstChunk = chunk
+    else (this.chunks ??= [this.firstChunk]).push(chunk)
+    return true
   }
 
-  onResponseEnd (): void {
-    const text = this.chunks.length === 1 ? this.chunks[0]!.toString() : Buffer.concat(this.chunks).toString()
-    this.settle({ kind: 'answered', status: this.status, body: parseJson(text) })
+  onComplete (): void {
+    const body = this.chunks === undefined ? this.firstChunk : Buffer.concat(this.chunks)
+    this.settle({ kind: 'answered', status: this.status, body: parseJson(body?.toString() ?? '') })
   }
 
-  onResponseError (_controller: undici.Dispatcher.DispatchController, error: Error): void {
+  onError (error: Error): void {
     this.settle(describeFailure(error))
   }
 
   private settle (outcome: HttpOutcome): void {
     if (this.isSettled) return
     this.isSettled = true
+    this.timeout?.cancel()
+    this.request.signal?.removeEventListener('abort', this.abort)
     this.resolve(outcome)
   }
 }
--- a/scripts/measureNodes.ts
+++ b/scripts/measureNodes.ts
@@ -9,7 +9,6 @@
 import * as settings from '@egretvalve/settings'
 import { SoakFleet, type SoakNode } from '../platform/test/soak/fleet.ts'
 
-const RUN_MS = 150
 const TASKS_PER_JOB = 3
 const WARM_UP_MS = 4_000
 /** Clock ticks per second in /proc (USER_HZ). */
@@ -55,7 +54,7 @@
     if (jobsPerS === 0) continue
     const { frontend } = fleet.entries[number % fleet.entries.length]!
     const jobId = (Math.floor(Math.random() * 2 ** 47) * 2 ** 5).toString(16).padStart(16, '0').slice(0, 16)
-    const body = JSON.stringify({ spec: 'x', steps: [{ count: TASKS_PER_JOB, cpu: 3_000, memory_request_mb: 64, estimated_ms: RUN_MS }], best_effort: true })
+    const body = JSON.stringify({ spec: 'x', steps: [{ count: TASKS_PER_JOB, cpu: 3_000, memory_request_mb: 64, estimated_ms: Number(values['run-ms']) }], best_effort: true })
     jobs.push(undici.request(`http://${frontend}/spares/${jobId}`, { method: 'POST', body, dispatcher: agent, headers: { host: 'shop.example', 'content-type': 'application/json', 'x-deadline-ms': '2000' } }).then(async response => {
       await response.body.dump()
       return response.statusCode === 200
@@ -71,6 +70,8 @@
     entries: { type: 'string', default: '3' },
     agents: { type: 'string', default: '11' },
     'jobs-per-s': { type: 'string', default: '0' },
+    /** Run time of a task on 3 of a worker's 32 cores. */
+    'run-ms': { type: 'string', default: '150' },
     seconds: { type: 'string', default: '8' },
     /** Time under load before the measurement; code that runs often is compiled in it. */
     'warm-up-s': { type: 'string', default: '0' },
@@ -85,7 +86,7 @@
   const flags = values.flags.split(' ').filter(Boolean)
   if (values.profile !== undefined) flags.push('--cpu-prof', `--cpu-prof-dir=${values.profile}`)
   for (const entries of values.entries.split(',').map(Number)) {
-    const fleet = new SoakFleet({ entries, agents: Number(values.agents), net: Number(values.net), flags }, () => RUN_MS)
+    const fleet = new SoakFleet({ entries, agents: Number(values.agents), net: Number(values.net), flags }, () => Number(values['run-ms']))
     await fleet.start()
     await timers.sleep(WARM_UP_MS)
     const jobsPerS = Number(values['jobs-per-s'])
