Agents: no load report that says the same about free capacity

Cause: a worker that is not lightly loaded reports to each linked entry after each change, every 60 ms at six links. Starts and ends that cancel out, and orders returned at once, change nothing that an entry places by.

Change: the report is left out when the last one to this entry says the same: presence, free capacity for it, suspects, and the same orders received. The run-time ratio, a median over seconds, comes with the next heartbeat (250 to 350 ms) or end.

The new test counts 8 such reports on the earlier code.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -261,10 +261,12 @@
     }
   }
 
-  /** Returns false while the worker is lightly loaded and the last report is close to the current load; the next heartbeat carries the difference. */
-  private isLoadReportDue ({ reportedLoad }: EntryConnection): boolean {
+  /** Returns false if the last report says the same about free capacity, or if it is close to the current load and the worker is lightly loaded; the next heartbeat carries the difference. */
+  private isLoadReportDue (connection: EntryConnection): boolean {
+    const { reportedLoad } = connection
     const { load } = this.executor
     if (reportedLoad === undefined || reportedLoad.isPresent !== load.isPresent || reportedLoad.isDraining !== load.isDraining || reportedLoad.total.cpuMilli !== load.total.cpuMilli) return true
+    if (connection.reportedReceived === connection.received && reportedLoad.hasSuspect === load.hasSuspect && workers.equalsSize(reportedLoad.free, this.executor.freeFor(connection.incarnation, load))) return false
     const { cpuMilli } = load.total
     const isLowLoad = Math.min(load.free.cpuMilli, reportedLoad.free.cpuMilli) >= cpuMilli * LOW_LOAD_FREE_SHARE
     return !isLowLoad || Math.abs(load.free.cpuMilli - reportedLoad.free.cpuMilli) >= cpuMilli * LOW_LOAD_REPORT_STEP_SHARE
@@ -280,6 +282,7 @@
     const reported = { ...load, isDraining: load.isDraining || connection.closingSinceMs !== undefined }
     connection.reportedLoadSequence = this.loadSequence
     connection.reportedLoad = reported
+    connection.reportedReceived = connection.received
     return encodeLoad(reported, connection.received)
   }
 }
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -42,6 +42,8 @@
   reportedLoadSequence = 0
   /** Load last reported to the entry. */
   reportedLoad: workers.ExecutorLoad | undefined
+  /** Value of `received` in that report: the entry deducts the tasks that it sent later. */
+  reportedReceived = 0
   /** Monotonic time at which the entry was notified that the link will close, in milliseconds; undefined while the link stays open. */
   closingSinceMs: number | undefined
   private readonly activity: PeerActivity
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -115,7 +115,12 @@
   /** Load of the worker for one entry: capacity reserved for other entries does not count as free. */
   loadFor (owner: string): ExecutorLoad {
     const { load } = this
-    return { ...load, free: this.reservations.freeCapacityFor(owner, load.free) }
+    return { ...load, free: this.freeFor(owner, load) }
+  }
+
+  /** Free capacity of a load for one entry. */
+  freeFor (owner: string, load: ExecutorLoad): RunSize {
+    return this.reservations.freeCapacityFor(owner, load.free)
   }
 
   /** Records the most urgent tasks of an entry that wait for capacity; undefined when none wait. */
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -188,4 +188,21 @@
     expect(crashed).to.deep.equal([1])
     other.stop()
   })
+
+  it('report the load of a filled worker when its free capacity changes, and not for changes that leave it the same', async () => {
+    const count = (): number => protocol.linkTraffic.read().get('agent.load')?.messages ?? 0
+    const { executor } = bench.agents[0]!
+    const order = (index: number, expiresAfterMs: number): workers.TaskOrder => ({ owner: 'elsewhere', task: { jobId: 'other', step: 0, index }, attempt: 1, queue: 'q', spec: '', size: SIZE, estimatedMs: WORK_MS, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs })
+    bench.submit('job', 14)
+    await bench.waitFor(() => bench.runCount === 14)
+    await timers.sleep(100)
+    const before = count()
+    for (let index = 0; index < 8; index++) {
+      executor.submit(order(index, -1))
+      await timers.sleep(50)
+    }
+    expect(count() - before).to.equal(0)
+    executor.handleDeparture('w-0')
+    await bench.waitFor(() => count() > before, 200)
+  })
 })
