Agents: checks of runs and owners without copies of the lists

Whether an agent holds a task of an entry is asked for each link ten times a second, the shortest owner lease at each call to the worker; both copied the list of runs, and the latter read the clocks once a run instead of once an owner. Not measured by itself.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -60,7 +60,7 @@
       ...identity,
       timers: services.timers,
       dial: address => this.dial(address),
-      hasPendingWork: ({ incarnation }) => this.pendingEnds.has(incarnation) || this.executor.heldBy(incarnation).length > 0,
+      hasPendingWork: ({ incarnation }) => this.pendingEnds.has(incarnation) || this.executor.holdsTaskOf(incarnation),
       onClosingChanged: connection => { this.sendReport(connection, {}) }
     })
     this.executor = new workers.RunExecutor({ ...services, ownerLeases: this.owners }, {
@@ -114,7 +114,7 @@
       onOpen: (opened, greeting) => { this.handleLinkOpened(opened, greeting) },
       onHeard: (from, heardAtMs) => { this.owners.recordMessage(from.incarnation, heardAtMs) },
       onMessage: (from, message) => { this.receive(from, message) },
-      isBusy: target => this.executor.heldBy(target.incarnation).length > 0,
+      isBusy: target => this.executor.holdsTaskOf(target.incarnation),
       createHeartbeat: target => ({ configVersion: this.configCache.version, load: target.reportedLoadSequence < this.loadSequence ? this.createLoad(target) : undefined })
     }, { ...this.services, clock: this.clock })
     connection.run()
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -180,6 +180,14 @@
     return [...this.waiting, ...running, ...this.deferredEnds.map(each => each.ending.order)].filter(order => order.owner === owner)
   }
 
+  /** Returns true while a task of an entry waits or runs here, or its end is deferred. */
+  holdsTaskOf (owner: string): boolean {
+    for (const run of this.session?.activeRuns ?? []) {
+      if (run.order.owner === owner) return true
+    }
+    return this.waiting.some(order => order.owner === owner) || this.deferredEnds.some(each => each.ending.order.owner === owner)
+  }
+
   /** Refuses new tasks and resolves when no task is left. */
   async drain (): Promise<void> {
     this.isStopping = true
@@ -291,7 +299,7 @@
   /** Returns true while a matching task that is suspected of a crash is observed. */
   private isObserving (matches: (order: TaskOrder) => boolean): boolean {
     const nowMs = this.services.timers.nowMs()
-    for (const run of this.runs) {
+    for (const run of this.session?.activeRuns ?? []) {
       if (isObserved(run, nowMs) && matches(run.order)) return true
     }
     return false
--- a/packages/workers/src/runRegistry.ts
+++ b/packages/workers/src/runRegistry.ts
@@ -63,6 +63,11 @@
     return [...this.activeRuns.values()]
   }
 
+  /** The runs, for loops that end none. */
+  get current (): Iterable<ActiveRun> {
+    return this.activeRuns.values()
+  }
+
   find (key: string): ActiveRun | undefined {
     return this.activeRuns.get(key)
   }
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -92,6 +92,11 @@
     return this.registry.all
   }
 
+  /** The same, for loops that end none. */
+  get activeRuns (): Iterable<ActiveRun> {
+    return this.registry.current
+  }
+
   get runCount (): number {
     return this.registry.count
   }
@@ -353,8 +358,10 @@
    * a stalled agent leaves no run behind that its entry may have placed elsewhere.
    */
   private get leaseMs (): number {
+    const owners = new Set<string>()
+    for (const { order } of this.registry.current) owners.add(order.owner)
     let leaseMs = this.services.options.leaseMs
-    for (const { order } of this.registry.all) leaseMs = Math.min(leaseMs, this.services.ownerLeases.remainingMs(order.owner))
+    for (const owner of owners) leaseMs = Math.min(leaseMs, this.services.ownerLeases.remainingMs(owner))
     return leaseMs
   }
 
