--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -79,7 +79,7 @@
   /** Returns the run time of a task in milliseconds. */
   workOf: (task: workers.TaskRef) => number
   sizeOf: (task: workers.TaskRef) => workers.RunSize
-  /** Returns the time from the start of a task to the crash that it causes, in milliseconds; undefined for a task that causes none. */
+  /** Returns the time from the start of a task to the crash that it causes, in milliseconds, or 0 for a crash before the start is answered; undefined for a task that causes none. */
   crashesAfterMs?: (task: workers.TaskRef) => number | undefined
   /** True for a worker that starts what it is told to, also beyond its capacity. */
   isUnguarded?: boolean
@@ -208,6 +208,10 @@
     }
     this.runs.set(key, { ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs() })
     this.options.runRecorder.recordStart(key)
+    if (this.options.crashesAfterMs?.(call.ref.task) === 0) {
+      this.crash(key)
+      return { kind: 'unanswered', reason: 'crash' }
+    }
     return { kind: 'started' }
   }
 
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -31,7 +31,10 @@
   /** Unique among the crashes of all workers. */
   crashId: string
   kind: CrashKind
+  /** Runs that were aboard: the worker had confirmed their start, or a start had provably reached it. */
   runs: readonly LostRun[]
+  /** Lost runs whose start may not have reached the worker. No evidence against their tasks. */
+  unconfirmed?: readonly LostRun[]
 }
 
 /** Returns true while a run of a task that is suspected of a crash may still show whether it caused it. */
