--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -73,6 +73,7 @@
     estimatedMs: readNumber(message.estimatedMs),
     crashes: task.crashes ?? 0,
     observationMs: readNumber(task.observationMs),
+    checksWorker: task.checksWorker ?? false,
     age,
     expiresAfterMs: readNumber(message.expiresInMs)
   }))
@@ -110,25 +111,29 @@
 const MAX_LOST_RUNS = 256
 
 /** Encodes a crash of the worker. */
-export function encodeCrash ({ crashId, kind, runs: lost }: workers.WorkerCrash): protocol.runs.IWorkerCrash {
-  return { crashId, kind, runs: lost.slice(0, MAX_LOST_RUNS).map(({ task, ...run }) => ({ ...task, ...run })) }
+export function encodeCrash ({ crashId, kind, runs: aboard, unconfirmed = [] }: workers.WorkerCrash): protocol.runs.IWorkerCrash {
+  return { crashId, kind, runs: encodeLostRuns(aboard), unconfirmed: encodeLostRuns(unconfirmed) }
 }
 
 /** Decodes a crash of a worker. An unknown kind, from a newer agent, becomes `Down`. */
 export function decodeCrash (message: protocol.runs.IWorkerCrash): workers.WorkerCrash {
   const kind = Object.values(workers.CrashKind).find(each => each === message.kind) ?? workers.CrashKind.Down
-  return {
-    crashId: message.crashId ?? '',
-    kind,
-    runs: (message.runs ?? []).slice(0, MAX_LOST_RUNS).map(run => ({
-      task: { jobId: run.jobId ?? '', step: run.step ?? 0, index: run.index ?? 0 },
-      queue: run.queue ?? '',
-      attempt: run.attempt ?? 0,
-      earlierCrashes: run.earlierCrashes ?? 0,
-      isObserved: run.isObserved ?? false,
-      runMs: readNumber(run.runMs)
-    }))
-  }
+  return { crashId: message.crashId ?? '', kind, runs: decodeLostRuns(message.runs), unconfirmed: decodeLostRuns(message.unconfirmed) }
+}
+
+function encodeLostRuns (lost: readonly workers.LostRun[]): protocol.runs.ILostRun[] {
+  return lost.slice(0, MAX_LOST_RUNS).map(({ task, ...run }) => ({ ...task, ...run }))
+}
+
+function decodeLostRuns (lost: readonly protocol.runs.ILostRun[] | null | undefined): workers.LostRun[] {
+  return (lost ?? []).slice(0, MAX_LOST_RUNS).map(run => ({
+    task: { jobId: run.jobId ?? '', step: run.step ?? 0, index: run.index ?? 0 },
+    queue: run.queue ?? '',
+    attempt: run.attempt ?? 0,
+    earlierCrashes: run.earlierCrashes ?? 0,
+    isObserved: run.isObserved ?? false,
+    runMs: readNumber(run.runMs)
+  }))
 }
 
 /** Decodes a report on a slow run. */
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -18,6 +18,7 @@
 export interface Suspicion {
   crashes: number
   observationMs: number
+  checksWorker: boolean
 }
 
 /** Link to an agent. */
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -11,6 +11,7 @@
 import { type Job, type Task, TaskPhase } from './job.ts'
 import type { StepSpec } from './model.ts'
 import type { SpeedEstimate } from './speed.ts'
+import type { UnconfirmedStarts } from './unconfirmedStarts.ts'
 
 /** Dependencies that the placer shares with its scheduler. */
 export interface PlacerContext {
@@ -21,6 +22,7 @@
   speeds: SpeedEstimate
   ejection: placement.Ejection
   crashRecords: CrashRecords
+  unconfirmedStarts: UnconfirmedStarts
   containment: Containment
   failureDomain: string
   /** Returns a number from 0 to 1. */
@@ -76,7 +78,7 @@
 
   /** Sends the waiting tasks of a job that are suspected of a crash to a worker without suspects of other jobs. Without one they wait, and reserve nothing. */
   placeSuspects (job: Job): void {
-    if (this.context.crashRecords.isEmpty) return
+    if (this.hasNoSuspects) return
     const placed: string[] = []
     let chosen: Candidate | undefined
     for (const task of job.waitingTasks()) {
@@ -91,14 +93,22 @@
     this.logPlaced(job, placed)
   }
 
+  private get hasNoSuspects (): boolean {
+    return this.context.crashRecords.isEmpty && this.context.unconfirmedStarts.isEmpty
+  }
+
   private isSuspect (task: Task): boolean {
-    return this.context.crashRecords.observationMsOf(task.ref) > 0
+    return this.observationMsOf(task) > 0
+  }
+
+  private observationMsOf ({ ref }: Task): number {
+    return Math.max(this.context.crashRecords.observationMsOf(ref), this.context.unconfirmedStarts.observationMsOf(ref))
   }
 
   /** Returns true while a worker runs a task that is suspected of a crash, or is about to start one. */
   private hasSuspect (agent: AgentRecord): boolean {
     if (agent.view.hasSuspect) return true
-    if (this.context.crashRecords.isEmpty) return false
+    if (this.hasNoSuspects) return false
     for (const { task, observationMs } of agent.sent.values()) {
       if (this.nowMs - task.sentAtMs < observationMs) return true
     }
@@ -177,8 +187,8 @@
   private send (job: Job, task: Task, chosen: Candidate): void {
     const agent = this.context.agents.get(chosen.agentId)!
     const step = job.stepOf(task)
-    const { crashRecords } = this.context
-    const observationMs = crashRecords.observationMsOf(task.ref)
+    const { crashRecords, unconfirmedStarts } = this.context
+    const observationMs = this.observationMsOf(task)
     task.attempt++
     task.phase = TaskPhase.Sent
     task.agentId = agent.agentId
@@ -188,7 +198,7 @@
     agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, observationMs, port: agent.port! })
     agent.view.recordSent(step.size)
     this.context.ejection.recordSent(agent.agentId)
-    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, { crashes: crashRecords.crashesOf(task.ref), observationMs })
+    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, { crashes: crashRecords.crashesOf(task.ref), observationMs, checksWorker: unconfirmedStarts.has(task.ref) })
   }
 
   private get nowMs (): number {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -17,6 +17,7 @@
 import { Refusals } from './refusals.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { SpeedEstimate } from './speed.ts'
+import { UnconfirmedStarts } from './unconfirmedStarts.ts'
 import { recordOutcome } from './workerOutcomes.ts'
 import type { ReportedLoad } from './workerView.ts'
 
@@ -70,6 +71,7 @@
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
   private readonly crashRecords: CrashRecords
+  private readonly unconfirmedStarts: UnconfirmedStarts
   private readonly containment: Containment
   private readonly placer: Placer
   private readonly demandNotifier: DemandNotifier
@@ -85,6 +87,7 @@
     this.checkedAtMs = services.timers.nowMs()
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
     this.crashRecords = new CrashRecords(services.timers)
+    this.unconfirmedStarts = new UnconfirmedStarts(services.timers)
     this.containment = new Containment(services.timers, this.agents, (queue, isContained) => { services.log.event(isContained ? events.QueueContained : events.QueueReleased, { queue }) })
     this.demandNotifier = new DemandNotifier(services.random)
     this.placer = new Placer({
@@ -95,6 +98,7 @@
       speeds: this.speeds,
       ejection: this.ejection,
       crashRecords: this.crashRecords,
+      unconfirmedStarts: this.unconfirmedStarts,
       containment: this.containment,
       failureDomain: services.failureDomain,
       random: services.random,
@@ -252,6 +256,7 @@
   /** Records a crash of a worker, and fails the jobs of tasks that are given up for it. */
   handleCrash (crash: workers.WorkerCrash): void {
     const queues = new Set(crash.runs.map(({ queue }) => queue))
+    this.unconfirmedStarts.record(crash)
     if (queues.size === 1) this.containment.recordCrash(crash.runs[0]!.queue)
     for (const { task, queue } of this.crashRecords.record(crash)) {
       this.services.log.event(events.TaskGivenUp, { jobId: task.jobId, step: task.step, index: task.index, queue, crashes: this.crashRecords.crashesOf(task), crashId: crash.crashId })
@@ -302,6 +307,7 @@
       case workers.TaskEnd.Done:
         task.phase = TaskPhase.Done
         this.crashRecords.clear(task.ref)
+        this.unconfirmedStarts.clear(task.ref)
         if (job.advance()) this.end(job, { kind: 'succeeded' }, 'all tasks done')
         return
       case workers.TaskEnd.Failed:
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -1,6 +1,6 @@
 /** Crashes of a worker: which runs were active when it went down. */
 import type { TaskRef } from './driver.ts'
-import type { ActiveRun } from './runRegistry.ts'
+import { type ActiveRun, StartProof } from './runRegistry.ts'
 
 /** How the crash showed. */
 export enum CrashKind {
@@ -20,7 +20,7 @@
   attempt: number
   /** Crashes of workers that ran the task earlier, as far as its entry knew when it ordered the run. */
   earlierCrashes: number
-  /** True when the run was observed because its task was suspected of an earlier crash. */
+  /** True when the run was observed because its task was suspected of an earlier crash, and no start of another job was under way. */
   isObserved: boolean
   /** Time from the start of the run to the crash, or to the last answer of a worker that fell silent, in milliseconds. */
   runMs: number
@@ -42,9 +42,31 @@
   return nowMs - startedAtMs < order.observationMs
 }
 
+/** Returns true for a run that has reached the worker and, by its answers, has not ended there. */
+export function isAboard ({ startProof, isUnlisted }: ActiveRun): boolean {
+  return !isUnlisted && (startProof === StartProof.Confirmed || startProof === StartProof.SentToResponsive)
+}
+
 /** Describes the runs that were lost in a crash at `crashedAtMs`. Later starts have an age of 0. */
-export function describeLostRuns (runs: readonly ActiveRun[], crashedAtMs: number): LostRun[] {
-  return runs.map(run => ({ task: run.order.task, queue: run.order.queue, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, crashedAtMs), runMs: Math.max(0, Math.round(crashedAtMs - run.startedAtMs)) }))
+export function describeLostRuns (runs: readonly ActiveRun[], crashedAtMs: number): Required<Pick<WorkerCrash, 'runs' | 'unconfirmed'>> {
+  const unconfirmed = runs.filter(({ startProof }) => startProof === StartProof.Sent)
+  const describe = (run: ActiveRun): LostRun => ({
+    task: run.order.task,
+    queue: run.order.queue,
+    attempt: run.order.attempt,
+    earlierCrashes: run.order.crashes,
+    isObserved: isObserved(run, crashedAtMs) && isNamedByCrash(run, unconfirmed),
+    runMs: Math.max(0, Math.round(crashedAtMs - run.startedAtMs))
+  })
+  return { runs: runs.filter(isAboard).map(describe), unconfirmed: unconfirmed.map(describe) }
+}
+
+/**
+ * Returns whether a crash names the job of an observed run: an earlier crash made it a suspect, not just a start that was unconfirmed, and no
+ * start of another job was under way, which may have caused this one.
+ */
+function isNamedByCrash ({ order }: ActiveRun, unconfirmed: readonly ActiveRun[]): boolean {
+  return order.crashes > 0 && unconfirmed.every(other => other.order.task.jobId === order.task.jobId)
 }
 
 /** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt, run time in milliseconds and earlier crashes. */
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -17,6 +17,8 @@
   crashes: number
   /** Time from its start for which the run keeps suspects of other jobs off the worker, so that another crash names the job, in milliseconds; 0 for a task that is not suspected of a crash. */
   observationMs: number
+  /** True when the worker has to answer a query right before the start, because an earlier start of the task was under way to a worker that crashed. */
+  checksWorker?: boolean
   /** Time since the order arrived. */
   age: Age
   /** Age after which the task must not start, in milliseconds. */
--- a/packages/workers/src/runRegistry.ts
+++ b/packages/workers/src/runRegistry.ts
@@ -11,11 +11,28 @@
   Stopping = 'stopping'
 }
 
+/** What shows that the start of a run has reached the worker. */
+export enum StartProof {
+  /** Nothing: no start has been sent, or the worker has refused the last one. */
+  None = 'none',
+  /** Nothing yet: a start was sent and may not have reached the worker. */
+  Sent = 'sent',
+  /** A start was sent at once after the worker had answered a query. */
+  SentToResponsive = 'sent-to-responsive',
+  /** The worker has answered the start with success or has listed the run. */
+  Confirmed = 'confirmed'
+}
+
 /** A run that takes capacity on the worker. */
 export interface ActiveRun {
   readonly order: TaskOrder
   ref: RunRef
   phase: RunPhase
+  startProof: StartProof
+  /** Monotonic time at which the worker confirmed the run. Infinite before. */
+  confirmedAtMs: number
+  /** True after an answer to a query sent after the confirmation that did not list the run: it has ended there. */
+  isUnlisted: boolean
   startedAtMs: number
   percent: number
   /** Monotonic time at which the percentage last rose. */
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -6,9 +6,9 @@
 import type { WorkerOptions } from './defaults.ts'
 import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
 import { events } from './events.ts'
-import { ReportDeferral, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
+import { ReportDeferral, ReturnReason, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
 import { RunTimeRatioEstimate } from './runTimeRatio.ts'
-import { type ActiveRun, RunRegistry, RunPhase } from './runRegistry.ts'
+import { type ActiveRun, RunRegistry, RunPhase, StartProof } from './runRegistry.ts'
 import { subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
 import type { OwnerLeases } from './ownerLeases.ts'
@@ -51,6 +51,8 @@
 const RUN_NUMBER_INCREMENT = 8
 /** Consecutive answers that do not list a run after which it counts as lost. */
 const MAX_MISSED_ANSWERS = 3
+/** Longest time between the query before a start and the start for which the worker counts as responsive, in milliseconds. */
+const MAX_CHECK_AGE_MS = 50
 /** Delay before the worker is queried for the end of a stopped run, in milliseconds; a stop takes at most 50 ms. */
 const CONFIRM_PAUSE_MS = 20
 /** Delay before a stop or a query is retried, in milliseconds. */
@@ -133,7 +135,7 @@
   /** Starts a task. Its end is reported exactly once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
-    const run: ActiveRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
+    const run: ActiveRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startProof: StartProof.None, confirmedAtMs: Number.POSITIVE_INFINITY, isUnlisted: false, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
     this.registry.add(run)
     this.wake?.()
     await this.sendStart(run)
@@ -158,7 +160,11 @@
 
   private async sendStart (run: ActiveRun): Promise<void> {
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS && this.isActive(run); attempt++) {
+      const isResponsive = run.order.checksWorker === true && await this.checkBeforeStart(run)
+      if (!this.isActive(run)) return
+      if (run.phase === RunPhase.Stopping) return this.settle(run, TaskEnd.NotStarted, 'stopped before its start')
       run.startedAtMs = this.services.timers.nowMs()
+      run.startProof = isResponsive ? StartProof.SentToResponsive : StartProof.Sent
       this.recordLeaseSent()
       const outcome = await this.services.driver.start({ ...this.scope, ref: run.ref, spec: run.order.spec, leaseUntilMs: this.clock.timeAfter(this.leaseMs) })
       if (!this.isActive(run)) return
@@ -166,6 +172,7 @@
         case 'started': return await this.handleStarted(run)
         case 'unanswered': return await this.resolveUnanswered(run, outcome.reason)
         case 'refused':
+          run.startProof = StartProof.None
           if (!await this.prepareRetry(run, outcome.refusal)) return
           break
         default: protocol.assertNever(outcome)
@@ -174,7 +181,25 @@
     if (this.isActive(run)) this.settle(run, TaskEnd.NotStarted, 'start refused repeatedly')
   }
 
+  /**
+   * Queries the worker before the start, so that a crash before the answer shows that the start had reached it. Returns whether it answered
+   * just now; the run of one that did not answer at all is settled.
+   */
+  private async checkBeforeStart (run: ActiveRun): Promise<boolean> {
+    const { timers } = this.services
+    const sentAtMs = timers.nowMs()
+    const wasAnswered = await this.queryRuns(0, false)
+    if (!wasAnswered && this.isActive(run)) this.settle(run, TaskEnd.NotStarted, ReturnReason.WorkerUnresponsive)
+    return wasAnswered && timers.nowMs() - sentAtMs <= MAX_CHECK_AGE_MS
+  }
+
+  private confirm (run: ActiveRun): void {
+    run.startProof = StartProof.Confirmed
+    run.confirmedAtMs = Math.min(run.confirmedAtMs, this.services.timers.nowMs())
+  }
+
   private async handleStarted (run: ActiveRun): Promise<void> {
+    this.confirm(run)
     run.waitedMs = run.order.age.ms
     if (run.phase === RunPhase.Stopping) await this.sendStop(run)
     else run.phase = RunPhase.Running
@@ -218,9 +243,10 @@
   private async resolveUnanswered (run: ActiveRun, reason: string): Promise<void> {
     const { task } = run.order
     this.services.log.event(events.RunUnanswered, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, reason })
-    await this.queryRuns(0, false)
+    const wasAnswered = await this.queryRuns(0, false)
     if (!this.isActive(run)) return
     if (run.phase === RunPhase.Running) return
+    if (wasAnswered && run.startProof === StartProof.SentToResponsive) run.startProof = StartProof.Sent
     run.phase = RunPhase.Stopping
     await this.sendStop(run)
   }
@@ -311,10 +337,10 @@
   private reportCrash (kind: CrashKind): void {
     // A worker that fell silent may have crashed right after its last answer.
     const crashedAtMs = kind === CrashKind.Unresponsive ? this.lastAnswerAtMs : this.services.timers.nowMs()
-    const runs = describeLostRuns(this.registry.all, crashedAtMs)
-    if (runs.length === 0 || this.isLeaving) return
-    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, runs }
-    this.services.log.event(events.WorkerCrashed, { workerId: this.worker.workerId, crashId: crash.crashId, kind, runs: formatLostRuns(runs) })
+    const { runs, unconfirmed } = describeLostRuns(this.registry.all, crashedAtMs)
+    if (runs.length + unconfirmed.length === 0 || this.isLeaving) return
+    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, runs, unconfirmed }
+    this.services.log.event(events.WorkerCrashed, { workerId: this.worker.workerId, crashId: crash.crashId, kind, runs: formatLostRuns(runs), unconfirmed: formatLostRuns(unconfirmed) })
     this.handlers.onCrash(crash)
   }
 
@@ -414,6 +440,7 @@
         continue
       }
       listed.add(run)
+      this.confirm(run)
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running
       if (each.percent > run.percent) run.progressAtMs = nowMs
       run.percent = each.percent
@@ -426,8 +453,10 @@
   private updateMissedAnswers (run: ActiveRun, isListed: boolean, sentAtMs: number): void {
     if (isListed) {
       run.missedAnswers = 0
+      run.isUnlisted = false
       return
     }
+    if (sentAtMs > run.confirmedAtMs) run.isUnlisted = true
     if (sentAtMs <= run.startedAtMs || run.phase === RunPhase.Starting) return
     // After an acknowledged stop the worker refuses a late start, so one answer suffices.
     const needed = sentAtMs > run.stopAcknowledgedAtMs ? 1 : MAX_MISSED_ANSWERS
--- a/test/unit/workers/crashReports.test.ts
+++ b/test/unit/workers/crashReports.test.ts
@@ -111,13 +111,13 @@
     expect(bench.crashes).to.deep.equal([])
   })
 
-  it('does not hold a suspect whose start was never sent, since the worker had crashed before', async () => {
+  it('does not hold a run whose start was never sent, since the worker had crashed before', async () => {
     const bench = new Bench()
     await bench.open()
     bench.submit(0)
     await passTime(bench.timers, 20)
     bench.crash()
-    bench.submit(1, { crashes: 1, observationMs: 500 })
+    bench.submit(1, { checksWorker: true })
     await passTime(bench.timers, SETTLED_MS)
     expect(bench.aboard).to.deep.equal([[0]])
     expect(bench.crashes.flatMap(({ unconfirmed }) => unconfirmed ?? [])).to.deep.equal([])
@@ -153,16 +153,16 @@
     expect(bench.lost).to.deep.equal([2])
   })
 
-  it('holds an observed run that crashes its worker before the answer, as the worker had answered a query just before', async () => {
+  it('holds a run that crashes its worker before the answer, if the worker has answered a query right before the start', async () => {
     const bench = new Bench(({ index }) => index === 0 ? 0 : undefined)
     await bench.open()
-    bench.submit(0, { observationMs: 60 })
+    bench.submit(0, { checksWorker: true })
     await passTime(bench.timers, SETTLED_MS)
     expect(bench.aboard).to.deep.equal([[0]])
     expect(bench.lost).to.deep.equal([0])
   })
 
-  it('names a run that crashes its worker before the answer as unconfirmed, if it was not observed', async () => {
+  it('names a run that crashes its worker before the answer as unconfirmed, if no query preceded its start', async () => {
     const bench = new Bench(({ index }) => index === 0 ? 0 : undefined)
     await bench.open()
     bench.submit(0)
@@ -172,27 +172,54 @@
     expect(bench.lost).to.deep.equal([0])
   })
 
-  it('does not hold an observed run that a list does not show after its start got no answer', async () => {
+  it('does not hold a run that a list does not show after its start got no answer, although the worker had answered before', async () => {
     const bench = new Bench()
     await bench.open()
     bench.worker.faults.delayedCalls.start = 1
     bench.worker.faults.delayedCalls.stop = 4
-    bench.submit(0, { observationMs: 500 })
+    bench.submit(0, { checksWorker: true })
     await passTime(bench.timers, workers.DEFAULT_WORKER_OPTIONS.callTimeoutMs + 20)
     bench.crash()
     await passTime(bench.timers, SETTLED_MS)
     expect(bench.aboard.flat()).to.deep.equal([])
   })
 
-  it('returns an observed task unstarted when the worker does not answer the query before its start', async () => {
+  it('takes no run for observed while a start of another job is under way, or after unconfirmed starts alone', async () => {
+    for (const [crashes, hasOther, isObserved] of [[1, false, true], [1, true, false], [0, false, false]] as const) {
+      const bench = new Bench()
+      await bench.open()
+      bench.submit(0, { crashes, observationMs: 500 })
+      await passTime(bench.timers, 20)
+      bench.worker.faults.delayedCalls.start = 1
+      if (hasOther) bench.submit(1, { task: { jobId: 'other', step: 0, index: 1 } })
+      await passTime(bench.timers, 20)
+      bench.crash()
+      await passTime(bench.timers, SETTLED_MS)
+      expect(bench.crashes[0]!.runs.map(run => [run.task.index, run.isObserved])).to.deep.equal([[0, isObserved]])
+    }
+  })
+
+  it('returns a task unstarted when the worker does not answer the query before its start', async () => {
     const bench = new Bench()
     await bench.open()
     bench.worker.faults.isUnresponsive = true
-    bench.submit(0, { observationMs: 60 })
+    bench.submit(0, { checksWorker: true })
     await passTime(bench.timers, workers.DEFAULT_WORKER_OPTIONS.callTimeoutMs + 20)
     expect(bench.endings.map(({ end, reason }) => [end, reason])).to.deep.equal([[workers.TaskEnd.NotStarted, workers.ReturnReason.WorkerUnresponsive]])
   })
 
+  it('does not start a task that is stopped during the query before its start', async () => {
+    const bench = new Bench()
+    await bench.open()
+    bench.worker.faults.lostAnswers.renew = 1
+    bench.submit(0, { checksWorker: true })
+    bench.executor.stop('entry-1', () => true, 'test')
+    await passTime(bench.timers, SETTLED_MS)
+    expect(bench.endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.NotStarted])
+    expect(bench.worker.runCount).to.equal(0)
+    expect(bench.worker.unacknowledgedCount).to.equal(0)
+  })
+
   it('comes once for each crash, although the worker also reports its next incarnation', async () => {
     const bench = new Bench()
     await bench.open()
