Close no connection whose next request waits in its socket or at the listener

Callers saw ECONNRESET where the event loop was late: the idle timer of a connection fires in the phase before the sockets are polled and closed the connection with the request that waited in it; a stop did so with all connections at once, and with those not accepted yet, of which Node.js 20 takes one in each turn.

The server now tracks its connections. An idle one is closed in the check phase after a whole turn that took 100 ms at most, which has read what waited before; a listener is closed after such a turn without a new connection. Where connections come faster, the backlog is set to its minimum after 200 ms.

Evidence: unit/runtime/web; on the code before, the test of the idle timer gets one answer of two.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -58,6 +58,7 @@
     this.broker = runtime.createBroker(settings.nodeId)
     this.web = new runtime.WebServer({
       broker: this.broker,
+      timers: services.timers,
       name: 'announcement',
       listen: settings.announceListen,
       routes: createAnnouncementRoutes(this.announcer, () => ({ running: this.executor.runningCount, queued: this.executor.queuedCount })),
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -190,6 +190,7 @@
     const routes = createCallerRoutes(gateway, { timers: services.timers, defaultDeadlineMs: settings.defaultDeadlineMs, maxWaitMs: settings.maxWaitMs })
     return new runtime.WebServer({
       broker: this.broker,
+      timers: services.timers,
       name: 'http',
       listen: settings.httpListen,
       routes: [...routes, ...this.configuration.createWebRoutes()],
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,6 +1,7 @@
 /** Building blocks of every process: broker, HTTP server and client, gRPC links, TLS, graceful stop. */
 export * from './addresses.ts'
 export * from './broker.ts'
+export type { CutCounts } from './connections.ts'
 export * from './httpCaller.ts'
 export * from './links.ts'
 export * from './loopLag.ts'
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -5,8 +5,10 @@
 import type * as moleculer from 'moleculer'
 import ApiService from 'moleculer-web'
 import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
 import { formatAddress, parseAddress } from './addresses.ts'
 import { readBody } from './body.ts'
+import { type CutCounts, ServerConnections } from './connections.ts'
 import type { LinkTls } from './links.ts'
 import { TlsSource } from './tlsSource.ts'
 
@@ -39,6 +41,7 @@
 
 export interface WebServerOptions {
   broker: moleculer.ServiceBroker
+  timers: settings.Timers
   /** Service name within the broker. */
   name: string
   listen: string
@@ -52,6 +55,8 @@
 
 /** Longest interval between checks for connections that exceed the request time limit. */
 const MAX_TIMEOUT_CHECK_PERIOD_MS = 1_000
+/** Period of the check whether a stop only waits for requests of which a part has been received, in milliseconds. */
+const PARTIAL_REQUEST_CHECK_MS = 500
 
 type MoleculerRequest = http.IncomingMessage & { $params: Record<string, string> }
 
@@ -79,22 +84,15 @@
 
 /** An HTTP server that stops gracefully. */
 export class WebServer {
-  private closesConnectionsAfterResponses = false
   private maxBodyBytes: number
   private service: moleculer.Service | undefined
-  private inProgress = 0
+  private connections: ServerConnections | undefined
   private isStopping = false
-  private onIdle: (() => void) | undefined
 
   constructor (private readonly options: WebServerOptions) {
     this.maxBodyBytes = options.maxBodyBytes
   }
 
-  /** Sends `connection: close` with each response from now on. */
-  closeConnectionsAfterResponses (): void {
-    this.closesConnectionsAfterResponses = true
-  }
-
   /** Applies new limits to subsequent requests. */
   setLimits (limits: WebLimits): void {
     this.maxBodyBytes = limits.maxBodyBytes
@@ -109,6 +107,7 @@
     const { host, port } = parseAddress(this.options.listen)
     this.service = this.options.broker.createService(this.createSchema(host, port))
     const server = this.server()
+    this.connections = new ServerConnections(server, this.options.timers)
     const listening = waitForListening(server, this.options.listen)
     // A running broker starts a new service itself. Otherwise wait for its start, which must complete before another server is added.
     const isRunning = (this.options.broker as unknown as { started: boolean }).started
@@ -119,19 +118,32 @@
 
   /** Number of requests whose response has not been handed to the connection completely. */
   get inProgressCount (): number {
-    return this.inProgress
+    return this.connections?.unansweredCount ?? 0
+  }
+
+  /** Number of requests answered since the start. */
+  get answeredCount (): number {
+    return this.connections?.answeredCount ?? 0
+  }
+
+  /** Number of open connections. */
+  get connectionCount (): number {
+    return this.connections?.count ?? 0
   }
 
-  /** Waits until all requests in progress have been answered, then closes the server and its connections. */
-  async stop (): Promise<void> {
-    if (this.service === undefined || this.isStopping) return
+  /**
+   * Closes the listener, and each connection once all requests on it have been answered. Resolves with what was cut. When the signal aborts,
+   * the remaining connections are cut; without a signal those with a half-received request are, once there are no others.
+   */
+  async stop (signal?: AbortSignal): Promise<CutCounts> {
+    if (this.connections === undefined || this.isStopping) return { requestsCut: 0, connectionsCut: 0 }
     this.isStopping = true
-    const server = this.server()
-    // Closing idle connections earlier would truncate responses that are written but not yet read.
-    if (this.inProgress > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
-    server.close()
-    server.closeAllConnections()
-    await this.options.broker.destroyService(this.service)
+    const partial = new AbortController()
+    const check = this.options.timers.every(PARTIAL_REQUEST_CHECK_MS, () => { if (this.inProgressCount === 0) partial.abort() })
+    const counts = await this.connections.close(signal ?? partial.signal)
+    check.cancel()
+    await this.options.broker.destroyService(this.service!)
+    return counts
   }
 
   private server (): http.Server {
@@ -162,15 +174,8 @@
   }
 
   private async serve (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<void> {
-    this.inProgress++
-    try {
-      const answer = await this.answer(route, request, response)
-      writeResponse(response, answer, this.isStopping || this.closesConnectionsAfterResponses)
-      await waitForClose(response)
-    } finally {
-      this.inProgress--
-      if (this.inProgress === 0) this.onIdle?.()
-    }
+    const answer = await this.answer(route, request, response)
+    writeResponse(response, answer, this.connections!.closesAfterResponses)
   }
 
   private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
@@ -235,12 +240,6 @@
   writeResponse(response, errorResponse(404, protocol.ErrorCode.NotFound, `no route for ${request.method} ${request.url}`), true)
 }
 
-/** Waits until the last byte of the response has been handed to the connection, or the connection is closed. */
-async function waitForClose (response: http.ServerResponse): Promise<void> {
-  if (response.closed) return
-  await new Promise<void>(resolve => { response.once('close', resolve) })
-}
-
 function writeResponse (response: http.ServerResponse, answer: WebResponse, closeAfter: boolean): void {
   if (response.destroyed || response.headersSent) return
   const headers: Record<string, string | number> = {
