Stop an entry by its measured pace, so that each request it has read is answered

Callers of a stopping entry lost their connections without an answer: an entry with a tenth of a core and 40 callers was killed at the end of the grace time with 40 requests cut, up to 1,573 ms after they were sent; unthrottled, 20 of 40 and 21 of 200 callers were cut, up to 79 ms after.

Cause: the stop ended all connections a quarter of a second after its limit, whatever they carried, and the limit was the same for a process that needs seconds for its answers. The last accepted jobs never let it become idle.

Now the listener closes when the balancer has stopped sending, connections end with their next answer, and refusing, ending jobs and exiting are planned backwards from the kill by the lag of the event loop, the time per answer and the answers that are owed (docs/design/stop.md). 13003 tells requestsCut and connectionsCut.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** Building blocks of every process: broker, HTTP server and client, gRPC links, TLS, graceful stop. */
 export * from './addresses.ts'
+export * from './answerPace.ts'
 export * from './broker.ts'
 export type { CutCounts } from './connections.ts'
 export * from './httpCaller.ts'
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -78,7 +78,6 @@
   /** Time of the last periodic check. */
   private checkedAtMs: number
   private isDispatchScheduled = false
-  private onIdle: (() => void) | undefined
 
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
@@ -132,11 +131,6 @@
     this.tick.cancel()
   }
 
-  /** Resolves when no job is open. */
-  async waitUntilIdle (): Promise<void> {
-    if (this.openCount > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
-  }
-
   find (jobId: string): Job | undefined {
     return this.open.get(jobId) ?? this.ended.get(jobId)
   }
@@ -178,6 +172,11 @@
     if (!job.hasEnded) this.end(job, { kind: 'cancelled' }, 'caller disconnected or cancelled the job')
   }
 
+  /** Refuses the open jobs of which nothing has started, which tells the callers that nothing has run. */
+  refuseUnstarted (reason: string): void {
+    for (const job of [...this.open.values()]) if (!job.mayHaveStarted) this.refuse(job, reason, 0)
+  }
+
   /** Ends all open jobs at the end of a planned stop. Jobs of which nothing has started are refused instead, which tells the caller that nothing has run. */
   abortAll (reason: string): void {
     for (const job of [...this.open.values()]) {
@@ -401,11 +400,6 @@
     this.counters[outcome.kind]++
     job.finish(outcome, this.nowMs)
     this.services.onEnded?.(outcome, this.nowMs - job.arrivedAtMs)
-    this.notifyIfIdle()
-  }
-
-  private notifyIfIdle (): void {
-    if (this.onIdle !== undefined && this.openCount === 0) this.onIdle()
   }
 
   private scheduleDispatch (): void {
