HTTP server: routes sorted without comparison by language; URL, query and abort signal created when asked for

moleculer-web sorts its routes with localeCompare, whose tables took 4% of an agent's start-up in a profile; the server sorts them by the same rule. A plain target is its own path, bodies are read by events, and only a handler that asks for the signal gets one.

--- a/packages/runtime/src/body.ts
+++ b/packages/runtime/src/body.ts
@@ -10,16 +10,27 @@
 export async function readBody (request: http.IncomingMessage, maxBodyBytes: number): Promise<results.Result<Buffer, protocol.StepError>> {
   const chunks: Buffer[] = []
   let sizeBytes = 0
-  try {
-    for await (const chunk of request) {
-      sizeBytes += (chunk as Buffer).length
-      if (sizeBytes > maxBodyBytes + MAX_DISCARDED_BYTES) break
-      if (sizeBytes <= maxBodyBytes) chunks.push(chunk as Buffer)
+  const problem = await new Promise<string | undefined>(resolve => {
+    const stop = (reason: string | undefined): void => {
+      request.off('data', add)
+      resolve(reason)
+    }
+    const add = (chunk: Buffer): void => {
+      sizeBytes += chunk.length
+      if (sizeBytes <= maxBodyBytes) chunks.push(chunk)
       else chunks.length = 0
+      if (sizeBytes > maxBodyBytes + MAX_DISCARDED_BYTES) {
+        request.destroy()
+        stop(undefined)
+      }
     }
-  } catch (thrown) {
-    return results.Err(createBodyError(`body stopped halfway: ${String(thrown)}`))
-  }
+    request.on('data', add)
+    request.once('end', () => { stop(undefined) })
+    request.once('error', error => { stop(String(error)) })
+    request.once('close', () => { stop('connection closed') })
+    if (request.destroyed) stop('connection closed')
+  })
+  if (problem !== undefined) return results.Err(createBodyError(`body stopped halfway: ${problem}`))
   if (sizeBytes > maxBodyBytes) return results.Err(createBodyError(`body: got more than ${maxBodyBytes} bytes; expected at most that many`))
   return results.Ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
 }
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -140,7 +140,7 @@
 
   private createSchema (host: string, port: number): moleculer.ServiceSchema {
     const aliases: Record<string, (request: MoleculerRequest, response: http.ServerResponse) => void> = {}
-    for (const route of this.options.routes) {
+    for (const route of [...this.options.routes].sort(compareRoutes)) {
       aliases[`${route.method} ${route.path}`] = (request, response) => { this.serve(route, request, response) }
     }
     const { requestTimeoutMs, tls } = this.options
@@ -151,6 +151,8 @@
         ip: host,
         port,
         path: '/',
+        // moleculer-web would sort the routes itself, with a comparison by language whose tables take milliseconds to load.
+        optimizeOrder: false,
         routes: [{ path: '/', bodyParsers: false, aliases, mappingPolicy: 'restrict', mergeParams: false, onError: refuseUnknownRoute }]
       },
       methods: {
@@ -174,21 +176,10 @@
   }
 
   private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
-    const abort = new AbortController()
-    response.once('close', () => { if (!response.writableEnded) abort.abort() })
     const body = await readBody(request, this.maxBodyBytes)
     if (body.err) return errorResponse(413, protocol.ErrorCode.InvalidInput, body.val.message, 'body')
-    const target = new URL(request.url ?? '/', 'http://local')
     try {
-      return await route.handle({
-        method: route.method,
-        path: target.pathname,
-        params: resolvePathParams(request),
-        query: target.searchParams,
-        headers: request.headers,
-        body: body.val,
-        signal: abort.signal
-      })
+      return await route.handle(createWebRequest(route.method, request, response, body.val))
     } catch (thrown) {
       const error = protocol.toStepError(thrown, `${route.method} ${route.path}`, 'local')
       return errorResponse(500, error.code, error.describe())
@@ -196,6 +187,47 @@
   }
 }
 
+/** A request target without anything that the parser of URLs would resolve or decode. */
+const PLAIN_TARGET = /^(?:\/[\w~-]+)+$/
+
+/** Creates a request as handlers see it. What few of them ask for is created when it is asked for; a copy by spreading holds all of it. */
+function createWebRequest (method: string, request: MoleculerRequest, response: http.ServerResponse, body: Buffer): WebRequest {
+  let target: URL | undefined
+  let abort: AbortController | undefined
+  const parseTarget = (): URL => (target ??= new URL(request.url ?? '/', 'http://local'))
+  return {
+    method,
+    body,
+    params: resolvePathParams(request),
+    headers: request.headers,
+    get path () {
+      const { url } = request
+      return url !== undefined && PLAIN_TARGET.test(url) ? url : parseTarget().pathname
+    },
+    get query () {
+      return parseTarget().searchParams
+    },
+    get signal () {
+      abort ??= createDisconnectSignal(response)
+      return abort.signal
+    }
+  }
+}
+
+/** Creates a controller that aborts if the connection is closed before the response has been written. */
+function createDisconnectSignal (response: http.ServerResponse): AbortController {
+  const abort = new AbortController()
+  const handleClose = (): void => { if (!response.writableEnded) abort.abort() }
+  if (response.closed) handleClose()
+  else response.once('close', handleClose)
+  return abort
+}
+
+/** Orders routes by which is tried first: longer paths, then those with fewer parameters. */
+function compareRoutes (left: WebRoute, right: WebRoute): number {
+  return right.path.split('/').length - left.path.split('/').length || left.path.split(':').length - right.path.split(':').length || (left.path < right.path ? -1 : 1)
+}
+
 /** Members of the moleculer-web service that are used here. */
 interface HttpService {
   server: http.Server | undefined
