Scheduling: jobs count their waiting and done tasks, the median speed is computed when asked for

Cause: each dispatch pass, each arrival and each check of a waiting job walked the tasks of all open jobs, and each load report sorted the run-time ratios of all workers; an entry with 38 links reads hundreds a second.

--- a/packages/scheduler/src/fleetCapacity.ts
+++ b/packages/scheduler/src/fleetCapacity.ts
@@ -22,10 +22,7 @@
   let work = 0
   for (const other of open) {
     if (other === job || other.terms.priority > job.terms.priority || !competes(other)) continue
-    for (const task of other.waitingTasks()) {
-      const step = other.stepOf(task)
-      work += step.size.cpuMilli / 1000 * speeds.expectedMs(step.estimatedMs)
-    }
+    work += speeds.expectedMs(other.waitingWorkCoreMs)
   }
   return work + estimatedWorkCoreMs(job.spec.steps)
 }
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -18,6 +18,7 @@
 
 export interface Task {
   readonly ref: workers.TaskRef
+  /** Changed by `Job.setPhase` only, which counts. */
   phase: TaskPhase
   /** Number of the latest attempt. */
   attempt: number
@@ -43,6 +44,9 @@
   endedAtMs = 0
   /** Number of tasks sent to agents, without those returned unstarted. */
   private possibleStarts = 0
+  /** Number of waiting and of done tasks by step. */
+  private readonly waitingCounts: number[]
+  private readonly doneCounts: number[]
   private readonly waiters = new Set<(outcome: JobOutcome) => void>()
 
   constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0) {
@@ -53,6 +57,8 @@
     this.usefulUntilMs = nowMs + objectiveMs * USEFUL_UNTIL_FACTOR
     this.deadlineAtMs = nowMs + deadlineMs
     this.tasks = spec.steps.map((step, number) => createTasks(spec.jobId, step, number, earlierAttempts))
+    this.waitingCounts = spec.steps.map(() => 0)
+    this.doneCounts = spec.steps.map(() => 0)
   }
 
   get id (): string {
@@ -81,20 +87,34 @@
     this.possibleStarts--
   }
 
+  setPhase (task: Task, phase: TaskPhase): void {
+    this.count(task, -1)
+    task.phase = phase
+    this.count(task, 1)
+  }
+
   /** Returns the tasks to be placed. */
   waitingTasks (): Task[] {
     const waiting: Task[] = []
-    for (const tasks of this.tasks) {
+    this.tasks.forEach((tasks, number) => {
+      if (this.waitingCounts[number] === 0) return
       for (const task of tasks) {
         if (task.phase === TaskPhase.Waiting) waiting.push(task)
       }
-    }
+    })
     return waiting
   }
 
   /** True while a task is to be placed. */
   get hasWaitingTask (): boolean {
-    return this.tasks.some(tasks => tasks.some(task => task.phase === TaskPhase.Waiting))
+    return this.waitingCounts.some(count => count > 0)
+  }
+
+  /** Work of the tasks to be placed by the caller's estimates, in core-milliseconds. */
+  get waitingWorkCoreMs (): number {
+    let work = 0
+    this.spec.steps.forEach(({ size, estimatedMs }, number) => { work += this.waitingCounts[number]! * size.cpuMilli / 1000 * estimatedMs })
+    return work
   }
 
   /** Returns the tasks that agents hold. */
@@ -108,14 +128,13 @@
 
   /** Unblocks the tasks of steps whose earlier steps are done. Returns true when all tasks are done. */
   advance (): boolean {
-    const done = this.tasks.map(tasks => tasks.every(task => task.phase === TaskPhase.Done))
     this.spec.steps.forEach((step, number) => {
-      if (!step.after.every(earlier => done[earlier])) return
+      if (!step.after.every(earlier => this.isStepDone(earlier))) return
       for (const task of this.tasks[number]!) {
-        if (task.phase === TaskPhase.Blocked) task.phase = TaskPhase.Waiting
+        if (task.phase === TaskPhase.Blocked) this.setPhase(task, TaskPhase.Waiting)
       }
     })
-    return done.every(Boolean)
+    return this.tasks.every((_tasks, number) => this.isStepDone(number))
   }
 
   /** Returns the estimated time to run the steps that are not done, in milliseconds, by the caller's estimates. */
@@ -153,7 +172,12 @@
   }
 
   private isStepDone (number: number): boolean {
-    return this.tasks[number]!.every(task => task.phase === TaskPhase.Done)
+    return this.doneCounts[number] === this.tasks[number]!.length
+  }
+
+  private count (task: Task, change: number): void {
+    if (task.phase === TaskPhase.Waiting) this.waitingCounts[task.ref.step]! += change
+    else if (task.phase === TaskPhase.Done) this.doneCounts[task.ref.step]! += change
   }
 }
 
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -180,7 +180,7 @@
     const { crashRecords } = this.context
     const observationMs = crashRecords.observationMsOf(task.ref)
     task.attempt++
-    task.phase = TaskPhase.Sent
+    job.setPhase(task, TaskPhase.Sent)
     task.agentId = agent.agentId
     task.sentAtMs = this.nowMs
     job.recordSent()
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -300,19 +300,19 @@
     task.agentId = undefined
     switch (end.end) {
       case workers.TaskEnd.Done:
-        task.phase = TaskPhase.Done
+        job.setPhase(task, TaskPhase.Done)
         this.crashRecords.clear(task.ref)
         if (job.advance()) this.end(job, { kind: 'succeeded' }, 'all tasks done')
         return
       case workers.TaskEnd.Failed:
         task.failures++
         task.avoided.add(agent.agentId)
-        task.phase = TaskPhase.Waiting
+        job.setPhase(task, TaskPhase.Waiting)
         if (task.failures >= job.terms.maxAttempts) this.end(job, { kind: 'failed', reason: `task ${task.ref.step}.${task.ref.index} failed ${task.failures} times` }, 'attempts exhausted')
         return
       case workers.TaskEnd.Lost:
       case workers.TaskEnd.NotStarted:
-        task.phase = TaskPhase.Waiting
+        job.setPhase(task, TaskPhase.Waiting)
         if (end.reason === workers.StartRefusal.Unhealthy || end.reason === workers.ReturnReason.OwnerLeaseExpired) task.avoided.add(agent.agentId)
         return
       default: protocol.assertNever(end.end)
--- a/packages/scheduler/src/speed.ts
+++ b/packages/scheduler/src/speed.ts
@@ -7,14 +7,17 @@
 /** Tracks the run-time ratios of the workers: run time over estimate. */
 export class SpeedEstimate {
   private readonly runTimeRatios = new Map<string, number>()
-  private medianRatio = 1
+  private median = 1
+  /** False after a change of a ratio. The median is computed when it is asked for, since reports come far more often than questions. */
+  private isMedianCurrent = true
 
   /** Records a worker's run-time ratio; 0 means unknown. */
   record (agentId: string, runTimeRatio: number): void {
-    if (runTimeRatio > 0) this.runTimeRatios.set(agentId, runTimeRatio)
-    else this.runTimeRatios.delete(agentId)
-    const sorted = [...this.runTimeRatios.values()].sort((left, right) => left - right)
-    if (sorted.length > 0) this.medianRatio = sorted[Math.floor((sorted.length - 1) / 2)]!
+    if (runTimeRatio > 0) {
+      if (this.runTimeRatios.get(agentId) === runTimeRatio) return
+      this.runTimeRatios.set(agentId, runTimeRatio)
+    } else if (!this.runTimeRatios.delete(agentId)) return
+    this.isMedianCurrent = false
   }
 
   /** Returns how many times longer tasks take on the worker than on a typical one; 1 when unknown. */
@@ -30,6 +33,15 @@
 
   /** Removes a worker, also when its agent restarts: the new incarnation may have a worker of another speed. */
   remove (agentId: string): void {
-    this.runTimeRatios.delete(agentId)
+    if (this.runTimeRatios.delete(agentId)) this.isMedianCurrent = false
+  }
+
+  /** Ratio of the typical worker. The last one stays while no ratio is known. */
+  private get medianRatio (): number {
+    if (this.isMedianCurrent) return this.median
+    this.isMedianCurrent = true
+    const sorted = [...this.runTimeRatios.values()].sort((left, right) => left - right)
+    if (sorted.length > 0) this.median = sorted[Math.floor((sorted.length - 1) / 2)]!
+    return this.median
   }
 }
