--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -190,7 +190,7 @@
     const { crashRecords, unconfirmedStarts } = this.context
     const observationMs = this.observationMsOf(task)
     task.attempt++
-    task.phase = TaskPhase.Sent
+    job.setPhase(task, TaskPhase.Sent)
     task.agentId = agent.agentId
     task.sentAtMs = this.nowMs
     job.recordSent()
