--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -56,7 +56,7 @@
   tls?: LinkTls
   /** Measures how long connections wait to be accepted. */
   acceptDelay?: AcceptDelay
-  /** Called with each request before its body is read, and its `waitedMs`. A response answers the request at once, at a fraction of the cost of a route. */
+  /** Called with each request before its body is read, and its `waitedMs`. A response answers the request without its body being kept, at a fraction of the cost of a route. */
   screen?: (request: http.IncomingMessage, waitedMs: number) => WebResponse | undefined
   /** Returns true if the connection of a request that is answered now should be closed after it. */
   closesConnection?: () => boolean
@@ -182,7 +182,9 @@
         return
       }
       this.acceptDelaysMs.delete(request.socket)
-      writeResponse(response, answer, this.closesConnection)
+      // The connection is idle, and safe to close, only once the whole request has been read.
+      request.once('end', () => { writeResponse(response, answer, this.closesConnection) })
+      request.resume()
     }
     return {
       name: this.options.name,
