--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -238,13 +238,12 @@
     return [...this.runs.values()].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.capacity)
   }
 
-  /** Goes down with all runs. A new incarnation is back after `CRASH_DOWN_MS`. */
-  private crash (key: string): void {
-    this.options.runRecorder.recordCrash(key)
+  /** Goes down with all runs. A new incarnation is back after `downMs`. */
+  crash (downMs = CRASH_DOWN_MS): void {
     this.restart()
     this.faults.isDown = true
     for (const resolve of this.waiters.splice(0)) resolve()
-    this.options.timers.after(CRASH_DOWN_MS, () => {
+    this.options.timers.after(downMs, () => {
       this.bornAtMs = this.options.timers.wallClockMs()
       this.faults.isDown = false
     })
@@ -254,7 +253,8 @@
     for (const [key, run] of [...this.runs]) {
       const crashesAfterMs = this.options.crashesAfterMs?.(run.ref.task)
       if (crashesAfterMs !== undefined && this.options.timers.nowMs() - run.startedAtMs >= crashesAfterMs) {
-        this.crash(key)
+        this.options.runRecorder.recordCrash(key)
+        this.crash()
         return
       }
       if (this.clockMs > this.leaseUntilMs) this.end(key, run, workers.EndCause.LeaseExpired)
