Weigh crashes of a task by the workers that crashed at the same moment without it

Cause: every crash soon after a start counted alike. Agents learn of one and the same group crash up to 50 ms apart, so what is lost with the first worker is sent to one that is down too, and counts twice; groups 1.5 s apart count as two crashes of a task; a bystander of a crash keeps the suspicion when the task that caused it has been given up. Change: a crash weighs a half when two or more other workers crashed within 100 ms (300 ms for unresponsive ones) and more than the rate of crashes explains, slightly less than one when one did or a young run of another job was beside, and nothing when a task of another job was given up for it. A run that a worker of a group had not confirmed does not count. A verdict waits those 100 ms for the other reports, in which the task does not start; crashes are judged in their order, whatever the order of the reports. Three suspicions end a task as before. Reports of crashes carry their age, and runs whether their start was confirmed. The stand-in worker no longer crashes while it is down.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -129,7 +129,7 @@
     const { incarnation } = connection
     this.links.recordOpen(connection)
     this.pendingEnds.delete(incarnation)
-    this.sendReport(connection, { crashes: this.crashes.recent().map(encodeCrash), ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
+    this.sendReport(connection, { crashes: this.crashes.recent().map(crash => encodeCrash(crash, this.services.timers.nowMs())), ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
     connection.send({ held: { runs: this.executor.heldBy(incarnation).map(order => ({ ...order.task, attempt: order.attempt })) } })
     this.handleEntryList(greeting.entries ?? [])
   }
@@ -194,7 +194,7 @@
   /** Tells every linked entry of a crash, so that also an entry that gets the job later knows which of its tasks to suspect. */
   private reportCrash (crash: workers.WorkerCrash): void {
     this.crashes.add(crash)
-    for (const connection of this.links.openLinks) this.sendReport(connection, { crashes: [encodeCrash(crash)] })
+    for (const connection of this.links.openLinks) this.sendReport(connection, { crashes: [encodeCrash(crash, this.services.timers.nowMs())] })
   }
 
   private queueEnd (ending: workers.TaskEnding): void {
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -110,7 +110,7 @@
 
   private handleReport (connection: AgentConnection, report: protocol.runs.IRunReport): void {
     const { scheduler } = this.services
-    for (const crash of report.crashes ?? []) scheduler.handleCrash(decodeCrash(crash))
+    for (const crash of report.crashes ?? []) scheduler.handleCrash(decodeCrash(crash, this.services.timers.nowMs()))
     const ends = (report.ends ?? []).map(decodeEnd)
     connection.recordEnds(ends)
     if (ends.length > 0) scheduler.handleEnds(connection, ends)
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -110,22 +110,24 @@
 const MAX_LOST_RUNS = 256
 
 /** Encodes a crash of the worker. */
-export function encodeCrash ({ crashId, kind, runs: lost }: workers.WorkerCrash): protocol.runs.IWorkerCrash {
-  return { crashId, kind, runs: lost.slice(0, MAX_LOST_RUNS).map(({ task, ...run }) => ({ ...task, ...run })) }
+export function encodeCrash ({ crashId, kind, crashedAtMs, runs: lost }: workers.WorkerCrash, nowMs: number): protocol.runs.IWorkerCrash {
+  return { crashId, kind, ageMs: Math.max(0, nowMs - crashedAtMs), runs: lost.slice(0, MAX_LOST_RUNS).map(({ task, ...run }) => ({ ...task, ...run })) }
 }
 
 /** Decodes a crash of a worker. An unknown kind, from a newer agent, becomes `Down`. */
-export function decodeCrash (message: protocol.runs.IWorkerCrash): workers.WorkerCrash {
+export function decodeCrash (message: protocol.runs.IWorkerCrash, nowMs: number): workers.WorkerCrash {
   const kind = Object.values(workers.CrashKind).find(each => each === message.kind) ?? workers.CrashKind.Down
   return {
     crashId: message.crashId ?? '',
     kind,
+    crashedAtMs: nowMs - Math.max(0, readNumber(message.ageMs)),
     runs: (message.runs ?? []).slice(0, MAX_LOST_RUNS).map(run => ({
       task: { jobId: run.jobId ?? '', step: run.step ?? 0, index: run.index ?? 0 },
       queue: run.queue ?? '',
       attempt: run.attempt ?? 0,
       earlierCrashes: run.earlierCrashes ?? 0,
       isObserved: run.isObserved ?? false,
+      isStarting: run.isStarting ?? false,
       runMs: readNumber(run.runMs)
     }))
   }
--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -4,72 +4,135 @@
 
 /** Age of a run up to which it is suspected of a crash, in milliseconds. What crashes a worker mostly does so soon after its start. */
 const SUSPECT_AGE_MS = 250
-/** Suspicions at which a task is given up if no other job was observed on the worker. */
-const MIN_SUSPICIONS = 2
-/** Suspicions at which a task is given up whatever else ran on the worker. */
+/** Weight of the suspicions at which a task is given up if no other job was observed on the worker. */
+const MIN_SUSPICION_WEIGHT = 1.9
+/** Suspicions at which a task is given up whatever else ran on the workers, and whatever other workers crashed. */
 const MAX_SUSPICIONS = 3
-/** Crashes at which a task is given up at any age of its runs, so that one that crashes late ends too. */
-const MAX_CRASHES = 4
+/** Crashes that count towards these though another task was given up for them, which may be wrong. */
+const MAX_WRONG_EXPLANATIONS = 1
+/** Weight of the crashes at which a task is given up at any age of its runs, so that one that crashes late ends too. */
+const MAX_CRASH_WEIGHT = 4
+/** Weight of a crash that is part of a group, beside 1 for others. It says little about what ran on one of the workers. */
+const GROUP_CRASH_WEIGHT = 0.5
+/** Weight of a crash that one other crash of its moment or a younger run of another job may explain. A task is not given up for two such crashes alone. */
+const DOUBTFUL_CRASH_WEIGHT = 0.9
+/** Weight of the suspicions above which the next run of a task is observed. */
+const UNOBSERVED_WEIGHT = GROUP_CRASH_WEIGHT
+/** Crashes without the task at the same moment from which a crash is part of a group. */
+const MIN_OTHER_CRASHES = 2
+/** Least number of them as a multiple of the crashes that are expected within such a time, so that frequent single crashes make no group. */
+const EXPECTED_CRASHES_FACTOR = 2
+/** Time over which the expected number of crashes is taken, in milliseconds. */
+const EXPECTED_CRASHES_PERIOD_MS = 10_000
+/** Largest time between two crashes of one moment, in milliseconds. Agents detect a crash within 50 ms, and that of an unresponsive worker by its last answer. */
+const MOMENT_MS = 100
+const UNRESPONSIVE_MOMENT_MS = 300
+/** Age from which the report of a crash is late, and the time in which the other late reports come, in milliseconds: agents send them on each new link. */
+const LATE_REPORT_AGE_MS = 2_000
+const LATE_REPORTS_MS = 1_000
+/** Largest difference between the times that reports of crashes take, in milliseconds. */
+const REPORT_JITTER_MS = 10
 /** The next run of a suspect is observed for this many times its age at the crash, and a constant. */
 const OBSERVATION_AGE_FACTOR = 1.5
 const OBSERVATION_MARGIN_MS = 40
 /** Time for which a crash is remembered, in milliseconds. Covers the attempts of a caller that submits its job again. */
 const RETENTION_MS = 60_000
-/** Bound of the tasks and crashes that are remembered; the oldest are forgotten first. */
+/** Bounds of the tasks, of the crashes of each task and of all crashes that are remembered; the oldest are forgotten first. */
 const MAX_TASKS = 10_000
-const MAX_CRASH_IDS = 1_000
-
-interface CrashRecord {
-  /** Reports of crashes of workers that ran the task. */
-  reports: number
-  /** Workers that crashed while they ran the task: as many as were reported, or more if the entry that ordered a run knew of more. */
-  crashes: number
-  /** Reports of those that crashed soon after its start. */
-  suspectReports: number
-  /** Workers that crashed soon after its start: as many as were reported, or one more than a report of an observed run shows. */
-  suspicions: number
-  /** Age of the run at the last of these, in milliseconds. */
-  suspectAgeMs: number
-  atMs: number
+const MAX_CRASHES_PER_TASK = 16
+const MAX_CRASHES = 1_000
+
+/** A crash of any worker. */
+interface Crash {
+  report: workers.WorkerCrash
+  heardAtMs: number
+  /** Time at which the tasks that ran on the worker are judged, in milliseconds. */
+  judgedAtMs: number
+  isJudged: boolean
+  /** Jobs with a task that was given up for this crash. */
+  readonly guiltyJobs: Set<string>
+}
+
+/** A crash of a worker that ran the task. */
+interface TaskCrash {
+  crash: Crash
+  run: workers.LostRun
+  /** True when the run was observed and no run of another job was. */
+  isOnlyObserved: boolean
+  /** True when the run was observed beside a run of another job that had begun as late. */
+  isDoubtful: boolean
+}
+
+interface TaskRecord {
+  crashes: readonly TaskCrash[]
   isGivenUp: boolean
 }
 
-const NO_RECORD: CrashRecord = { reports: 0, crashes: 0, suspectReports: 0, suspicions: 0, suspectAgeMs: 0, atMs: 0, isGivenUp: false }
+/** A crash after the judgement of the tasks that ran on the worker. */
+export interface JudgedCrash {
+  crash: workers.WorkerCrash
+  /** Runs whose tasks are given up from now on. */
+  givenUp: workers.LostRun[]
+  /** True when more workers crashed at the moment than single tasks explain. */
+  isPartOfGroup: boolean
+}
+
+const NO_RECORD: TaskRecord = { crashes: [], isGivenUp: false }
 
-/** Remembers crashes. Reports may come late, twice and from agents that know of earlier crashes. */
+/**
+ * Remembers crashes. Reports may come late, twice, in any order and from agents that know of earlier crashes. A crash is judged once the
+ * reports of other crashes at its moment have come, and crashes are judged in the order in which they happened, so that entries which
+ * hear of the same crashes reach the same verdicts.
+ */
 export class CrashRecords {
-  /** By task key, the latest crash last. */
-  private readonly records = new Map<string, CrashRecord>()
-  /** Time of each crash by its id, oldest first. */
-  private readonly crashIds = new Map<string, number>()
+  /** By task key, the latest report last. */
+  private readonly records = new Map<string, TaskRecord>()
+  /** By id, the latest report last. */
+  private readonly crashes = new Map<string, Crash>()
 
   constructor (private readonly timers: settings.Timers) {}
 
-  /** Records a crash. Returns the runs whose tasks are given up from now on. */
-  record (crash: workers.WorkerCrash): workers.LostRun[] {
+  /** Records a crash. Returns the time after which `judge` is due, in milliseconds, or undefined for a crash that is known. */
+  record (report: workers.WorkerCrash): number | undefined {
     this.evict()
-    if (this.crashIds.has(crash.crashId)) return []
-    this.crashIds.set(crash.crashId, this.timers.nowMs())
-    const observedJobs = new Set(crash.runs.filter(({ isObserved }) => isObserved).map(({ task }) => task.jobId))
-    const givenUp: workers.LostRun[] = []
-    for (const run of crash.runs) {
+    if (this.crashes.has(report.crashId)) return undefined
+    const nowMs = this.timers.nowMs()
+    const waitMs = nowMs - report.crashedAtMs > LATE_REPORT_AGE_MS ? LATE_REPORTS_MS : momentMsOf(report)
+    const crash: Crash = { report, heardAtMs: nowMs, judgedAtMs: nowMs + waitMs, isJudged: false, guiltyJobs: new Set() }
+    this.crashes.set(report.crashId, crash)
+    const observedJobs = new Set(report.runs.filter(({ isObserved }) => isObserved).map(({ task }) => task.jobId))
+    const youngJobs = new Set(report.runs.filter(run => isSuspect(run) && !run.isStarting).map(({ task }) => task.jobId))
+    for (const run of report.runs) {
       const before = this.find(run.task)
-      const record = this.count(run, before, observedJobs.size === 1)
-      this.set(run.task, record)
-      if (record.isGivenUp && !before.isGivenUp) givenUp.push(run)
+      const crashes = [...before.crashes, { crash, run, isOnlyObserved: run.isObserved && observedJobs.size === 1, isDoubtful: run.isObserved && youngJobs.size > 1 }]
+      crashes.sort((left, right) => compareCrashes(left.crash, right.crash))
+      this.set(run.task, { ...before, crashes: crashes.slice(-MAX_CRASHES_PER_TASK) })
     }
-    return givenUp
+    return waitMs
+  }
+
+  /** Judges the crashes that are due, in the order in which they happened. */
+  judge (): JudgedCrash[] {
+    const dueMs = this.timers.nowMs() + REPORT_JITTER_MS
+    const due = [...this.crashes.values()].filter(({ isJudged, judgedAtMs }) => !isJudged && judgedAtMs <= dueMs)
+    return due.sort(compareCrashes).map(crash => {
+      crash.isJudged = true
+      const givenUp = crash.report.runs.filter(run => this.judgeRun(run))
+      this.recordCauses(givenUp)
+      return { crash: crash.report, givenUp, isPartOfGroup: this.weightOf(crash, [crash]) === GROUP_CRASH_WEIGHT }
+    })
   }
 
   /** Returns how many workers have crashed while they ran the task. */
   crashesOf (task: workers.TaskRef): number {
-    return this.find(task).crashes
+    return countCrashes(this.find(task).crashes)
   }
 
   /** Returns for how long the next run of the task is observed, in milliseconds; 0 for a task that is not suspected of a crash. */
   observationMsOf (task: workers.TaskRef): number {
-    const { suspicions, suspectAgeMs } = this.find(task)
-    return suspicions === 0 ? 0 : suspectAgeMs * OBSERVATION_AGE_FACTOR + OBSERVATION_MARGIN_MS
+    const suspicions = this.weigh(this.find(task).crashes).filter(({ run }) => isSuspect(run))
+    if (sumWeights(suspicions) <= UNOBSERVED_WEIGHT) return 0
+    return suspicions.at(-1)!.run.runMs * OBSERVATION_AGE_FACTOR + OBSERVATION_MARGIN_MS
   }
 
   /** True while no crash is remembered. */
@@ -81,35 +144,70 @@
     return this.find(task).isGivenUp
   }
 
+  /** True while a task must not start because it may be given up once other crashes have been reported. */
+  awaitsVerdict (task: workers.TaskRef): boolean {
+    const { crashes } = this.find(task)
+    return crashes.some(({ crash }) => !crash.isJudged) && isGuilty(crashes, crashes.map(each => ({ ...each, weight: 1 })))
+  }
+
   /** Forgets the crashes of a task that has ended well, and so did not cause them. */
   clear (task: workers.TaskRef): void {
     this.records.delete(workers.taskKey(task))
   }
 
-  private find (task: workers.TaskRef): CrashRecord {
+  private find (task: workers.TaskRef): TaskRecord {
     return this.records.get(workers.taskKey(task)) ?? NO_RECORD
   }
 
-  /** Adds a crash to a task's record. The entry that ordered the run may have known of earlier ones. */
-  private count (run: workers.LostRun, before: CrashRecord, isOnlyObservedJob: boolean): CrashRecord {
-    const isSuspect = run.runMs <= SUSPECT_AGE_MS
-    const reports = before.reports + 1
-    const crashes = Math.max(reports, before.crashes, run.earlierCrashes + 1)
-    const suspectReports = before.suspectReports + (isSuspect ? 1 : 0)
-    const suspicions = Math.max(suspectReports, before.suspicions, (run.isObserved ? 1 : 0) + (isSuspect ? 1 : 0))
-    const isNamed = run.isObserved && isOnlyObservedJob && suspicions >= MIN_SUSPICIONS
-    return {
-      reports,
-      crashes,
-      suspectReports,
-      suspicions,
-      suspectAgeMs: isSuspect ? run.runMs : before.suspectAgeMs,
-      atMs: this.timers.nowMs(),
-      isGivenUp: before.isGivenUp || isNamed || suspicions >= MAX_SUSPICIONS || crashes >= MAX_CRASHES
+  /** Returns true when the task of a lost run is given up from now on. */
+  private judgeRun (run: workers.LostRun): boolean {
+    const record = this.find(run.task)
+    const evidence = this.weigh(record.crashes)
+    if (record.isGivenUp || !isGuilty(record.crashes, evidence)) return false
+    this.set(run.task, { ...record, isGivenUp: true })
+    return true
+  }
+
+  /** Records which crashes the given-up tasks of a job caused: those in which all of them were suspects, as any one of them may be the cause. */
+  private recordCauses (givenUp: readonly workers.LostRun[]): void {
+    const byJob = new Map<string, workers.LostRun[]>()
+    for (const run of givenUp) byJob.set(run.task.jobId, [...byJob.get(run.task.jobId) ?? [], run])
+    for (const [jobId, runs] of byJob) {
+      const crashesOfRuns = runs.map(({ task }) => this.find(task).crashes.filter(({ run }) => isSuspect(run)).map(({ crash }) => crash))
+      for (const crash of crashesOfRuns[0]!) {
+        if (crashesOfRuns.every(crashes => crashes.includes(crash))) crash.guiltyJobs.add(jobId)
+      }
+    }
+  }
+
+  /** Weighs the crashes of a task, and leaves out those of workers that were down before it was sent to them. */
+  private weigh (crashes: readonly TaskCrash[]): Evidence[] {
+    const evidence: Evidence[] = []
+    for (const each of crashes) {
+      const weight = this.weightOf(each.crash, crashes.map(({ crash }) => crash))
+      if (weight === GROUP_CRASH_WEIGHT && each.run.isStarting) continue
+      evidence.push({ ...each, weight: isCausedByOther(each) ? 0 : Math.min(weight, each.isDoubtful ? DOUBTFUL_CRASH_WEIGHT : 1) })
+    }
+    return evidence
+  }
+
+  /** Returns the weight of a crash, by the other workers than those of `own` that crashed at its moment beyond the expected number. */
+  private weightOf (crash: Crash, own: readonly Crash[]): number {
+    const { crashedAtMs } = crash.report
+    const momentMs = momentMsOf(crash.report)
+    let others = -own.filter(other => isSameMoment(crash, other)).length
+    let recent = 0
+    for (const other of this.crashes.values()) {
+      const sinceMs = crashedAtMs - other.report.crashedAtMs
+      if (isSameMoment(crash, other)) others++
+      if (sinceMs < EXPECTED_CRASHES_PERIOD_MS && sinceMs >= -momentMs) recent++
     }
+    const expected = recent * 2 * momentMs / EXPECTED_CRASHES_PERIOD_MS
+    if (others === 0 || others < expected * EXPECTED_CRASHES_FACTOR) return 1
+    return others >= MIN_OTHER_CRASHES ? GROUP_CRASH_WEIGHT : DOUBTFUL_CRASH_WEIGHT
   }
 
-  private set (task: workers.TaskRef, record: CrashRecord): void {
+  private set (task: workers.TaskRef, record: TaskRecord): void {
     const key = workers.taskKey(task)
     this.records.delete(key)
     this.records.set(key, record)
@@ -117,13 +215,64 @@
 
   private evict (): void {
     const limitMs = this.timers.nowMs() - RETENTION_MS
-    for (const [key, { atMs }] of this.records) {
-      if (atMs > limitMs && this.records.size <= MAX_TASKS) break
+    for (const [key, { crashes }] of this.records) {
+      if (crashes.some(({ crash }) => crash.heardAtMs > limitMs) && this.records.size <= MAX_TASKS) break
       this.records.delete(key)
     }
-    for (const [crashId, atMs] of this.crashIds) {
-      if (atMs > limitMs && this.crashIds.size <= MAX_CRASH_IDS) break
-      this.crashIds.delete(crashId)
+    for (const [crashId, { heardAtMs }] of this.crashes) {
+      if (heardAtMs > limitMs && this.crashes.size <= MAX_CRASHES) break
+      this.crashes.delete(crashId)
     }
   }
 }
+
+/** A crash that counts for a task, with its weight. */
+interface Evidence extends TaskCrash {
+  weight: number
+}
+
+function momentMsOf ({ kind }: workers.WorkerCrash): number {
+  return kind === workers.CrashKind.Unresponsive ? UNRESPONSIVE_MOMENT_MS : MOMENT_MS
+}
+
+function isSameMoment ({ report: left }: Crash, { report: right }: Crash): boolean {
+  return Math.abs(left.crashedAtMs - right.crashedAtMs) <= Math.max(momentMsOf(left), momentMsOf(right))
+}
+
+function compareCrashes ({ report: left }: Crash, { report: right }: Crash): number {
+  return left.crashedAtMs - right.crashedAtMs || (left.crashId < right.crashId ? -1 : 1)
+}
+
+function isSuspect ({ runMs }: workers.LostRun): boolean {
+  return runMs <= SUSPECT_AGE_MS
+}
+
+/** Returns true when a task of another job was given up for the crash. */
+function isCausedByOther ({ crash: { guiltyJobs }, run }: TaskCrash): boolean {
+  return guiltyJobs.size > 0 && !guiltyJobs.has(run.task.jobId)
+}
+
+function sumWeights (evidence: readonly Evidence[]): number {
+  return evidence.reduce((sum, { weight }) => sum + weight, 0)
+}
+
+/** Returns the number of crashes of a task: as many as were reported, or more if the entry that ordered a run knew of more. */
+function countCrashes (crashes: readonly TaskCrash[]): number {
+  return crashes.reduce((count, { run }) => Math.max(count, run.earlierCrashes + 1), crashes.length)
+}
+
+/** Decides whether a task is given up for its crashes, of which those in `evidence` count. */
+function isGuilty (crashes: readonly TaskCrash[], evidence: readonly Evidence[]): boolean {
+  const unreported = countCrashes(crashes) - crashes.length
+  if (sumWeights(evidence) + unreported >= MAX_CRASH_WEIGHT) return true
+  const suspicions = evidence.filter(({ run }) => isSuspect(run))
+  const explained = suspicions.filter(({ weight }) => weight === 0).length
+  if (suspicions.length - Math.max(0, explained - MAX_WRONG_EXPLANATIONS) >= MAX_SUSPICIONS) return true
+  return evidence.some(({ crash, run, weight, isOnlyObserved }) => {
+    if (!isOnlyObserved) return false
+    // An observed run shows an earlier suspicion, also where its report has not come.
+    const isReported = crashes.some(other => other.crash !== crash && isSuspect(other.run))
+    const earlierWeight = isReported ? sumWeights(suspicions.filter(other => other.crash !== crash)) : 1
+    return earlierWeight + (isSuspect(run) ? weight : 0) >= MIN_SUSPICION_WEIGHT
+  })
+}
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -73,7 +73,7 @@
     let candidates: Candidate[] = []
     let sample: Candidate[] = []
     for (const task of job.waitingTasks()) {
-      if (this.isSuspect(task)) continue
+      if (this.isSuspect(task) || this.awaitsVerdict(task)) continue
       if (task.ref.step !== step) {
         step = task.ref.step
         candidates = this.findCandidates(job, step, reserved)
@@ -90,7 +90,7 @@
     const placed: string[] = []
     let chosen: Candidate | undefined
     for (const task of job.waitingTasks()) {
-      if (!this.isSuspect(task)) continue
+      if (!this.isSuspect(task) || this.awaitsVerdict(task)) continue
       const step = job.stepOf(task)
       const isFull = chosen === undefined || !workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size)
       if (isFull) chosen = this.chooseSuspectWorker(job, task)
@@ -111,6 +111,10 @@
     return this.context.crashRecords.observationMsOf(task.ref) > 0
   }
 
+  private awaitsVerdict (task: Task): boolean {
+    return this.context.crashRecords.awaitsVerdict(task.ref)
+  }
+
   /** Returns true while a worker runs a task that is suspected of a crash, or is about to start one. */
   private hasSuspect (agent: AgentRecord): boolean {
     if (agent.view.hasSuspect) return true
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -249,22 +249,31 @@
     for (const run of slow) this.considerMove(agent, run)
   }
 
-  /** Records a crash of a worker, and fails the jobs of tasks that are given up for it. */
+  /** Records a crash of a worker, and decides on the tasks that ran on it once other crashes of the same moment have been reported. */
   handleCrash (crash: workers.WorkerCrash): void {
-    const queues = new Set(crash.runs.map(({ queue }) => queue))
-    if (queues.size === 1) this.containment.recordCrash(crash.runs[0]!.queue)
-    for (const { task, queue } of this.crashRecords.record(crash)) {
-      this.services.log.event(events.TaskGivenUp, { jobId: task.jobId, step: task.step, index: task.index, queue, crashes: this.crashRecords.crashesOf(task), crashId: crash.crashId })
-      this.containment.recordVerdict(queue, task.jobId)
-      const job = this.open.get(task.jobId)
-      if (job !== undefined) this.giveUp(job, task)
-    }
+    const verdictInMs = this.crashRecords.record(crash)
+    if (verdictInMs !== undefined) this.services.timers.after(verdictInMs, () => { this.judgeCrashes() })
   }
 
   private get nowMs (): number {
     return this.services.timers.nowMs()
   }
 
+  /** Fails the jobs of tasks that are given up for the crashes that are due. */
+  private judgeCrashes (): void {
+    for (const { crash, givenUp, isPartOfGroup } of this.crashRecords.judge()) {
+      const queues = new Set(crash.runs.map(({ queue }) => queue))
+      if (queues.size === 1 && !isPartOfGroup) this.containment.recordCrash(crash.runs[0]!.queue)
+      for (const { task, queue } of givenUp) {
+        this.services.log.event(events.TaskGivenUp, { jobId: task.jobId, step: task.step, index: task.index, queue, crashes: this.crashRecords.crashesOf(task), crashId: crash.crashId })
+        this.containment.recordVerdict(queue, task.jobId)
+        const job = this.open.get(task.jobId)
+        if (job !== undefined) this.giveUp(job, task)
+      }
+    }
+    this.scheduleDispatch()
+  }
+
   private giveUp (job: Job, ref: workers.TaskRef): void {
     this.counters.givenUp++
     const reason = `task ${ref.step}.${ref.index} given up: ${this.crashRecords.crashesOf(ref)} workers crashed while they ran it`
--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -238,8 +238,9 @@
     return [...this.runs.values()].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.capacity)
   }
 
-  /** Goes down with all runs. A new incarnation is back after `downMs`. */
+  /** Goes down with all runs. A new incarnation is back after `downMs`. A worker that is down stays so for as long as it would. */
   crash (downMs = CRASH_DOWN_MS): void {
+    if (this.faults.isDown) return
     this.restart()
     this.faults.isDown = true
     for (const resolve of this.waiters.splice(0)) resolve()
--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -1,6 +1,6 @@
 /** Crashes of a worker: which runs were active when it went down. */
 import type { TaskRef } from './driver.ts'
-import type { ActiveRun } from './runRegistry.ts'
+import { type ActiveRun, RunPhase } from './runRegistry.ts'
 
 /** How the crash showed. */
 export enum CrashKind {
@@ -22,6 +22,8 @@
   earlierCrashes: number
   /** True when the run was observed because its task was suspected of an earlier crash. */
   isObserved: boolean
+  /** True when the worker had not confirmed the start of the run, and may have been down before it. */
+  isStarting: boolean
   /** Time from the start of the run to the crash, or to the last answer of a worker that fell silent, in milliseconds. */
   runMs: number
 }
@@ -31,6 +33,8 @@
   /** Unique among the crashes of all workers. */
   crashId: string
   kind: CrashKind
+  /** Time of the crash, or of the last answer of a worker that fell silent, by the timer service of this process. */
+  crashedAtMs: number
   runs: readonly LostRun[]
 }
 
@@ -41,7 +45,7 @@
 
 /** Describes the runs that were lost in a crash at `crashedAtMs`. Later starts have an age of 0. */
 export function describeLostRuns (runs: readonly ActiveRun[], crashedAtMs: number): LostRun[] {
-  return runs.map(run => ({ task: run.order.task, queue: run.order.queue, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, crashedAtMs), runMs: Math.max(0, Math.round(crashedAtMs - run.startedAtMs)) }))
+  return runs.map(run => ({ task: run.order.task, queue: run.order.queue, attempt: run.order.attempt, earlierCrashes: run.order.crashes, isObserved: isObserved(run, crashedAtMs), isStarting: run.phase === RunPhase.Starting, runMs: Math.max(0, Math.round(crashedAtMs - run.startedAtMs)) }))
 }
 
 /** Formats the runs of a crash for a log line, the latest start first: job, step, index, attempt, run time in milliseconds and earlier crashes. */
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -313,7 +313,7 @@
     const crashedAtMs = kind === CrashKind.Unresponsive ? this.lastAnswerAtMs : this.services.timers.nowMs()
     const runs = describeLostRuns(this.registry.all, crashedAtMs)
     if (runs.length === 0 || this.isLeaving) return
-    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, runs }
+    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, crashedAtMs, runs }
     this.services.log.event(events.WorkerCrashed, { workerId: this.worker.workerId, crashId: crash.crashId, kind, runs: formatLostRuns(runs) })
     this.handlers.onCrash(crash)
   }
