Count the time of a containment from the crashes, not from their reports

Cause: an agent reports its recent crashes on each new link, and they counted as crashes of that moment. Change: verdicts and crashes count from the time of the crash, which reports carry now. Figures: test/unit/scheduler/containment 'ends as long after the crashes at an entry that hears of them late' fails before (contained) and passes after.

--- a/packages/scheduler/src/containment.ts
+++ b/packages/scheduler/src/containment.ts
@@ -23,7 +23,7 @@
 const MIN_WORK_CORE_MS = 1
 
 interface QueueState {
-  /** Time of the latest verdict on a task of each job, by the job's id, oldest first. */
+  /** Time of the latest crash for which a task of each job was given up, by the job's id. */
   verdictsAtMs: Map<string, number>
   containedUntilMs: number
 }
@@ -46,23 +46,23 @@
     this.work.set(queue, { coreMs: this.recentWorkOf(queue) + coreMs, atMs: this.timers.nowMs() })
   }
 
-  /** Records that a task of a job was given up. Contains the queue when that happens to several jobs. */
-  recordVerdict (queue: string, jobId: string): void {
+  /** Records that a task of a job was given up for a crash at `crashedAtMs`. Contains the queue when that happens to several jobs. */
+  recordVerdict (queue: string, jobId: string, crashedAtMs = this.timers.nowMs()): void {
     const nowMs = this.timers.nowMs()
     const state = this.queues.get(queue) ?? { verdictsAtMs: new Map(), containedUntilMs: Number.NEGATIVE_INFINITY }
     this.queues.set(queue, state)
-    state.verdictsAtMs.delete(jobId)
-    state.verdictsAtMs.set(jobId, nowMs)
+    state.verdictsAtMs.set(jobId, Math.max(crashedAtMs, state.verdictsAtMs.get(jobId) ?? crashedAtMs))
     dropOldVerdicts(state, nowMs)
     if (state.verdictsAtMs.size < MIN_JOBS || this.workShareOf(queue) > MAX_WORK_SHARE) return
+    const untilMs = Math.max(...state.verdictsAtMs.values()) + QUIET_MS
     if (state.containedUntilMs < nowMs) this.onChange(queue, true)
-    state.containedUntilMs = nowMs + QUIET_MS
+    state.containedUntilMs = Math.max(state.containedUntilMs, untilMs)
   }
 
-  /** Records a crash that ended runs of only this queue. Prolongs its containment. */
-  recordCrash (queue: string): void {
+  /** Records a crash at `crashedAtMs` that ended runs of only this queue. Prolongs its containment. */
+  recordCrash (queue: string, crashedAtMs = this.timers.nowMs()): void {
     const state = this.queues.get(queue)
-    if (state !== undefined && this.isContained(queue)) state.containedUntilMs = this.timers.nowMs() + QUIET_MS
+    if (state !== undefined && this.isContained(queue)) state.containedUntilMs = Math.max(state.containedUntilMs, crashedAtMs + QUIET_MS)
   }
 
   isContained (queue: string): boolean {
@@ -134,7 +134,6 @@
 
 function dropOldVerdicts ({ verdictsAtMs }: QueueState, nowMs: number): void {
   for (const [jobId, atMs] of verdictsAtMs) {
-    if (atMs > nowMs - VERDICT_WINDOW_MS) return
-    verdictsAtMs.delete(jobId)
+    if (atMs <= nowMs - VERDICT_WINDOW_MS) verdictsAtMs.delete(jobId)
   }
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -263,10 +263,10 @@
   private judgeCrashes (): void {
     for (const { crash, givenUp, isPartOfGroup } of this.crashRecords.judge()) {
       const queues = new Set(crash.runs.map(({ queue }) => queue))
-      if (queues.size === 1 && !isPartOfGroup) this.containment.recordCrash(crash.runs[0]!.queue)
+      if (queues.size === 1 && !isPartOfGroup) this.containment.recordCrash(crash.runs[0]!.queue, crash.crashedAtMs)
       for (const { task, queue } of givenUp) {
         this.services.log.event(events.TaskGivenUp, { jobId: task.jobId, step: task.step, index: task.index, queue, crashes: this.crashRecords.crashesOf(task), crashId: crash.crashId })
-        this.containment.recordVerdict(queue, task.jobId)
+        this.containment.recordVerdict(queue, task.jobId, crash.crashedAtMs)
         const job = this.open.get(task.jobId)
         if (job !== undefined) this.giveUp(job, task)
       }
--- a/test/unit/scheduler/containment.test.ts
+++ b/test/unit/scheduler/containment.test.ts
@@ -62,6 +62,20 @@
     expect(changes).to.deep.equal([['crashing', true], ['crashing', false]])
   })
 
+  it('ends as long after the crashes at an entry that hears of them late, and does not begin when they are long past', () => {
+    const { timers, containment, changes, count } = createBench()
+    timers.advance(20_000)
+    for (const [jobId, agoMs] of [['job-1', 4_500], ['job-2', 3_000]] as const) containment.recordVerdict('crashing', jobId, timers.nowMs() - agoMs)
+    expect(count('first')).to.equal(6)
+    timers.advance(2_100)
+    containment.sweep()
+    expect(count('first')).to.equal(WORKERS)
+    timers.advance(10_000)
+    for (const [jobId, agoMs] of [['job-3', 8_500], ['job-4', 5_500]] as const) containment.recordVerdict('crashing', jobId, timers.nowMs() - agoMs)
+    expect(count('first')).to.equal(WORKERS)
+    expect(changes).to.deep.equal([['crashing', true], ['crashing', false]])
+  })
+
   it('spares a queue that has most of the work, as its cell could not carry it', () => {
     const { containment, count } = createBench()
     containment.recordWork('crashing', 10_000)
