--- a/packages/workers/src/crash.ts
+++ b/packages/workers/src/crash.ts
@@ -31,6 +31,8 @@
   /** Unique among the crashes of all workers. */
   crashId: string
   kind: CrashKind
+  /** Time of the crash, or of the last answer of a worker that fell silent, by the timer service of this process. */
+  crashedAtMs: number
   /** Runs that were aboard: the worker had confirmed their start, or a start had provably reached it. */
   runs: readonly LostRun[]
   /** Lost runs whose start may not have reached the worker. No evidence against their tasks. */
