--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -49,6 +49,8 @@
   /** Time at which the tasks that ran on the worker are judged, in milliseconds. */
   judgedAtMs: number
   isJudged: boolean
+  /** Keys of the tasks that may have caused the crash: those that ran on the worker or were under way to it. */
+  readonly tasks: ReadonlySet<string>
   /** Jobs with a task that was given up for this crash. */
   readonly guiltyJobs: Set<string>
 }
@@ -98,7 +100,8 @@
     if (this.crashes.has(report.crashId)) return undefined
     const nowMs = this.timers.nowMs()
     const waitMs = nowMs - report.crashedAtMs > LATE_REPORT_AGE_MS ? LATE_REPORTS_MS : momentMsOf(report)
-    const crash: Crash = { report, heardAtMs: nowMs, judgedAtMs: nowMs + waitMs, isJudged: false, guiltyJobs: new Set() }
+    const tasks = new Set([...report.runs, ...report.unconfirmed ?? []].map(({ task }) => workers.taskKey(task)))
+    const crash: Crash = { report, heardAtMs: nowMs, judgedAtMs: nowMs + waitMs, isJudged: false, tasks, guiltyJobs: new Set() }
     this.crashes.set(report.crashId, crash)
     const observedJobs = new Set(report.runs.filter(({ isObserved }) => isObserved).map(({ task }) => task.jobId))
     const youngJobs = new Set(report.runs.filter(isSuspect).map(({ task }) => task.jobId))
@@ -119,7 +122,7 @@
       crash.isJudged = true
       const givenUp = crash.report.runs.filter(run => this.judgeRun(run))
       this.recordCauses(givenUp)
-      return { crash: crash.report, givenUp, isPartOfGroup: this.weightOf(crash, [crash]) === GROUP_CRASH_WEIGHT }
+      return { crash: crash.report, givenUp, isPartOfGroup: this.weightOf(crash, other => other === crash) === GROUP_CRASH_WEIGHT }
     })
   }
 
@@ -181,22 +184,22 @@
   }
 
   private weigh (crashes: readonly TaskCrash[]): Evidence[] {
-    const own = crashes.map(({ crash }) => crash)
     return crashes.map(each => {
-      const weight = Math.min(this.weightOf(each.crash, own), each.isDoubtful ? DOUBTFUL_CRASH_WEIGHT : 1)
+      const key = workers.taskKey(each.run.task)
+      const weight = Math.min(this.weightOf(each.crash, ({ tasks }) => tasks.has(key)), each.isDoubtful ? DOUBTFUL_CRASH_WEIGHT : 1)
       return { ...each, weight: isCausedByOther(each) ? 0 : weight }
     })
   }
 
-  /** Returns the weight of a crash, by the other workers than those of `own` that crashed at its moment beyond the expected number. */
-  private weightOf (crash: Crash, own: readonly Crash[]): number {
+  /** Returns the weight of a crash, by the crashes at its moment beyond the expected number that `isOwn` does not hold for. */
+  private weightOf (crash: Crash, isOwn: (other: Crash) => boolean): number {
     const { crashedAtMs } = crash.report
     const momentMs = momentMsOf(crash.report)
-    let others = -own.filter(other => isSameMoment(crash, other)).length
+    let others = 0
     let recent = 0
     for (const other of this.crashes.values()) {
       const sinceMs = crashedAtMs - other.report.crashedAtMs
-      if (isSameMoment(crash, other)) others++
+      if (isSameMoment(crash, other) && !isOwn(other)) others++
       if (sinceMs < EXPECTED_CRASHES_PERIOD_MS && sinceMs >= -momentMs) recent++
     }
     const expected = recent * 2 * momentMs / EXPECTED_CRASHES_PERIOD_MS
--- a/test/unit/scheduler/crashRecords.test.ts
+++ b/test/unit/scheduler/crashRecords.test.ts
@@ -141,6 +141,19 @@
     expect(judge(createCrash('w-4', ['job'], { observed: ['job'], runMs: 2, crashedAtMs: 1_200 }))).to.deep.equal(['job'])
   })
 
+  it('do not count a worker to which the task was under way among the other workers that crashed, in whatever order the reports come', () => {
+    const crashes = [createCrash('w-1', [], { unconfirmed: ['job'], runMs: 0 }), createCrash('w-2', ['job'], { runMs: 0, crashedAtMs: 10 }), createCrash('w-3', ['job'], { observed: ['job'], runMs: 0, crashedAtMs: 20 })]
+    for (const reports of [crashes, [...crashes].reverse(), [crashes[1]!, crashes[0]!, crashes[2]!]]) {
+      const { judge } = createBench()
+      expect(judge(...reports)).to.deep.equal(['job'])
+    }
+  })
+
+  it('count it for the tasks that were not under way to it', () => {
+    const { judge } = createBench()
+    expect(judge(createCrash('w-1', [], { unconfirmed: ['other'], runMs: 0 }), createCrash('w-2', ['job'], { crashedAtMs: 10 }), createCrash('w-3', ['job'], { observed: ['job'], crashedAtMs: 20 }))).to.deep.equal([])
+  })
+
   it('do not count a crash against a bystander for which a task of another job was given up', () => {
     const { timers, judge } = createBench()
     judge(createCrash('w-1', ['crashing', 'bystander']))
