--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -1,6 +1,5 @@
 /** Places tasks on the workers of connected agents. */
 import type * as placement from '@egretvalve/placement'
-import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import type { AgentRecord, Agents } from './agents.ts'
@@ -32,15 +31,6 @@
   entryCount: () => number
 }
 
-/** Which workers may be chosen while queues are contained. */
-enum WorkerScope {
-  /** Those that the job's queue may use. */
-  Queue = 'queue',
-  /** Those that suspects of the job's queue may use. */
-  Suspects = 'suspects',
-  All = 'all'
-}
-
 const NONE_RESERVED: ReadonlySet<string> = new Set()
 
 /** Chooses workers and sends tasks. */
@@ -95,7 +85,7 @@
       if (!this.isSuspect(task) || this.awaitsVerdict(task)) continue
       const step = job.stepOf(task)
       const isFull = chosen === undefined || !workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size)
-      if (isFull) chosen = this.chooseSuspectWorker(job, task)
+      if (isFull) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED, true)), step)
       if (chosen === undefined) continue
       this.send(job, task, chosen)
       placed.push(this.describePlacement(task))
@@ -107,12 +97,6 @@
     return this.context.crashRecords.isEmpty && this.context.unconfirmedStarts.isEmpty
   }
 
-  /** Chooses the worker for a suspect: one that is left to suspects, else any other, since its verdict must not wait until the deadline. */
-  private chooseSuspectWorker (job: Job, task: Task): Candidate | undefined {
-    const choose = (scope: WorkerScope): Candidate | undefined => chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED, scope)), job.stepOf(task))
-    return choose(WorkerScope.Suspects) ?? choose(WorkerScope.All)
-  }
-
   private isSuspect (task: Task): boolean {
     return this.observationMsOf(task) > 0
   }
@@ -164,25 +148,16 @@
   }
 
   /** Lists the workers that are eligible for tasks of a step and not reserved for others. */
-  private findCandidates (job: Job, number: number, reserved: ReadonlySet<string>, scope = WorkerScope.Queue): Candidate[] {
+  private findCandidates (job: Job, number: number, reserved: ReadonlySet<string>, isSuspect = false): Candidate[] {
     const step = job.spec.steps[number]!
     const candidates: Candidate[] = []
-    const mayUse = this.filterByScope(job, scope)
+    const mayUse = this.context.containment.filterFor(job.terms.queue, job.terms.service, isSuspect)
     for (const agent of this.context.agents.all) {
       if (!reserved.has(agent.agentId) && mayUse(agent) && this.isEligible(agent, job, step)) candidates.push(this.createCandidate(agent, step))
     }
     return candidates
   }
 
-  private filterByScope ({ terms }: Job, scope: WorkerScope): (agent: AgentRecord) => boolean {
-    switch (scope) {
-      case WorkerScope.Queue: return this.context.containment.filterFor(terms.queue, terms.service)
-      case WorkerScope.Suspects: return this.context.containment.filterFor(terms.queue, terms.service, true)
-      case WorkerScope.All: return () => true
-      default: return protocol.assertNever(scope)
-    }
-  }
-
   private isEligible (agent: AgentRecord, job: Job, step: StepSpec): boolean {
     if (agent.port === undefined || agent.view.service !== job.terms.service || !agent.view.acceptsRuns) return false
     if (agent.port.sinceLastMessageMs() > this.context.options.suspectAfterMs) return false
