Count no crash of a task that another job's task explains, and find its cause where tasks of a job met different crashes

Change: an explained crash doesn't count among the three. The tasks of a job with more crashes that another job explains than others of their job have are left out of the search for its cause, which is repeated at each verdict. Tests: two new ones of crash records fail before and pass after.

--- a/packages/scheduler/src/crashRecords.ts
+++ b/packages/scheduler/src/crashRecords.ts
@@ -6,10 +6,8 @@
 const SUSPECT_AGE_MS = 250
 /** Weight of the suspicions at which a task is given up if no other job was observed on the worker. */
 const MIN_SUSPICION_WEIGHT = 1.9
-/** Suspicions at which a task is given up whatever else ran on the workers, and whatever other workers crashed. */
+/** Suspicions at which a task is given up whatever else ran on the workers, and whatever other workers crashed, unless another task explains them. */
 const MAX_SUSPICIONS = 3
-/** Crashes that count towards these though another task was given up for them, which may be wrong. */
-const MAX_WRONG_EXPLANATIONS = 1
 /** Weight of the crashes at which a task is given up at any age of its runs, so that one that crashes late ends too. */
 const MAX_CRASH_WEIGHT = 4
 /** Weight of a crash that is part of a group, beside 1 for others. It says little about what ran on one of the workers. */
@@ -121,7 +119,7 @@
     return due.sort(compareCrashes).map(crash => {
       crash.isJudged = true
       const givenUp = crash.report.runs.filter(run => this.judgeRun(run))
-      this.recordCauses(givenUp)
+      if (givenUp.length > 0) this.recordCauses()
       return { crash: crash.report, givenUp, isPartOfGroup: this.weightOf(crash, other => other === crash) === GROUP_CRASH_WEIGHT }
     })
   }
@@ -171,18 +169,33 @@
     return true
   }
 
-  /** Records which crashes the given-up tasks of a job caused: those in which all of them were suspects, as any one of them may be the cause. */
-  private recordCauses (givenUp: readonly workers.LostRun[]): void {
-    const byJob = new Map<string, workers.LostRun[]>()
-    for (const run of givenUp) byJob.set(run.task.jobId, [...byJob.get(run.task.jobId) ?? [], run])
-    for (const [jobId, runs] of byJob) {
-      const crashesOfRuns = runs.map(({ task }) => this.find(task).crashes.filter(({ run }) => isSuspect(run)).map(({ crash }) => crash))
-      for (const crash of crashesOfRuns[0]!) {
-        if (crashesOfRuns.every(crashes => crashes.includes(crash))) crash.guiltyJobs.add(jobId)
-      }
+  /**
+   * Records which crashes the given-up tasks of each job caused: those in which all of them were suspects, as any one of them may be the cause.
+   * Left out are tasks with more crashes that another job caused than others of their job have.
+   */
+  private recordCauses (): void {
+    const tasksByJob = this.findGivenUpTasks()
+    const causes = new Map([...tasksByJob].map(([jobId, tasks]) => [jobId, findCommon(tasks)]))
+    for (const crash of this.crashes.values()) crash.guiltyJobs.clear()
+    for (const [jobId, tasks] of tasksByJob) {
+      const causedByOthers = new Set([...causes].flatMap(([otherId, crashes]) => otherId === jobId ? [] : crashes))
+      const countOthers = (crashes: readonly Crash[]): number => crashes.filter(crash => causedByOthers.has(crash)).length
+      const least = Math.min(...tasks.map(countOthers))
+      for (const crash of findCommon(tasks.filter(crashes => countOthers(crashes) === least))) crash.guiltyJobs.add(jobId)
     }
   }
 
+  /** Returns by job the crashes in which each of its given-up tasks was a suspect. */
+  private findGivenUpTasks (): Map<string, Crash[][]> {
+    const tasksByJob = new Map<string, Crash[][]>()
+    for (const { crashes, isGivenUp } of this.records.values()) {
+      if (!isGivenUp) continue
+      const { jobId } = crashes[0]!.run.task
+      tasksByJob.set(jobId, [...tasksByJob.get(jobId) ?? [], crashes.filter(({ run }) => isSuspect(run)).map(({ crash }) => crash)])
+    }
+    return tasksByJob
+  }
+
   private weigh (crashes: readonly TaskCrash[]): Evidence[] {
     return crashes.map(each => {
       const key = workers.taskKey(each.run.task)
@@ -247,6 +260,11 @@
   return runMs <= SUSPECT_AGE_MS
 }
 
+/** Returns the crashes that are in all of the lists. */
+function findCommon ([first = [], ...others]: ReadonlyArray<readonly Crash[]>): Crash[] {
+  return first.filter(crash => others.every(crashes => crashes.includes(crash)))
+}
+
 /** Returns true when a task of another job was given up for the crash. */
 function isCausedByOther ({ crash: { guiltyJobs }, run }: TaskCrash): boolean {
   return guiltyJobs.size > 0 && !guiltyJobs.has(run.task.jobId)
@@ -266,8 +284,7 @@
   const unreported = countCrashes(crashes) - crashes.length
   if (sumWeights(evidence) + unreported >= MAX_CRASH_WEIGHT) return true
   const suspicions = evidence.filter(({ run }) => isSuspect(run))
-  const explained = suspicions.filter(({ weight }) => weight === 0).length
-  if (suspicions.length - Math.max(0, explained - MAX_WRONG_EXPLANATIONS) >= MAX_SUSPICIONS) return true
+  if (suspicions.filter(({ weight }) => weight > 0).length >= MAX_SUSPICIONS) return true
   return evidence.some(({ crash, run, weight, isOnlyObserved }) => {
     if (!isOnlyObserved) return false
     // An observed run shows an earlier suspicion, also where its report has not come.
--- a/test/unit/scheduler/crashRecords.test.ts
+++ b/test/unit/scheduler/crashRecords.test.ts
@@ -163,6 +163,38 @@
     expect(judge(createCrash('w-3', ['bystander'], { observed: ['bystander'], crashedAtMs: 900 }))).to.deep.equal([])
   })
 
+  it('do not count a crash among three against a bystander for which a task of another job was given up', () => {
+    const { timers, judge } = createBench()
+    judge(createCrash('w-1', ['crashing', 'bystander']))
+    timers.advance(400 - timers.nowMs())
+    expect(judge(createCrash('w-2', ['crashing'], { observed: ['crashing'], crashedAtMs: 400 }))).to.deep.equal(['crashing'])
+    const verdicts = [900, 1_400, 1_900].map(crashedAtMs => {
+      timers.advance(crashedAtMs - timers.nowMs())
+      return judge(createCrash(`w-${crashedAtMs}`, ['bystander'], { crashedAtMs }), ...['x', 'y'].map(worker => createCrash(`${worker}-${crashedAtMs}`, [`${worker}-${crashedAtMs}`], { crashedAtMs })))
+    })
+    expect(verdicts).to.deep.equal([[], [], ['bystander']])
+  })
+
+  it('lay a crash to the task of a job whose other crashes no other job explains', () => {
+    const { timers, judge } = createBench()
+    const refs = { first: { jobId: 'job', step: 0, index: 0 }, second: { jobId: 'job', step: 0, index: 1 } }
+    const createJobCrash = (crashId: string, crashedAtMs: number, tasks: readonly workers.TaskRef[], others: readonly string[], isObserved: boolean): workers.WorkerCrash => {
+      const crash = createCrash(crashId, ['job', ...others], { crashedAtMs })
+      const [run, ...rest] = crash.runs
+      return { ...crash, runs: [...tasks.map(task => ({ ...run!, task, isObserved })), ...rest] }
+    }
+    // The second task of the job is aboard of a crash that another job causes; both are lost in the next.
+    judge(createJobCrash('w-1', 0, [refs.first], ['bystander'], false))
+    timers.advance(400 - timers.nowMs())
+    judge(createJobCrash('w-2', 400, [refs.second], ['crashing'], false))
+    timers.advance(800 - timers.nowMs())
+    expect(judge(createJobCrash('w-3', 800, [refs.first, refs.second], [], true))).to.deep.equal(['job', 'job'])
+    timers.advance(1_200 - timers.nowMs())
+    expect(judge(createCrash('w-4', ['crashing'], { observed: ['crashing'], crashedAtMs: 1_200 }))).to.deep.equal(['crashing'])
+    timers.advance(1_600 - timers.nowMs())
+    expect(judge(createCrash('w-5', ['bystander'], { observed: ['bystander'], crashedAtMs: 1_600 }))).to.deep.equal([])
+  })
+
   it('give up a task for two crashes among frequent single ones', () => {
     const { timers, judge } = createBench()
     for (let crash = 0; crash < 150; crash++) {
