--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -111,14 +111,14 @@
 const MAX_LOST_RUNS = 256
 
 /** Encodes a crash of the worker. */
-export function encodeCrash ({ crashId, kind, runs: aboard, unconfirmed = [] }: workers.WorkerCrash): protocol.runs.IWorkerCrash {
-  return { crashId, kind, runs: encodeLostRuns(aboard), unconfirmed: encodeLostRuns(unconfirmed) }
+export function encodeCrash ({ crashId, kind, crashedAtMs, runs: aboard, unconfirmed = [] }: workers.WorkerCrash, nowMs: number): protocol.runs.IWorkerCrash {
+  return { crashId, kind, ageMs: Math.max(0, nowMs - crashedAtMs), runs: encodeLostRuns(aboard), unconfirmed: encodeLostRuns(unconfirmed) }
 }
 
 /** Decodes a crash of a worker. An unknown kind, from a newer agent, becomes `Down`. */
-export function decodeCrash (message: protocol.runs.IWorkerCrash): workers.WorkerCrash {
+export function decodeCrash (message: protocol.runs.IWorkerCrash, nowMs: number): workers.WorkerCrash {
   const kind = Object.values(workers.CrashKind).find(each => each === message.kind) ?? workers.CrashKind.Down
-  return { crashId: message.crashId ?? '', kind, runs: decodeLostRuns(message.runs), unconfirmed: decodeLostRuns(message.unconfirmed) }
+  return { crashId: message.crashId ?? '', kind, crashedAtMs: nowMs - Math.max(0, readNumber(message.ageMs)), runs: decodeLostRuns(message.runs), unconfirmed: decodeLostRuns(message.unconfirmed) }
 }
 
 function encodeLostRuns (lost: readonly workers.LostRun[]): protocol.runs.ILostRun[] {
--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -209,7 +209,8 @@
     this.runs.set(key, { ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs() })
     this.options.runRecorder.recordStart(key)
     if (this.options.crashesAfterMs?.(call.ref.task) === 0) {
-      this.crash(key)
+      this.options.runRecorder.recordCrash(key)
+      this.crash()
       return { kind: 'unanswered', reason: 'crash' }
     }
     return { kind: 'started' }
@@ -242,13 +243,13 @@
     return [...this.runs.values()].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.capacity)
   }
 
-  /** Goes down with all runs. A new incarnation is back after `CRASH_DOWN_MS`. */
-  private crash (key: string): void {
-    this.options.runRecorder.recordCrash(key)
+  /** Goes down with all runs. A new incarnation is back after `downMs`. A worker that is down stays so for as long as it would. */
+  crash (downMs = CRASH_DOWN_MS): void {
+    if (this.faults.isDown) return
     this.restart()
     this.faults.isDown = true
     for (const resolve of this.waiters.splice(0)) resolve()
-    this.options.timers.after(CRASH_DOWN_MS, () => {
+    this.options.timers.after(downMs, () => {
       this.bornAtMs = this.options.timers.wallClockMs()
       this.faults.isDown = false
     })
@@ -258,7 +259,8 @@
     for (const [key, run] of [...this.runs]) {
       const crashesAfterMs = this.options.crashesAfterMs?.(run.ref.task)
       if (crashesAfterMs !== undefined && this.options.timers.nowMs() - run.startedAtMs >= crashesAfterMs) {
-        this.crash(key)
+        this.options.runRecorder.recordCrash(key)
+        this.crash()
         return
       }
       if (this.clockMs > this.leaseUntilMs) this.end(key, run, workers.EndCause.LeaseExpired)
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -344,7 +344,7 @@
     const crashedAtMs = kind === CrashKind.Unresponsive ? this.lastAnswerAtMs : this.services.timers.nowMs()
     const { runs, unconfirmed } = describeLostRuns(this.registry.all, crashedAtMs)
     if (runs.length + unconfirmed.length === 0 || this.isLeaving) return
-    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, runs, unconfirmed }
+    const crash: WorkerCrash = { crashId: `${this.worker.workerId}@${this.worker.bornAtMs}#${++this.crashCount}`, kind, crashedAtMs, runs, unconfirmed }
     this.services.log.event(events.WorkerCrashed, { workerId: this.worker.workerId, crashId: crash.crashId, kind, runs: formatLostRuns(runs), unconfirmed: formatLostRuns(unconfirmed) })
     this.handlers.onCrash(crash)
   }
