--- a/packages/scheduler/src/overload.ts
+++ b/packages/scheduler/src/overload.ts
@@ -11,6 +11,8 @@
 const INCREASE = 0.02
 /** Number of periods below the target after which the increase has doubled. */
 const INCREASE_DOUBLING_PERIODS = 5
+/** Multiple of the delay after which a decrease shows: requests accepted before it are read, and the delay is measured again. */
+const EFFECT_DELAYS = 2
 /** Lowest accepted share. Keeps some service, whose delay shows when the load falls. */
 const MIN_SHARE = 0.05
 
@@ -61,12 +63,12 @@
     this.calmPeriods++
   }
 
-  /** Lowers the share by the square root of the excess, since the wait grows as long as the excess lasts. Its effect shows when the requests that wait now have been read. */
+  /** Lowers the share by the square root of the excess, since the wait grows as long as the excess lasts. */
   private decrease (delayMs: number): void {
     this.calmPeriods = 0
     const nowMs = this.services.timers.nowMs()
     if (nowMs < this.effectiveAtMs) return
-    this.effectiveAtMs = nowMs + delayMs
+    this.effectiveAtMs = nowMs + EFFECT_DELAYS * delayMs
     this.share = Math.max(MIN_SHARE, this.share * Math.max(MIN_DECREASE_FACTOR, Math.sqrt(TARGET_DELAY_MS / delayMs)))
   }
 }
