--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -25,7 +25,7 @@
   log: settings.Log
   scheduler: scheduler.Scheduler
   configCache: ConfigCache
-  /** Returns true while this entry refuses a part of its jobs. */
+  /** Returns true while this entry refuses a part of its jobs or isn't ready, so that callers of others are not sent to it. */
   isOverloaded?: () => boolean
 }
 
