--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -172,6 +172,8 @@
   intercept = () => undefined
   isDraining = false
   life = 0
+  /** Its kind and its rack. */
+  labels = ['a', 'r1-1']
 
   constructor (id, host, port, control, record) {
     Object.assign(this, { id, host, port, control, record })
@@ -218,7 +220,7 @@
   }
 
   beat () {
-    const body = JSON.stringify({ service: SERVICE, address: this.address, zone: 'zone-a', version: 'v1', slots: 8, state: this.isDraining ? 'draining' : 'ready', cold_remaining_ms: 0, capacity: { cpu: MINION_CPU, memory_request_mb: MINION_MEMORY_MB, gpus: 0 }, labels: ['a', 'r1-1'], clock_ms: this.clockMs, sequence: ++this.sequence, born: this.born, machine: `m-${this.id}` })
+    const body = JSON.stringify({ service: SERVICE, address: this.address, zone: 'zone-a', version: 'v1', slots: 8, state: this.isDraining ? 'draining' : 'ready', cold_remaining_ms: 0, capacity: { cpu: MINION_CPU, memory_request_mb: MINION_MEMORY_MB, gpus: 0 }, labels: this.labels, clock_ms: this.clockMs, sequence: ++this.sequence, born: this.born, machine: `m-${this.id}` })
     const request = http.request(`http://${this.control}/egretvalve/Instances.Heartbeat/${this.id}`, { method: 'POST', headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }, timeout: 1_000 }, response => { response.resume() })
     request.on('error', () => {})
     request.on('timeout', () => { request.destroy() })
@@ -280,7 +282,7 @@
     const job = work.get(task.split('.')[0])
     const used = [...this.running.values()].reduce((sum, each) => sum + each.cpu, 0)
     if (used + (job?.cpu ?? 0) > MINION_CPU) return this.refuse('room')
-    const started = { task, run, minion: this.id, life: this.life, startMs: now(), endMs: undefined, cause: undefined, frozenMs: 0, cpu: job?.cpu ?? 0, workMs: job?.workOf(task, run) ?? 0, isSent: job !== undefined && job.spec === spec }
+    const started = { task, run, minion: this.id, life: this.life, labels: this.labels, startMs: now(), endMs: undefined, cause: undefined, frozenMs: 0, cpu: job?.cpu ?? 0, workMs: job?.workOf(task, run) ?? 0, isSent: job !== undefined && job.spec === spec }
     this.running.set(task, started)
     runs.push(started)
     this.record.write(`minion ${this.id} life ${this.life} starts ${task} run ${run}`)
@@ -423,8 +425,9 @@
   relays = []
   store = new Store()
 
-  constructor (record, { entries, agents, hasRelays = false }) {
-    Object.assign(this, { record, size: { entries, agents }, hasRelays })
+  /** `kindOf` returns the kind of the minion of a machine, by its number from 0. */
+  constructor (record, { entries, agents, hasRelays = false, kindOf = () => 'a' }) {
+    Object.assign(this, { record, size: { entries, agents }, hasRelays, kindOf })
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'))
   }
 
@@ -484,6 +487,7 @@
     const ip = `127.${this.net}.1.${number}`
     const control = `${ip}:${this.port + 6}`
     const minion = new Minion(`i-${number}`, ip, this.port + 5, control, this.record)
+    minion.labels = [this.kindOf(number - 1), 'r1-1']
     this.minions.push(minion)
     this.agents.push(new Program('agent', this.settings(`side-${number}`, ip, 'agent', { control_plane: control }, { app: minion.address, service: SERVICE }), this.folder))
   }
