--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -16,7 +16,7 @@
     const jobId = createJobId()
     const spec = `round ${round}`
     declareJob(jobId, { spec, cpu: CPU, workOf: () => WORK_MS })
-    const body = { spec, steps: [{ count: TASKS, cpu: CPU, memory_request_mb: 64, estimated_ms: 1_086 }], best_effort: true }
+    const body = { spec, steps: [{ count: TASKS, cpu: CPU, memory_request_mb: 64, estimated_ms: 1_086, anti_affinity: 1 }], best_effort: true }
     const first = send(record, entry, 'POST', `/reserve/${jobId}`, { body, deadlineMs: DEADLINE_MS })
     await sleep(RESET_AFTER_MS)
     if (hasTrouble) {
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -599,11 +599,14 @@
   record.write(`the disruption is ${hasTrouble ? 'on' : 'off'}`)
   const system = new System(record, size)
   let exitCode = 2
-  const limit = setTimeout(async () => {
-    record.write('the case took too long')
+  const giveUp = async reason => {
+    record.write(reason)
+    console.log(reason)
     await system.stop()
     process.exit(2)
-  }, 110_000)
+  }
+  const limit = setTimeout(() => { giveUp('the case took too long') }, 110_000)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => { giveUp(`ended by ${signal}`) })
   try {
     await system.start()
     const broken = await play(system, record, hasTrouble)
