Keep stop orders until the end of their run is known, and compare held runs both ways

Cause: the decision to stop a run was a single message. `Scheduler.end` sent it only where a link was open at that moment; a link that closed afterwards lost it. Nothing remembered it: when the link reopened, `reconcile` looked only for tasks that the agent lacks and kept held runs of ended jobs, while the new link renewed the owner lease that would have ended them. Slow runs that were to be moved had the same fault, and were never moved then.

An order written to a closing link could not be told from one that was not sent: event 11016 now gives the reason.

Change: `StopOrders` keeps an order until the end of the run is reported or certain, sends it on each link that opens, and repeats it on an open link after 250 ms. `reconcile` stops held runs of which the entry has no record.

Why it works: what the entry wants is state, compared when a link opens and while it is open, so no lost message matters. Without a link the owner lease ends the runs 1,150 ms after the entry last read a message, before a caller sends again.

--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -3,12 +3,11 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as scheduler from '@egretvalve/scheduler'
 import type * as settings from '@egretvalve/settings'
-import * as workers from '@egretvalve/workers'
 import { AgentConnection } from './agentConnection.ts'
 import { type ConfigCache, decodeCopy } from './configCopy.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
-import { decodeCrash, decodeEnd, decodeLoad, decodeSlow } from './messages.ts'
+import { decodeCrash, decodeEnd, decodeHeld, decodeLoad, decodeSlow } from './messages.ts'
 
 /** Identity of an entry process. Stored as JSON under its key in the store, with these field names. */
 export interface EntryIdentity {
@@ -113,7 +112,7 @@
     const { scheduler } = this.services
     connection.recordMessage(message.sentAtMs ?? 0)
     if (message.report != null) this.handleReport(connection, message.report)
-    else if (message.held != null) scheduler.reconcile(connection, new Set((message.held.runs ?? []).map(heldRunKey)))
+    else if (message.held != null) scheduler.reconcile(connection, (message.held.runs ?? []).map(decodeHeld))
     else if (message.config != null) this.handleConfig(connection, message.config)
     else if (message.beat != null) this.handleHeartbeat(connection, message.beat)
   }
@@ -166,8 +165,3 @@
     this.services.scheduler.disconnect(connection, reason)
   }
 }
-
-/** Returns the key of a task attempt as the scheduler expects it. */
-function heldRunKey (held: protocol.runs.IHeldRun): string {
-  return `${workers.taskKey({ jobId: held.jobId ?? '', step: held.step ?? 0, index: held.index ?? 0 })}#${held.attempt ?? 0}`
-}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -96,6 +96,11 @@
   return { ...task, attempt, kind: encodeEndKind(ending.end), runMs: ending.runMs, reason: ending.reason }
 }
 
+/** Decodes a held task. */
+export function decodeHeld (message: protocol.runs.IHeldRun): scheduler.HeldTask {
+  return { ref: { jobId: message.jobId ?? '', step: message.step ?? 0, index: message.index ?? 0 }, attempt: message.attempt ?? 0 }
+}
+
 /** Decodes an end. */
 export function decodeEnd (message: protocol.runs.IRunEnd): scheduler.ReportedEnd {
   return {
--- a/packages/scheduler/src/defaults.ts
+++ b/packages/scheduler/src/defaults.ts
@@ -20,6 +20,8 @@
   slowFactor: number
   /** A slow run is moved when its remaining time exceeds a whole run on another worker by this factor. */
   moveGain: number
+  /** Time without a report of a run's end after which the order to stop it is repeated on an open link. A stop takes 50 ms at most, beside the messages. */
+  stopRepeatMs: number
   /** Bounds of the time after which a refused caller may retry. */
   minRetryAfterMs: number
   maxRetryAfterMs: number
@@ -37,6 +39,7 @@
   stalledMs: 200,
   slowFactor: 2.5,
   moveGain: 1.3,
+  stopRepeatMs: 250,
   minRetryAfterMs: 1_000,
   maxRetryAfterMs: 8_000,
   outcomeRetentionMs: 5_000
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -11,6 +11,7 @@
 import { type Job, type Task, TaskPhase } from './job.ts'
 import type { StepSpec } from './model.ts'
 import type { SpeedEstimate } from './speed.ts'
+import type { StopOrders } from './stopOrders.ts'
 import type { UnconfirmedStarts } from './unconfirmedStarts.ts'
 
 /** Dependencies that the placer shares with its scheduler. */
@@ -24,6 +25,7 @@
   crashRecords: CrashRecords
   unconfirmedStarts: UnconfirmedStarts
   containment: Containment
+  stopOrders: StopOrders
   failureDomain: string
   /** Returns a number from 0 to 1. */
   random: () => number
@@ -199,7 +201,10 @@
     task.sentAtMs = this.nowMs
     job.recordSent()
     this.sentCount++
-    agent.sent.set(workers.taskKey(task.ref), { job, task, attempt: task.attempt, observationMs, port: agent.port! })
+    const key = workers.taskKey(task.ref)
+    // The agent stops an earlier run of the task itself before it starts this one.
+    this.context.stopOrders.withdraw(agent.sent.get(key))
+    agent.sent.set(key, { job, task, attempt: task.attempt, observationMs, port: agent.port! })
     agent.view.recordSent(step.size)
     this.context.ejection.recordSent(agent.agentId)
     agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, { crashes: crashRecords.crashesOf(task.ref), observationMs, checksWorker: unconfirmedStarts.has(task.ref) })
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -17,6 +17,7 @@
 import { Refusals } from './refusals.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { SpeedEstimate } from './speed.ts'
+import { type HeldTask, StopOrders } from './stopOrders.ts'
 import { UnconfirmedStarts } from './unconfirmedStarts.ts'
 import { recordOutcome } from './workerOutcomes.ts'
 import type { ReportedLoad } from './workerView.ts'
@@ -57,11 +58,13 @@
   /** Jobs that failed because workers crashed under one of their tasks. They are counted as failed too. */
   givenUp: number
   moves: number
+  /** Runs that went on after their stop had been ordered, or that were unknown here, and were stopped later. */
+  staleRunsStopped: number
 }
 
 /** Schedules the jobs of one entry. */
 export class Scheduler {
-  readonly counters: SchedulerCounters = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, givenUp: 0, moves: 0 }
+  private readonly counts = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, givenUp: 0, moves: 0 }
   private readonly options: SchedulerOptions
   /** Jobs that have not ended, by id. */
   private readonly open = new Map<string, Job>()
@@ -76,6 +79,7 @@
   private readonly placer: Placer
   private readonly demandNotifier: DemandNotifier
   private readonly refusals: Refusals
+  private readonly stopOrders: StopOrders
   private readonly tick: settings.TimerHandle
   /** Time of the last periodic check. */
   private checkedAtMs: number
@@ -89,6 +93,7 @@
     this.unconfirmedStarts = new UnconfirmedStarts(services.timers)
     this.containment = new Containment(services.timers, this.agents, (queue, isContained) => { services.log.event(isContained ? events.QueueContained : events.QueueReleased, { queue }) })
     this.demandNotifier = new DemandNotifier(services.random)
+    this.stopOrders = new StopOrders({ timers: services.timers, log: services.log, repeatMs: this.options.stopRepeatMs })
     this.placer = new Placer({
       timers: services.timers,
       log: services.log,
@@ -99,6 +104,7 @@
       crashRecords: this.crashRecords,
       unconfirmedStarts: this.unconfirmedStarts,
       containment: this.containment,
+      stopOrders: this.stopOrders,
       failureDomain: services.failureDomain,
       random: services.random,
       entryCount: () => services.entryCount?.() ?? 1
@@ -107,6 +113,10 @@
     this.tick = services.timers.every(this.options.tickMs, () => { this.runPeriodicChecks() })
   }
 
+  get counters (): SchedulerCounters {
+    return { ...this.counts, staleRunsStopped: this.stopOrders.staleCount }
+  }
+
   /** Number of tasks sent since the process started. */
   get sentCount (): number {
     return this.placer.sentCount
@@ -164,7 +174,7 @@
     }
     this.ended.delete(job.id)
     this.open.set(job.id, job)
-    this.counters.accepted++
+    this.counts.accepted++
     job.advance()
     this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0), waitedMs: Math.round(waitedMs) })
     this.scheduleDispatch()
@@ -200,21 +210,27 @@
     this.ejection.add(port.agentId)
     this.services.log.event(events.AgentConnected, { agentId: port.agentId, life: port.incarnation, isNewLife: isNewIncarnation, sent: agent.sent.size, takesRuns: agent.view.acceptsRuns, freeCpuMilli: agent.view.free.cpuMilli })
     if (isNewIncarnation && agent.view.acceptsRuns) this.adoptIncarnation(agent, port.incarnation)
+    this.stopOrders.repeatOn(agent)
     this.scheduleDispatch()
   }
 
   /**
    * Applies the list of tasks that an agent holds for this entry. Tasks that were sent on an earlier link and are not in the list
-   * will not start on the agent and are marked lost. Tasks sent on this link are skipped, as they may have crossed the list.
+   * will not start on the agent and are marked lost. Tasks in the list of which this entry has no record are stopped. Tasks sent on
+   * this link are skipped, as they may have crossed the list.
    */
-  reconcile (port: AgentPort, held: ReadonlySet<string>): void {
+  reconcile (port: AgentPort, held: readonly HeldTask[]): void {
     const agent = this.agents.get(port.agentId)
     if (agent?.port !== port || agent.incarnation !== port.incarnation) return
+    const heldAttempts = new Map(held.map(({ ref, attempt }) => [workers.taskKey(ref), attempt]))
     for (const [key, sent] of [...agent.sent]) {
       if (sent.port === port) continue
-      if (held.has(`${key}#${sent.attempt}`)) sent.port = port
+      if (heldAttempts.get(key) === sent.attempt) sent.port = port
       else this.handleEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
     }
+    for (const task of held) {
+      if (!agent.sent.has(workers.taskKey(task.ref))) this.stopOrders.stopUnknown(port, task)
+    }
     this.scheduleDispatch()
   }
 
@@ -279,7 +295,7 @@
   }
 
   private giveUp (job: Job, ref: workers.TaskRef): void {
-    this.counters.givenUp++
+    this.counts.givenUp++
     const reason = `task ${ref.step}.${ref.index} given up: ${this.crashRecords.crashesOf(ref)} workers crashed while they ran it`
     this.end(job, { kind: 'failed', reason }, reason)
   }
@@ -301,6 +317,7 @@
     const sent = agent.sent.get(key)
     if (sent === undefined || sent.attempt !== end.attempt) return
     agent.sent.delete(key)
+    this.stopOrders.withdraw(sent)
     if (end.end === workers.TaskEnd.NotStarted) sent.job.recordNotStarted()
     if (end.end !== workers.TaskEnd.Done) this.services.log.event(events.TaskNotCompleted, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
     recordOutcome(this.ejection, agent.agentId, end, this.nowMs)
@@ -341,10 +358,10 @@
     if (sent.task.avoided.has(agent.agentId)) return
     if (!this.placer.hasAlternative(sent.job, sent.task)) return
     sent.task.avoided.add(agent.agentId)
-    this.counters.moves++
+    this.counts.moves++
     this.services.log.event(events.TaskMoved, { jobId: run.ref.jobId, step: run.ref.step, index: run.ref.index, agentId: agent.agentId, elapsedMs: Math.round(run.elapsedMs), percent: run.percent, stalledMs: Math.round(run.stalledMs), estimatedMs: step.estimatedMs, speedFactor: this.speeds.factorOf(agent.agentId) })
     if (run.stalledMs > this.options.stalledMs) this.ejection.recordOutcome(agent.agentId, true, this.nowMs)
-    agent.port.stop(run.ref)
+    this.stopOrders.order(agent, sent)
   }
 
   /** Checks deadlines and silent agents. */
@@ -354,6 +371,7 @@
     this.checkedAtMs = this.nowMs
     if (!isStalled) for (const agent of [...this.agents.all]) this.checkAgent(agent)
     for (const job of [...this.open.values()]) this.checkJob(job)
+    this.stopOrders.repeatOverdue()
     this.evictEnded()
     this.containment.sweep()
     this.scheduleDispatch()
@@ -404,15 +422,23 @@
   }
 
   private end (job: Job, outcome: JobOutcome, reason: string): void {
-    for (const task of job.sentTasks()) this.agents.get(task.agentId ?? '')?.port?.stop(task.ref)
+    this.stopRuns(job)
     this.services.log.event(events.JobEnded, { jobId: job.id, outcome: outcome.kind, reason, ageMs: Math.round(this.nowMs - job.arrivedAtMs), objectiveMs: Math.round(job.dueAtMs - job.arrivedAtMs) })
     this.open.delete(job.id)
     this.ended.set(job.id, job)
     this.finish(job, outcome)
   }
 
+  private stopRuns (job: Job): void {
+    for (const task of job.sentTasks()) {
+      const agent = this.agents.get(task.agentId ?? '')
+      const sent = agent?.sent.get(workers.taskKey(task.ref))
+      if (agent !== undefined && sent !== undefined) this.stopOrders.order(agent, sent)
+    }
+  }
+
   private finish (job: Job, outcome: JobOutcome): void {
-    this.counters[outcome.kind]++
+    this.counts[outcome.kind]++
     job.finish(outcome, this.nowMs)
     this.services.onEnded?.(outcome, this.nowMs - job.arrivedAtMs)
   }
--- /dev/null
+++ b/packages/scheduler/src/stopOrders.ts
@@ -0,0 +1,101 @@
+/** Orders to stop runs. An order stands until the end of its run is known, and is repeated on every link that opens meanwhile. */
+import type * as settings from '@egretvalve/settings'
+import * as workers from '@egretvalve/workers'
+import type { AgentPort, AgentRecord, SentTask } from './agents.ts'
+import { events } from './events.ts'
+
+/** A task attempt that an agent reports as held. */
+export interface HeldTask {
+  ref: workers.TaskRef
+  attempt: number
+}
+
+/** Why the stop of a run is ordered again, or only now. */
+enum StopDelay {
+  /** No link was open when the stop was ordered. */
+  LinkClosed = 'link was closed',
+  /** The link that carried the order has closed since. */
+  LinkLost = 'link was lost',
+  /** The agent has not reported the end of the run in time. */
+  Unconfirmed = 'end not reported',
+  /** The entry has no record of the run. */
+  Unknown = 'run unknown to the entry'
+}
+
+interface StopOrder {
+  readonly agent: AgentRecord
+  readonly orderedAtMs: number
+  /** Time of the last message; undefined while none could be sent. */
+  sentAtMs: number | undefined
+  /** True once the run has been counted and logged as stale. */
+  isStale: boolean
+}
+
+/** Dependencies of the orders. */
+export interface StopOrdersContext {
+  timers: settings.Timers
+  log: settings.Log
+  /** Time without a report of the run's end after which an order is repeated on an open link, in milliseconds. */
+  repeatMs: number
+}
+
+/** Stop orders of one entry. */
+export class StopOrders {
+  /** Number of runs that went on after this entry had ordered their stop or given them up, and that were stopped later. */
+  staleCount = 0
+  private readonly orders = new Map<SentTask, StopOrder>()
+
+  constructor (private readonly context: StopOrdersContext) {}
+
+  /** Orders the stop of a run. Does nothing if it has been ordered already. */
+  order (agent: AgentRecord, sent: SentTask): void {
+    if (this.orders.has(sent)) return
+    this.orders.set(sent, { agent, orderedAtMs: this.nowMs, sentAtMs: agent.port === undefined ? undefined : this.nowMs, isStale: false })
+    agent.port?.stop(sent.task.ref)
+  }
+
+  /** Withdraws the order for a run that has ended or is certain to have ended. */
+  withdraw (sent: SentTask | undefined): void {
+    if (sent !== undefined) this.orders.delete(sent)
+  }
+
+  /** Repeats the standing orders for an agent on a link that has just opened. */
+  repeatOn (agent: AgentRecord): void {
+    if (this.orders.size === 0) return
+    for (const [sent, order] of this.orders) {
+      if (order.agent === agent) this.repeat(sent, order, order.sentAtMs === undefined ? StopDelay.LinkClosed : StopDelay.LinkLost)
+    }
+  }
+
+  /** Repeats the orders whose runs have not ended in time. Called periodically. */
+  repeatOverdue (): void {
+    for (const [sent, order] of this.orders) {
+      if (this.nowMs - (order.sentAtMs ?? 0) >= this.context.repeatMs) this.repeat(sent, order, StopDelay.Unconfirmed)
+    }
+  }
+
+  /** Stops a run that the agent holds and of which this entry has no record. */
+  stopUnknown (port: AgentPort, { ref, attempt }: HeldTask): void {
+    port.stop(ref)
+    this.record(port.agentId, ref, attempt, StopDelay.Unknown)
+  }
+
+  private get nowMs (): number {
+    return this.context.timers.nowMs()
+  }
+
+  private repeat (sent: SentTask, order: StopOrder, delay: StopDelay): void {
+    const { port, incarnation } = order.agent
+    if (port?.incarnation !== incarnation) return
+    port.stop(sent.task.ref)
+    order.sentAtMs = this.nowMs
+    if (order.isStale) return
+    order.isStale = true
+    this.record(order.agent.agentId, sent.task.ref, sent.attempt, delay, this.nowMs - order.orderedAtMs)
+  }
+
+  private record (agentId: string, ref: workers.TaskRef, attempt: number, reason: StopDelay, sinceOrderedMs?: number): void {
+    this.staleCount++
+    this.context.log.event(events.StaleRunStopped, { ...ref, attempt, agentId, reason, sinceOrderedMs: sinceOrderedMs === undefined ? undefined : Math.round(sinceOrderedMs) })
+  }
+}
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -12,6 +12,8 @@
 const FIRST_PORT = 17_700
 const WORK_MS = 1_200
 const REPORT_PERIOD_MS = 500
+/** Time from the return of a link to the end of runs that nobody wants: the stop at a worker, and messages and checks on a busy machine, in milliseconds. */
+const STOP_LIMIT_MS = 250
 const timers = new settings.TimerService()
 const log = settings.createSilentLog()
 
@@ -117,6 +119,37 @@
     expect([...bench.runRecorder.starts.values()]).to.deep.equal(Array(6).fill(1))
   })
 
+  // Guards against runs of a cancelled job that go on because their stop met a closed link.
+  it('stop the runs of a job that ended while its links were closed as soon as these reopen', async () => {
+    const { job } = bench.submit('job', 6)
+    await bench.waitFor(() => bench.runCount === 6)
+    for (const proxy of bench.proxies) proxy.resetAll()
+    await bench.waitFor(() => bench.scheduler.workerCount === 0)
+    bench.scheduler.cancel(job)
+    await bench.waitFor(() => bench.scheduler.workerCount === 2)
+    const endedMs = await bench.waitFor(() => bench.runCount === 0)
+    expect(endedMs).to.be.lessThan(STOP_LIMIT_MS)
+    expect(bench.scheduler.counters.staleRunsStopped).to.equal(6)
+    expect(bench.runRecorder.done.size).to.equal(0)
+  })
+
+  // Guards against runs of a cancelled job that go on because a link lost their stop before it was reset.
+  it('stop the runs of a job whose stop was lost on silent links, after several resets in a row', async () => {
+    const { job } = bench.submit('job', 6)
+    await bench.waitFor(() => bench.runCount === 6)
+    for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.CutToClient })
+    bench.scheduler.cancel(job)
+    for (let resets = 0; resets < 3; resets++) {
+      await timers.sleep(50)
+      for (const proxy of bench.proxies) proxy.resetAll()
+    }
+    for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.None })
+    await bench.waitFor(() => bench.scheduler.workerCount === 2 && bench.agents.every(agent => agent.isLinked))
+    const endedMs = await bench.waitFor(() => bench.runCount === 0)
+    expect(endedMs).to.be.lessThan(STOP_LIMIT_MS)
+    expect(bench.runRecorder.done.size).to.equal(0)
+  })
+
   it('stop the runs of a partitioned agent before a caller may resubmit, and only then start the tasks elsewhere', async () => {
     const { outcome } = bench.submit('job', 6)
     await bench.waitFor(() => bench.runCount === 6)
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -106,7 +106,7 @@
     created.connect(port, createLoad())
     submit(createJob('job', 1))
     await flushEventLoop()
-    created.reconcile(port, new Set())
+    created.reconcile(port, [])
     await passTime(timers, 200)
     expect(port.ordered.map(({ attempt }) => attempt)).to.deep.equal([1])
   })
@@ -120,11 +120,100 @@
     created.disconnect(first, 'test')
     const second = new FakePort('agent-1')
     created.connect(second, createLoad())
-    created.reconcile(second, new Set())
+    created.reconcile(second, [])
     await flushEventLoop()
     expect(second.ordered.map(({ attempt }) => attempt)).to.deep.equal([2])
   })
 
+  // Guards against runs that go on beside their next runs elsewhere because the stop of their job met a closed link.
+  it('stops a run when the link reopens if its job ended while the link was closed', async () => {
+    const { scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    const { job } = submit(createJob('job', 2))
+    await flushEventLoop()
+    created.disconnect(first, 'test')
+    created.cancel(job)
+    const second = new FakePort('agent-1')
+    created.connect(second, createLoad())
+    created.reconcile(second, first.ordered)
+    expect(second.stopped).to.deep.equal(first.ordered.map(({ ref }) => ref))
+    expect(created.counters.staleRunsStopped).to.equal(2)
+  })
+
+  // Guards against a stop that is written to a link which loses it and then reopens, again and again.
+  it('repeats a stop on every link that opens until the end of the run is reported', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    const { job } = submit(createJob('job', 1), {}, 1_000)
+    await passTime(timers, 1_050)
+    expect(job.outcome?.kind).to.equal('expired')
+    expect(first.stopped).to.have.length(1)
+    const reopened = Array.from({ length: 3 }, () => new FakePort('agent-1'))
+    let open = first
+    for (const port of reopened) {
+      created.disconnect(open, 'test')
+      created.connect(port, createLoad())
+      created.reconcile(port, first.ordered)
+      open = port
+    }
+    expect(reopened.map(({ stopped }) => stopped.length)).to.deep.equal([1, 1, 1])
+    created.handleEnds(open, [createEnd(first.ordered[0]!, workers.TaskEnd.Lost)])
+    created.disconnect(open, 'test')
+    const last = new FakePort('agent-1')
+    created.connect(last, createLoad())
+    created.reconcile(last, [])
+    await passTime(timers, 1_000)
+    expect(last.stopped).to.deep.equal([])
+  })
+
+  // Guards against a stop that an agent has received and whose run goes on.
+  it('repeats a stop on an open link while the end of the run is not reported', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    const { job } = submit(createJob('job', 1))
+    await flushEventLoop()
+    created.cancel(job)
+    await passTime(timers, scheduler.DEFAULT_SCHEDULER.stopRepeatMs + scheduler.DEFAULT_SCHEDULER.tickMs)
+    expect(port.stopped).to.have.length(2)
+    created.handleEnds(port, [createEnd(port.ordered[0]!, workers.TaskEnd.Lost)])
+    await passTime(timers, 1_000)
+    expect(port.stopped).to.have.length(2)
+  })
+
+  // Guards against a slow run that is never moved because the only order to stop it met a closed link.
+  it('stops a slow run that was to move when the link reopens', async () => {
+    const { scheduler: created, submit } = createBench()
+    const slow = new FakePort('agent-1')
+    created.connect(slow, createLoad())
+    submit(createJob('job', 1))
+    await flushEventLoop()
+    created.connect(new FakePort('agent-2'), createLoad())
+    created.handleSlowRuns(slow, [{ ref: slow.ordered[0]!.ref, elapsedMs: 1_000, percent: 10, stalledMs: 600 }])
+    expect(slow.stopped).to.have.length(1)
+    created.disconnect(slow, 'test')
+    const reopened = new FakePort('agent-1')
+    created.connect(reopened, createLoad())
+    created.reconcile(reopened, slow.ordered)
+    expect(reopened.stopped).to.have.length(1)
+  })
+
+  // Guards against runs that an entry has given up while their agent was away and that the agent still holds.
+  it('stops the runs that an agent holds and the entry has no record of, and not those whose order crosses the list', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    submit(createJob('job', 1))
+    await flushEventLoop()
+    const unknown = { ref: { jobId: 'other', step: 0, index: 3 }, attempt: 1 }
+    const earlier = { ref: port.ordered[0]!.ref, attempt: 0 }
+    created.reconcile(port, [unknown, earlier])
+    expect(port.stopped).to.deep.equal([unknown.ref])
+    expect(created.counters.staleRunsStopped).to.equal(1)
+  })
+
   it('places the tasks of a lost agent again only after their runs have certainly ended', async () => {
     const { timers, scheduler: created, submit } = createBench()
     const lost = new FakePort('agent-1')
