Send a lost order again to the agent that still holds the task's earlier run

What callers would see: a task that starts at one agent while its run of an earlier submission is being stopped at another (TWICE).

Cause: an order that a link lost was taken for a task that nobody holds, though the agent's list named an earlier attempt of it, and the task was placed anywhere at once.

Change: such a task is sent again to the same agent, under the same attempt, on the new link. The agent stops the earlier run before it starts the task.

--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -2,7 +2,7 @@
 import type * as placement from '@egretvalve/placement'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-import type { AgentRecord, Agents } from './agents.ts'
+import type { AgentRecord, Agents, SentTask } from './agents.ts'
 import type { Containment } from './containment.ts'
 import type { CrashRecords } from './crashRecords.ts'
 import { type Candidate, chooseForSuspect, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
@@ -192,9 +192,6 @@
 
   private send (job: Job, task: Task, chosen: Candidate): void {
     const agent = this.context.agents.get(chosen.agentId)!
-    const step = job.stepOf(task)
-    const { crashRecords, unconfirmedStarts } = this.context
-    const observationMs = this.observationMsOf(task)
     task.attempt++
     job.setPhase(task, TaskPhase.Sent)
     task.agentId = agent.agentId
@@ -204,10 +201,22 @@
     const key = workers.taskKey(task.ref)
     // The agent stops an earlier run of the task itself before it starts this one.
     this.context.stopOrders.withdraw(agent.sent.get(key))
-    agent.sent.set(key, { job, task, attempt: task.attempt, observationMs, port: agent.port! })
-    agent.view.recordSent(step.size)
+    const sent: SentTask = { job, task, attempt: task.attempt, observationMs: this.observationMsOf(task), port: agent.port! }
+    agent.sent.set(key, sent)
     this.context.ejection.recordSent(agent.agentId)
-    agent.port!.sendTask(job, task, job.deadlineAtMs - this.nowMs, { crashes: crashRecords.crashesOf(task.ref), observationMs, checksWorker: unconfirmedStarts.has(task.ref) })
+    this.sendOrder(agent, sent)
+  }
+
+  /** Sends a task again, under the same attempt, on the link that has replaced the one which lost its order. */
+  sendAgain (agent: AgentRecord, sent: SentTask): void {
+    sent.port = agent.port!
+    this.sendOrder(agent, sent)
+  }
+
+  private sendOrder (agent: AgentRecord, { job, task, observationMs, port }: SentTask): void {
+    const { crashRecords, unconfirmedStarts } = this.context
+    agent.view.recordSent(job.stepOf(task).size)
+    port.sendTask(job, task, job.deadlineAtMs - this.nowMs, { crashes: crashRecords.crashesOf(task.ref), observationMs, checksWorker: unconfirmedStarts.has(task.ref) })
   }
 
   private get nowMs (): number {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -216,8 +216,9 @@
 
   /**
    * Applies the list of tasks that an agent holds for this entry. Tasks that were sent on an earlier link and are not in the list
-   * will not start on the agent and are marked lost. Tasks in the list of which this entry has no record are stopped. Tasks sent on
-   * this link are skipped, as they may have crossed the list.
+   * will not start on the agent and are marked lost; if the agent holds an earlier run of such a task, the task is sent again, as the
+   * agent stops that run before it starts the task. Tasks in the list of which this entry has no record are stopped. Tasks sent on this
+   * link are skipped, as they may have crossed the list.
    */
   reconcile (port: AgentPort, held: readonly HeldTask[]): void {
     const agent = this.agents.get(port.agentId)
@@ -225,7 +226,9 @@
     const heldAttempts = new Map(held.map(({ ref, attempt }) => [workers.taskKey(ref), attempt]))
     for (const [key, sent] of [...agent.sent]) {
       if (sent.port === port) continue
-      if (heldAttempts.get(key) === sent.attempt) sent.port = port
+      const heldAttempt = heldAttempts.get(key)
+      if (heldAttempt === sent.attempt) sent.port = port
+      else if (heldAttempt !== undefined && !sent.job.hasEnded) this.placer.sendAgain(agent, sent)
       else this.handleEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
     }
     for (const task of held) {
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -214,6 +214,27 @@
     expect(created.counters.staleRunsStopped).to.equal(1)
   })
 
+  // Guards against a task that starts elsewhere while its run of an earlier submission is still being stopped.
+  it('orders a task again at the agent that still holds its earlier run if a link has lost the order', async () => {
+    const { scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    const earlier = submit(createJob('job', 1))
+    await flushEventLoop()
+    created.cancel(earlier.job)
+    submit(createJob('job', 1))
+    await flushEventLoop()
+    const other = new FakePort('agent-2')
+    created.connect(other, createLoad())
+    created.disconnect(first, 'test')
+    const second = new FakePort('agent-1')
+    created.connect(second, createLoad())
+    created.reconcile(second, first.ordered.slice(0, 1))
+    await flushEventLoop()
+    expect(second.ordered.map(({ attempt }) => attempt)).to.deep.equal([2])
+    expect(other.ordered).to.deep.equal([])
+  })
+
   it('places the tasks of a lost agent again only after their runs have certainly ended', async () => {
     const { timers, scheduler: created, submit } = createBench()
     const lost = new FakePort('agent-1')
