Renew the owner lease on held tasks only after the entry has compared them

What callers would see: two runs of a task at the same time (TWICE) while links break again and again.

A link that breaks between greeting and list renewed the lease of runs that the entry had ended, and each further link did so again.

Change: while an agent holds tasks of an entry, a message renews the lease only if the entry had read the list on the same link when it sent the message. What it no longer wants it has then stopped before, on the same stream. The entry answers a list that isn't empty with a heartbeat, so that the lease is renewed one round trip after the link opens.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -113,7 +113,7 @@
     const connection = new EntryConnection(address, {
       createGreeting: () => this.createGreeting(),
       onOpen: (opened, greeting) => { this.handleLinkOpened(opened, greeting) },
-      onHeard: (from, heardAtMs) => { this.owners.recordMessage(from.incarnation, heardAtMs) },
+      onHeard: (from, heardAtMs) => { this.recordHeard(from, heardAtMs) },
       onMessage: (from, message) => { this.receive(from, message) },
       isBusy: target => this.executor.holdsTaskOf(target.incarnation),
       createHeartbeat: target => ({ configVersion: this.configCache.version, load: target.reportedLoadSequence < this.loadSequence ? this.createLoad(target) : undefined, othersHaveRoom: this.recordTold(target) })
@@ -131,10 +131,20 @@
     this.links.recordOpen(connection)
     this.pendingEnds.delete(incarnation)
     this.sendReport(connection, { crashes: this.crashes.recent().map(crash => encodeCrash(crash, this.services.timers.nowMs())), ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
-    connection.send({ held: { runs: this.executor.heldBy(incarnation).map(order => ({ ...order.task, attempt: order.attempt })) } })
+    connection.sendHeld(this.executor.heldBy(incarnation).map(order => ({ ...order.task, attempt: order.attempt })))
     this.handleEntryList(greeting.entries ?? [])
   }
 
+  /**
+   * Records a message of an entry. It renews the lease on held tasks only if the entry had read the list of these on the same link, as it
+   * has then also sent the stops of those that it no longer wants.
+   */
+  private recordHeard (connection: EntryConnection, heardAtMs: number): void {
+    const { incarnation } = connection
+    const isCompared = heardAtMs >= connection.heldSentAtMs || !this.executor.holdsTaskOf(incarnation)
+    this.owners.recordMessage(incarnation, isCompared ? heardAtMs : undefined)
+  }
+
   private receive (connection: EntryConnection, message: protocol.runs.IFromEntry): void {
     if (message.orders != null) this.handleOrders(connection, message.orders.orders ?? [])
     else if (message.stop != null) this.handleStop(connection, message.stop)
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -37,6 +37,8 @@
   sentConfigVersion = 0
   /** Monotonic time of the greeting on the current stream, in milliseconds. */
   openedAtMs = 0
+  /** Time at which the list of held tasks was sent on the current stream, on the agent's clock. Infinite before. */
+  heldSentAtMs = Number.POSITIVE_INFINITY
   /** Number of tasks received on the current stream. */
   received = 0
   /** True if the entry is overloaded, by its last heartbeat. */
@@ -95,6 +97,12 @@
     return true
   }
 
+  /** Sends the list of tasks that the agent holds for the entry. */
+  sendHeld (runs: protocol.runs.IHeldRun[]): void {
+    this.heldSentAtMs = this.services.clock.nowMs()
+    this.send({ held: { runs } })
+  }
+
   close (): void {
     this.abort.abort()
   }
@@ -105,6 +113,7 @@
     this.abort.signal.addEventListener('abort', stop, { once: true })
     this.outbox = new runtime.Outbox(dialed.stream)
     this.received = 0
+    this.heldSentAtMs = Number.POSITIVE_INFINITY
     this.activity.record()
     this.send({ greeting: this.handler.createGreeting(this) })
     this.stopStream = stop
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -109,10 +109,9 @@
   }
 
   private receive (connection: AgentConnection, message: protocol.runs.IFromAgent): void {
-    const { scheduler } = this.services
     connection.recordMessage(message.sentAtMs ?? 0)
     if (message.report != null) this.handleReport(connection, message.report)
-    else if (message.held != null) scheduler.reconcile(connection, (message.held.runs ?? []).map(decodeHeld))
+    else if (message.held != null) this.handleHeld(connection, message.held)
     else if (message.config != null) this.handleConfig(connection, message.config)
     else if (message.beat != null) this.handleHeartbeat(connection, message.beat)
   }
@@ -134,6 +133,13 @@
     connection.sendHeartbeat()
   }
 
+  private handleHeld (connection: AgentConnection, held: protocol.runs.IHeldRuns): void {
+    const runs = (held.runs ?? []).map(decodeHeld)
+    this.services.scheduler.reconcile(connection, runs)
+    // The agent's lease on these runs counts from a message that shows that the list has been read.
+    if (runs.length > 0) connection.sendHeartbeat()
+  }
+
   private handleConfig (connection: AgentConnection, copy: protocol.runs.IConfigCopy): void {
     this.recordConfigVersion(connection, copy.version ?? 0)
     this.services.configCache.offer(decodeCopy(copy))
--- a/packages/fleet/src/owners.ts
+++ b/packages/fleet/src/owners.ts
@@ -32,11 +32,14 @@
   /** `clock` is the one whose time the agent's messages carry. */
   constructor (private readonly timers: settings.Timers, private readonly clock: workers.ElapsedClock) {}
 
-  /** Records a message from an entry incarnation. `heardAtMs` is the time of the agent's last message that the entry had read when it sent this one. */
-  recordMessage (incarnation: string, heardAtMs: number): void {
+  /**
+   * Records a message from an entry incarnation. `heardAtMs` is the time of the agent's last message that the entry had read when it sent
+   * this one; undefined for a message that does not extend the lease.
+   */
+  recordMessage (incarnation: string, heardAtMs: number | undefined): void {
     const owner = this.resolve(incarnation)
     owner.activity.record()
-    if (heardAtMs > owner.heardAtMs) owner.heardAtMs = Math.min(heardAtMs, this.clock.nowMs())
+    if (heardAtMs !== undefined && heardAtMs > owner.heardAtMs) owner.heardAtMs = Math.min(heardAtMs, this.clock.nowMs())
   }
 
   remainingMs (incarnation: string): number {
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai'
 import * as fleet from '@egretvalve/fleet'
 import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
 import * as scheduler from '@egretvalve/scheduler'
 import * as settings from '@egretvalve/settings'
 import * as standin from '@egretvalve/standin'
@@ -14,6 +15,8 @@
 const REPORT_PERIOD_MS = 500
 /** Time from the return of a link to the end of runs that nobody wants: the stop at a worker, and messages and checks on a busy machine, in milliseconds. */
 const STOP_LIMIT_MS = 250
+/** Time after which a caller that lost its answer submits its job again, in milliseconds. */
+const RESUBMIT_MS = 1_300
 const timers = new settings.TimerService()
 const log = settings.createSilentLog()
 
@@ -26,6 +29,8 @@
   readonly agents: fleet.AgentNode[] = []
   readonly agentCaches: fleet.ConfigCache[] = []
   readonly workers: standin.StandinWorker[] = []
+  /** Work of each task that starts, in milliseconds. */
+  workOfMs = WORK_MS
   /** Number of runs that each worker has started. */
   readonly startCounts: number[] = []
   private readonly reports: settings.TimerHandle[] = []
@@ -68,7 +73,7 @@
     this.startCounts.push(0)
     const workOf = (): number => {
       this.startCounts[number]!++
-      return WORK_MS
+      return this.workOfMs
     }
     const worker = new standin.StandinWorker({ workerId: `w-${number}`, total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf, sizeOf: () => SIZE, timers, runRecorder: this.runRecorder })
     const cache = new fleet.ConfigCache()
@@ -87,6 +92,41 @@
   }
 }
 
+/** An entry that orders one task on its first link. Later links break as soon as both sides have greeted, until it is stable. */
+class FlappingEntry {
+  isStable = true
+  links = 0
+  private readonly server: runtime.LinkServer
+
+  constructor (readonly address: string) {
+    this.server = new runtime.LinkServer(address)
+    this.server.accept('exchange', protocol.runLink.exchange, async stream => { await this.serve(stream) })
+  }
+
+  async start (): Promise<void> {
+    await this.server.start()
+  }
+
+  stop (): void {
+    this.server.stop()
+  }
+
+  private async serve (stream: runtime.LinkStream<protocol.runs.FromAgent, protocol.runs.IFromEntry>): Promise<void> {
+    const link = ++this.links
+    try {
+      for await (const { greeting, sentAtMs: heardAtMs } of stream) {
+        if (link > 1 && !this.isStable && greeting == null) return
+        stream.write(greeting == null ? { beat: {}, heardAtMs } : { greeting: { entryId: 'flapping', life: 'flapping-life' }, heardAtMs })
+        if (link === 1 && greeting != null) stream.write({ orders: { orders: [{ jobId: 'job', tasks: [{ index: 0, attempt: 1 }], size: SIZE, estimatedMs: WORK_MS, expiresInMs: 5_000 }] }, heardAtMs })
+        if (!this.isStable && link === 1) break
+      }
+    } catch {
+      // The agent has closed the link.
+    }
+    stream.destroy()
+  }
+}
+
 describe('links between entries and agents', () => {
   before(async () => { await protocol.loadHash() })
 
@@ -150,6 +190,24 @@
     expect(bench.runRecorder.done.size).to.equal(0)
   })
 
+  // Guards against runs that outlive their owner lease because links which open and break at once renew it before the entry has compared what is held.
+  it('stop the runs of an entry whose links break before it has read what the agent holds', async () => {
+    const entry = new FlappingEntry(`127.0.0.1:${port++}`)
+    await entry.start()
+    const [agent] = bench.agents
+    bench.workOfMs = 4 * fleet.OWNER_LEASE_MS
+    agent!.updateEntries([{ address: entry.address, failureDomain: 'a' }])
+    await bench.waitFor(() => bench.runCount === 1)
+    await timers.sleep(fleet.OWNER_LEASE_MS)
+    expect(bench.runCount, 'a stable link renews the lease').to.equal(1)
+    entry.isStable = false
+    const endedMs = await bench.waitFor(() => bench.runCount === 0)
+    expect(endedMs).to.be.lessThan(RESUBMIT_MS)
+    expect(entry.links).to.be.greaterThan(2)
+    expect(bench.runRecorder.done.size).to.equal(0)
+    entry.stop()
+  })
+
   it('stop the runs of a partitioned agent before a caller may resubmit, and only then start the tasks elsewhere', async () => {
     const { outcome } = bench.submit('job', 6)
     await bench.waitFor(() => bench.runCount === 6)
