Repeat the stop of a run until the worker acknowledges it

The log line said that the lease would end the run.

Evidence: `unit/workers/executor` "repeats the stop of a run until the worker acknowledges it" left the run going after 2 s, when eight stops were lost; passes after the change.

--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -18,8 +18,8 @@
   reportTimeoutMs: number
   /** Longest time that a task waits for an earlier run of the same task to be stopped. */
   maxQueuedMs: number
-  /** Attempts to stop a run while the worker does not acknowledge the stop. */
-  stopAttempts: number
+  /** Attempts to stop a run after which the missing acknowledgement is logged. The stop is repeated until the run has ended. */
+  stopAttemptsUntilWarning: number
   /** Largest ratio between the rates of the monotonic clocks of two VMs. */
   clockDrift: number
 }
@@ -33,6 +33,6 @@
   unresponsiveAfterMs: 400,
   reportTimeoutMs: 6_000,
   maxQueuedMs: 60,
-  stopAttempts: 4,
+  stopAttemptsUntilWarning: 4,
   clockDrift: 1.03
 }
--- a/packages/workers/src/events.ts
+++ b/packages/workers/src/events.ts
@@ -18,7 +18,7 @@
   RunUnanswered: { code: 10013, level: Warn, message: 'start was not answered; the run is stopped before it may start elsewhere' },
   RunEnded: { code: 10014, level: Info, message: 'run ended' },
   RunStopping: { code: 10015, level: Info, message: 'run is being stopped' },
-  StopUnacknowledged: { code: 10016, level: Warn, message: 'stop was not acknowledged; the run ends when its lease expires' },
+  StopUnacknowledged: { code: 10016, level: Warn, message: 'stop is not acknowledged; it is repeated until the run has ended' },
   OrphanedRun: { code: 10017, level: Warn, message: 'orphaned run: worker runs a task that this agent did not start; it is stopped' },
   TaskReturned: { code: 10018, level: Info, message: 'task was returned to its entry without a start' },
   TakenOver: { code: 10019, level: Info, message: 'worker taken over; runs of an earlier incarnation of the agent have ended' },
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -258,16 +258,15 @@
 
   private async sendStop (run: ActiveRun): Promise<void> {
     const { options, driver, timers, log } = this.services
-    for (let attempt = 0; attempt < options.stopAttempts && this.isActive(run); attempt++) {
+    const { task } = run.order
+    for (let attempt = 1; this.isActive(run); attempt++) {
       if (await driver.stop(this.scope, run.ref)) {
-        run.stopAcknowledgedAtMs = this.services.timers.nowMs()
+        run.stopAcknowledgedAtMs = timers.nowMs()
         return await this.confirmStop(run)
       }
+      if (attempt === options.stopAttemptsUntilWarning) log.event(events.StopUnacknowledged, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run })
       await timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
     }
-    if (!this.isActive(run)) return
-    const { task } = run.order
-    log.event(events.StopUnacknowledged, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run })
   }
 
   /** Queries the worker, up to `MAX_MISSED_ANSWERS` times, until it lists the end of a stopped run or no longer lists the run. */
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -240,6 +240,23 @@
     expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Lost])
   })
 
+  // Guards against a run that goes on to its end, under a lease that is renewed, because a worker has lost its first stops.
+  it('repeats the stop of a run until the worker acknowledges it', async () => {
+    const { timers, endings, order } = await createBench()
+    const worker = new standin.StandinWorker({ workerId: 'w-2', total: TOTAL, workOf: () => 10_000, sizeOf: () => TASK_SIZE, timers, runRecorder: new standin.RunRecorder() })
+    const executor = createExecutor(worker, timers, endings)
+    executor.applyReport(worker.report())
+    await passTime(timers, 20)
+    executor.submit(order(0))
+    await passTime(timers, 50)
+    worker.faults.delayedCalls.stop = 2 * workers.DEFAULT_WORKER_OPTIONS.stopAttemptsUntilWarning
+    worker.faults.callDelayMs = 60_000
+    executor.stop('entry-1', () => true, 'test')
+    await passTime(timers, 2_000)
+    expect(worker.runCount).to.equal(0)
+    expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Lost])
+  })
+
   it('raises a run number that another entry has already used', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     executor.submit(order(0))
