Never run a job again that its caller has cancelled

Cause: one outcome, `cancelled`, stood for a job that its caller had cancelled and for one whose caller's connection broke. Both counted as to be run again, and the open submission was answered with 504, which asks for the request again.

Change: a broken connection ends the job as `abandoned`, which a resubmission runs again. `cancel` is final: its id is remembered for 120 s (the time for which a job's state can be asked for), also if the job had expired, been abandoned or isn't known, and submissions of it are answered with 200 and the state `cancelled`. Metric `egretvalve_jobs_abandoned`.

--- a/packages/analysis/src/causes.ts
+++ b/packages/analysis/src/causes.ts
@@ -65,6 +65,7 @@
     case SubmissionEnd.Failed: return Verdict.Failed
     case SubmissionEnd.Expired: return Verdict.Expired
     case SubmissionEnd.Refused: return Verdict.Refused
+    case SubmissionEnd.Abandoned:
     case SubmissionEnd.Cancelled:
     case SubmissionEnd.Unknown: return Verdict.Abandoned
   }
--- a/packages/analysis/src/submissions.ts
+++ b/packages/analysis/src/submissions.ts
@@ -8,6 +8,9 @@
   Succeeded = 'succeeded',
   Failed = 'failed',
   Expired = 'expired',
+  /** The caller disconnected. */
+  Abandoned = 'abandoned',
+  /** A caller cancelled the job; in logs of earlier versions also one whose caller disconnected. */
   Cancelled = 'cancelled',
   Refused = 'refused',
   /** The log holds no end: the entry was lost. */
--- a/packages/scheduler/src/defaults.ts
+++ b/packages/scheduler/src/defaults.ts
@@ -25,6 +25,8 @@
   /** Bounds of the time after which a refused caller may retry. */
   minRetryAfterMs: number
   maxRetryAfterMs: number
+  /** Time for which the id of a cancelled job is retained, so that a late resubmission does not run it. */
+  cancelRetentionMs: number
   /** Time for which the outcome of an ended job is retained for resubmissions. */
   outcomeRetentionMs: number
 }
@@ -42,5 +44,6 @@
   stopRepeatMs: 250,
   minRetryAfterMs: 1_000,
   maxRetryAfterMs: 8_000,
+  cancelRetentionMs: 120_000,
   outcomeRetentionMs: 5_000
 }
--- a/packages/scheduler/src/model.ts
+++ b/packages/scheduler/src/model.ts
@@ -48,6 +48,9 @@
   | { kind: 'refused', reason: string, retryAfterMs: number }
   /** The caller's deadline passed, or the entry stopped, after a task may have started. */
   | { kind: 'expired', reason: string }
+  /** The last caller that waited for the job has disconnected. */
+  | { kind: 'abandoned' }
+  /** A caller has ordered the end of the job, which never runs again. */
   | { kind: 'cancelled' }
 
 /** Returns the length of the longest chain of dependent steps by the caller's estimates, in milliseconds. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,6 +5,7 @@
 import * as workers from '@egretvalve/workers'
 import { retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
+import { CancelledJobs } from './cancelledJobs.ts'
 import { Containment } from './containment.ts'
 import { CrashRecords } from './crashRecords.ts'
 import { DEFAULT_SCHEDULER, type SchedulerOptions } from './defaults.ts'
@@ -54,6 +55,7 @@
   succeeded: number
   failed: number
   expired: number
+  abandoned: number
   cancelled: number
   /** Jobs that failed because workers crashed under one of their tasks. They are counted as failed too. */
   givenUp: number
@@ -64,12 +66,13 @@
 
 /** Schedules the jobs of one entry. */
 export class Scheduler {
-  private readonly counts = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, cancelled: 0, givenUp: 0, moves: 0 }
+  private readonly counts = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, abandoned: 0, cancelled: 0, givenUp: 0, moves: 0 }
   private readonly options: SchedulerOptions
   /** Jobs that have not ended, by id. */
   private readonly open = new Map<string, Job>()
   /** Ended jobs by id, oldest end first, retained so that a resubmission gets their outcome. */
   private readonly ended = new Map<string, Job>()
+  private readonly cancelledJobs: CancelledJobs
   private readonly agents = new Agents()
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
@@ -88,6 +91,7 @@
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.checkedAtMs = services.timers.nowMs()
+    this.cancelledJobs = new CancelledJobs(services.timers, this.options.cancelRetentionMs)
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
     this.crashRecords = new CrashRecords(services.timers)
     this.unconfirmedStarts = new UnconfirmedStarts(services.timers)
@@ -151,8 +155,8 @@
 
   /**
    * Accepts or refuses a job. A resubmission of a job that is open, has succeeded or has failed shares the outcome of the first
-   * submission. A job that was cancelled because its caller's connection broke, or that expired, runs again; its earlier runs
-   * were stopped when it ended. `deadlineMs` counts from the time at which the request reached this VM, `waitedMs` ago.
+   * submission. A job that was abandoned because its caller's connection broke, or that expired, runs again; its earlier runs
+   * were stopped when it ended. A job that a caller has cancelled ends at once. `deadlineMs` counts from the time at which the request reached this VM, `waitedMs` ago.
    */
   submit (spec: JobSpec, terms: JobTerms, deadlineMs: number, waitedMs = 0): Job {
     const known = this.find(spec.jobId)
@@ -161,6 +165,10 @@
       return known
     }
     const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0, waitedMs)
+    if (this.cancelledJobs.has(job.id)) {
+      this.end(job, { kind: 'cancelled' }, 'cancelled by a caller before')
+      return job
+    }
     const givenUp = job.tasks.flat().find(task => this.crashRecords.isGivenUp(task.ref))
     if (givenUp !== undefined) {
       this.giveUp(job, givenUp.ref)
@@ -181,9 +189,16 @@
     return job
   }
 
-  /** Ends a job that was cancelled or whose callers have all disconnected. */
-  cancel (job: Job): void {
-    if (!job.hasEnded) this.end(job, { kind: 'cancelled' }, 'caller disconnected or cancelled the job')
+  /** Ends a job whose callers have all disconnected. A resubmission runs it again. */
+  abandon (job: Job): void {
+    if (!job.hasEnded) this.end(job, { kind: 'abandoned' }, 'caller disconnected')
+  }
+
+  /** Ends a job by order of a caller, and makes sure that no resubmission runs it. The job may be unknown here. */
+  cancel (jobId: string): void {
+    this.cancelledJobs.add(jobId)
+    const job = this.open.get(jobId)
+    if (job !== undefined) this.end(job, { kind: 'cancelled' }, 'cancelled by a caller')
   }
 
   /** Refuses the open jobs of which nothing has started, which tells the callers that nothing has run. */
@@ -483,5 +498,5 @@
 
 /** Returns true for a job that ended without a result for its caller, so that a resubmission runs it again. */
 function isRepeatable (job: Job): boolean {
-  return job.outcome?.kind === 'cancelled' || job.outcome?.kind === 'expired'
+  return job.outcome?.kind === 'abandoned' || job.outcome?.kind === 'expired'
 }
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -165,7 +165,7 @@
     await bench.waitFor(() => bench.runCount === 6)
     for (const proxy of bench.proxies) proxy.resetAll()
     await bench.waitFor(() => bench.scheduler.workerCount === 0)
-    bench.scheduler.cancel(job)
+    bench.scheduler.abandon(job)
     await bench.waitFor(() => bench.scheduler.workerCount === 2)
     const endedMs = await bench.waitFor(() => bench.runCount === 0)
     expect(endedMs).to.be.lessThan(STOP_LIMIT_MS)
@@ -178,7 +178,7 @@
     const { job } = bench.submit('job', 6)
     await bench.waitFor(() => bench.runCount === 6)
     for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.CutToClient })
-    bench.scheduler.cancel(job)
+    bench.scheduler.abandon(job)
     for (let resets = 0; resets < 3; resets++) {
       await timers.sleep(50)
       for (const proxy of bench.proxies) proxy.resetAll()
