Tell the other entries of a cancelled job

No machine is disturbed.

Cause: a cancellation was known to one process alone.

Change: each entry keeps the ids that were cancelled at it in the last 15 s under a key of its own in the store, and reads those of the others with the list of entries, which it reads every 2 s anyway: no further call while nobody cancels. Events 12015 and 12016.

Ways weighed: a message over the agents reaches entries that share no agent only by flooding; a link between entries would be a further protocol; a watch of the store would cost each entry one call a second at rest.

--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -44,7 +44,7 @@
 export const MEMBER_LEASE_MS = 6_000
 /** Renewal period of that lease, in milliseconds. Two renewals may be lost. */
 export const MEMBER_RENEW_MS = 2_000
-/** Period in which an entry reads the list of entries, in milliseconds. */
+/** Period in which an entry reads the list of entries and the jobs that were cancelled at others, in milliseconds. */
 export const MEMBER_READ_MS = 2_000
 /** Period in which an agent reads the list of entries, in milliseconds, while no link is open and while at least one is. */
 export const UNLINKED_DISCOVERY_PERIOD_MS = 500
@@ -65,5 +65,16 @@
 export const ENTRY_RETENTION_MS = 10_000
 /** Longest id or failure domain of an entry, in characters. */
 export const MAX_NAME_CHARS = 200
+/** Common prefix of the keys below, which an entry reads in one call. */
+export const REGISTRY_PREFIX = 'egretvalve/'
 /** Prefix of the keys of entries in the store. */
-export const ENTRY_PREFIX = 'egretvalve/entries/'
+export const ENTRY_PREFIX = `${REGISTRY_PREFIX}entries/`
+/** Prefix of the keys of cancelled jobs in the store, one for each entry. */
+export const CANCELLATION_PREFIX = `${REGISTRY_PREFIX}cancelled/`
+/** Time for which a cancellation is published, in milliseconds. Every entry reads the store several times in it. */
+export const CANCELLATION_RETENTION_MS = 15_000
+/** Time after which a failed write of a cancellation is repeated, in milliseconds. */
+export const CANCELLATION_RETRY_MS = 50
+/** Number of cancellations that an entry publishes at most, and the longest id of a job in one. */
+export const MAX_PUBLISHED_CANCELLATIONS = 5_000
+export const MAX_JOB_ID_CHARS = 64
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -17,5 +17,7 @@
   StoreReachable: { code: 12011, level: Info, message: 'store reachable again' },
   AddressRefused: { code: 12012, level: Warn, message: 'entry address refused: not an IP address and port' },
   StepFailed: { code: 12013, level: Warn, message: 'step of a loop failed with an exception; the loop continues' },
-  EntryUnusable: { code: 12014, level: Warn, message: 'entry of another writer in the list; it is not used' }
+  EntryUnusable: { code: 12014, level: Warn, message: 'entry of another writer in the list; it is not used' },
+  CancellationUnpublished: { code: 12015, level: Warn, message: 'other entries could not be told of a cancelled job' },
+  CancellationReceived: { code: 12016, level: Info, message: 'job was cancelled at another entry' }
 })
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 /** Links between entries and the agents of leased workers, and their discovery of each other. */
 export * from './agentNode.ts'
+export { CancellationPublisher } from './cancellations.ts'
 export * from './configCopy.ts'
 export * from './defaults.ts'
 export * from './entryChoice.ts'
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -4,7 +4,8 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import * as zod from 'zod'
-import { ENTRY_PREFIX, MAX_NAME_CHARS, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS } from './defaults.ts'
+import { CancellationPublisher, cancellationsSchema } from './cancellations.ts'
+import { CANCELLATION_PREFIX, ENTRY_PREFIX, MAX_NAME_CHARS, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS, REGISTRY_PREFIX } from './defaults.ts'
 import type { EntryIdentity } from './entryNode.ts'
 import { events } from './events.ts'
 import { repeatUntilAborted } from './loops.ts'
@@ -26,7 +27,14 @@
   store: platform.Store
 }
 
-/** Reads the list of registered entries. */
+/** What entries have registered in the store. */
+export interface Registry {
+  entries: protocol.runs.IEntryAddress[]
+  /** Ids of jobs that callers have cancelled at some entry. */
+  cancelledJobs: string[]
+}
+
+/** Reads what entries have registered. */
 export class EntryListReader {
   private readonly problemLog: ProblemLog
 
@@ -36,33 +44,64 @@
 
   /** Returns the registered entries without those that another writer has left and that name no entry to use, which are logged. Returns undefined if the store call fails. */
   async read (): Promise<protocol.runs.IEntryAddress[] | undefined> {
+    return (await this.readPrefix(ENTRY_PREFIX))?.entries
+  }
+
+  /** The same with the jobs that were cancelled, in one store call. */
+  async readRegistry (): Promise<Registry | undefined> {
+    return await this.readPrefix(REGISTRY_PREFIX)
+  }
+
+  private async readPrefix (prefix: string): Promise<Registry | undefined> {
     const { store, log } = this.services
-    const read = await store.list(ENTRY_PREFIX)
+    const read = await store.list(prefix)
     if (read.err) {
       log.event(events.EntryListUnreadable, { failure: read.val.failure, reason: read.val.error.describe() })
       return undefined
     }
-    const entries: protocol.runs.IEntryAddress[] = []
+    const registry: Registry = { entries: [], cancelledJobs: [] }
     const problems: ItemProblem[] = []
     for (const { key, value, revision } of read.val.values) {
-      const parsed = protocol.parseJson(Buffer.from(value), memberSchema)
-      if (parsed.ok) entries.push(parsed.val)
-      else problems.push({ key, state: String(revision), reason: protocol.describeInputProblem(parsed.val) })
+      const problem = this.decode(key, Buffer.from(value), registry)
+      if (problem !== undefined) problems.push({ key, state: String(revision), reason: protocol.describeInputProblem(problem) })
     }
     this.problemLog.report(problems)
-    return entries
+    return registry
+  }
+
+  /** Adds what a key holds to the registry, or returns why it can't be read. */
+  private decode (key: string, value: Buffer, registry: Registry): protocol.InputProblem | undefined {
+    if (key.startsWith(ENTRY_PREFIX)) {
+      const entry = protocol.parseJson(value, memberSchema)
+      if (entry.err) return entry.val
+      registry.entries.push(entry.val)
+    } else if (key.startsWith(CANCELLATION_PREFIX)) {
+      const jobIds = protocol.parseJson(value, cancellationsSchema)
+      if (jobIds.err) return jobIds.val
+      registry.cancelledJobs.push(...jobIds.val)
+    }
+    return undefined
   }
 }
 
-/** Registers one entry and polls the list of all entries. `onEntries` is called whenever the list changes. */
+/** Registers one entry, polls what all entries have registered, and publishes the jobs that are cancelled at this one. */
 export class EntryMembership {
   private leaseId: string | undefined
   private lastEntriesJson = ''
   private readonly abort = new AbortController()
   private readonly reader: EntryListReader
+  private readonly cancellations: CancellationPublisher
+  private cancelledElsewhere: ReadonlySet<string> = new Set()
 
-  constructor (private readonly identity: EntryIdentity, private readonly services: MembershipServices, private readonly onEntries: (entries: readonly protocol.runs.IEntryAddress[]) => void) {
+  /** `onEntries` is called whenever the list of entries changes, `onCancelled` for each job that was cancelled at another entry. */
+  constructor (private readonly identity: EntryIdentity, private readonly services: MembershipServices, private readonly onEntries: (entries: readonly protocol.runs.IEntryAddress[]) => void, private readonly onCancelled: (jobId: string) => void = () => {}) {
     this.reader = new EntryListReader(services)
+    this.cancellations = new CancellationPublisher(identity.entryId, services)
+  }
+
+  /** Tells the other entries of a cancelled job. Resolves with whether the store holds it, after `limitMs` milliseconds at the latest. */
+  async publishCancellation (jobId: string, limitMs: number): Promise<boolean> {
+    return await this.cancellations.publish(jobId, limitMs)
   }
 
   /** Maintains the registration and polls the list until `stop`. */
@@ -82,6 +121,7 @@
   private async maintainRegistration (): Promise<number> {
     if (this.leaseId === undefined) await this.register()
     else await this.renew(this.leaseId)
+    await this.cancellations.retry()
     return this.leaseId === undefined ? MEMBER_RENEW_MS / 4 : MEMBER_RENEW_MS
   }
 
@@ -124,8 +164,11 @@
 
   /** Reads the list. Returns the time until the next read, in milliseconds. */
   private async pollEntries (): Promise<number> {
-    const entries = await this.reader.read()
-    if (entries !== undefined) this.handleEntries(entries)
+    const registry = await this.reader.readRegistry()
+    if (registry !== undefined) {
+      this.handleEntries(registry.entries)
+      this.handleCancelledJobs(registry.cancelledJobs)
+    }
     return MEMBER_READ_MS
   }
 
@@ -136,4 +179,13 @@
     this.onEntries(entries)
     this.lastEntriesJson = json
   }
+
+  private handleCancelledJobs (jobIds: readonly string[]): void {
+    for (const jobId of jobIds) {
+      if (this.cancelledElsewhere.has(jobId)) continue
+      this.services.log.event(events.CancellationReceived, { jobId })
+      this.onCancelled(jobId)
+    }
+    this.cancelledElsewhere = new Set(jobIds)
+  }
 }
