Check the label of a task where it starts, and report another kind of worker at once

Cause: the entry chose by labels that it had been told of, and nobody checked them where the task starts. The agent knows the worker's labels, but orders did not carry the one that they require. Besides, a load report was due only for changes of presence, draining and capacity, so that an idle worker of another kind became known with the next heartbeat, up to 400 ms later.

Change: orders carry the required label, and the agent returns a task unstarted whose worker lacks it, with its load, so that the entry places it elsewhere at once. A change of labels makes a load report due. The first is what keeps the rule; the second spares the detour.

Before: `unit/workers/executor` "returns a task that requires a label which the worker lacks" started it; `failure/runLinks` "report within 250 ms that a worker of another kind has come" never heard of it within 5 s.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -294,7 +294,7 @@
   private isLoadReportDue (connection: EntryConnection): boolean {
     const { reportedLoad } = connection
     const { load } = this.executor
-    if (reportedLoad === undefined || reportedLoad.isPresent !== load.isPresent || reportedLoad.isDraining !== load.isDraining || reportedLoad.total.cpuMilli !== load.total.cpuMilli) return true
+    if (reportedLoad === undefined || reportedLoad.isPresent !== load.isPresent || reportedLoad.isDraining !== load.isDraining || reportedLoad.total.cpuMilli !== load.total.cpuMilli || !hasSameLabels(reportedLoad, load)) return true
     if (connection.reportedReceived === connection.received && reportedLoad.hasSuspect === load.hasSuspect && workers.equalsSize(reportedLoad.free, this.executor.freeFor(connection.incarnation, load))) return false
     const { cpuMilli } = load.total
     const isLowLoad = Math.min(load.free.cpuMilli, reportedLoad.free.cpuMilli) >= cpuMilli * LOW_LOAD_FREE_SHARE
@@ -315,3 +315,7 @@
     return encodeLoad(reported, connection.received)
   }
 }
+
+function hasSameLabels (left: workers.ExecutorLoad, right: workers.ExecutorLoad): boolean {
+  return left.labels === right.labels || (left.labels.length === right.labels.length && left.labels.every((label, index) => label === right.labels[index]))
+}
--- a/packages/fleet/src/messages.ts
+++ b/packages/fleet/src/messages.ts
@@ -56,6 +56,7 @@
     spec: job.spec.spec,
     size: step.size,
     estimatedMs: step.estimatedMs,
+    requirement: step.requirement,
     expiresInMs,
     tasks: [{ index: task.ref.index, attempt: task.attempt, ...suspicion }]
   }
@@ -70,6 +71,7 @@
     queue: message.queue ?? '',
     spec: message.spec ?? '',
     size: decodeSize(message.size),
+    requirement: message.requirement == null || message.requirement === '' ? undefined : message.requirement,
     estimatedMs: readNumber(message.estimatedMs),
     crashes: task.crashes ?? 0,
     observationMs: readNumber(task.observationMs),
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -257,6 +257,7 @@
       this.handleLoadChange()
     }
     if (known.isDraining !== report.isDraining) this.handleDrainingChange(report)
+    else if (report.labels.join() !== known.labels.join()) this.handleLoadChange()
   }
 
   private handleDrainingChange (report: WorkerReport): void {
@@ -283,6 +284,7 @@
       if (order.age.ms > order.expiresAfterMs) this.returnTask(order, ReturnReason.Expired)
       else if (this.ownerLeases.remainingMs(order.owner) < this.options.minStartLeaseMs) this.returnTask(order, ReturnReason.OwnerLeaseExpired)
       else if (session.find(taskKey(order.task)) !== undefined) remaining.push(order)
+      else if (order.requirement !== undefined && !this.report!.labels.includes(order.requirement)) this.returnTask(order, ReturnReason.LabelMissing)
       else if (order.observationMs > 0 && this.isObserving(other => other.task.jobId !== order.task.jobId)) this.returnTask(order, ReturnReason.SuspectRunning)
       else if (fits(this.reservations.freeCapacityFor(order.owner, session.free), order.size)) this.start(order, session)
       else this.returnTask(order, ReturnReason.NoCapacity)
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -12,6 +12,8 @@
   queue: string
   spec: string
   size: RunSize
+  /** Label that the worker must have. */
+  requirement?: string
   estimatedMs: number
   /** Number of workers that have crashed while they ran the task. */
   crashes: number
@@ -42,6 +44,8 @@
   Expired = 'expired',
   /** The entry has not been heard for so long that it may have placed the task elsewhere. */
   OwnerLeaseExpired = 'owner lease expired',
+  /** Another kind of worker has come since the entry chose this one. */
+  LabelMissing = 'worker lacks the required label',
   /** A task of another job that is suspected of a crash is being observed. */
   SuspectRunning = 'another suspect runs',
   EarlierRun = 'earlier run not ended in time',
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -280,6 +280,18 @@
     other.stop()
   })
 
+  // Guards against tasks that start on a worker without their label because its entry hears too late that it has been replaced by one of another kind.
+  it('report within 250 ms that a worker of another kind has come', async () => {
+    const step = { count: 1, size: SIZE, estimatedMs: WORK_MS, after: [] }
+    for (let round = 0; round < 4; round++) {
+      const requirement = `kind-${round}`
+      bench.agents[0]!.executor.applyReport({ ...bench.workers[0]!.report(), labels: [requirement] })
+      const startedAtMs = timers.nowMs()
+      await bench.waitFor(() => bench.scheduler.submit({ jobId: `job-${requirement}-${timers.nowMs()}`, spec: '', steps: [{ ...step, requirement }] }, TERMS, 6_000).outcome === undefined)
+      expect(timers.nowMs() - startedAtMs).to.be.lessThan(250)
+    }
+  })
+
   it('report the load of a filled worker when its free capacity changes, and not for changes that leave it the same', async () => {
     const count = (): number => protocol.linkTraffic.read().get('agent.load')?.messages ?? 0
     const { executor } = bench.agents[0]!
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -322,6 +322,19 @@
     expect([endings.length, worker.runCount]).to.deep.equal([1, 0])
   })
 
+  // Guards against an order that was under way while the worker was replaced by one of another kind.
+  it('returns a task that requires a label which the worker lacks, and starts it once a worker has the label', async () => {
+    const { timers, worker, executor, endings, order } = await createBench()
+    const requirement = 'a'
+    executor.submit(order(0, { requirement }))
+    await passTime(timers, 50)
+    expect(endings.map(({ end, reason }) => [end, reason])).to.deep.equal([[workers.TaskEnd.NotStarted, workers.ReturnReason.LabelMissing]])
+    executor.applyReport({ ...worker.report(), labels: ['a'] })
+    executor.submit(order(1, { requirement }))
+    await passTime(timers, 50)
+    expect(worker.runCount).to.equal(1)
+  })
+
   it('starts nothing on a draining worker, and ignores a late report of an earlier incarnation', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     const outdated = worker.report()
