Raise the fencing token with each life of the worker

Cause: the agent kept one fencing token over all lives of its worker, so that a call meant for an earlier life was a current one for the next, and the lease in it, a time on a clock that had started anew, lay far ahead.

Change: the token rises by one with each session, and the first call of a session carries it to the worker, which from then on refuses calls with the old one.

Before: `unit/workers/executor` "has a late start refused by the next life of the worker under the same id" saw it start; passes after. Open: a late start that arrives before the first call of the new session still starts; the session stops it as an orphaned run when it first lists the worker's runs.

--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -12,6 +12,8 @@
   delayedCalls: { start: number, stop: number, renew: number }
   /** Delay of calls that take effect late, in milliseconds. */
   callDelayMs: number
+  /** Late calls are also carried out by the next life of the worker under the same id. */
+  lateCallsOutliveRestarts: boolean
   /** Number of next calls, by kind, that take effect and time out because the answer is lost. */
   lostAnswers: { start: number, stop: number, renew: number }
   /** Runs make no progress. */
@@ -96,8 +98,9 @@
 
 /** An in-memory `WorkerDriver` with injectable faults. */
 export class StandinWorker implements workers.WorkerDriver {
-  readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1, capacityShare: 1, countsOverloads: true }
+  readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lateCallsOutliveRestarts: false, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1, capacityShare: 1, countsOverloads: true }
   bornAtMs: number
+  private startedAtMs: number
   private runs = new Map<string, StandinRun>()
   private ended: workers.EndedRun[] = []
   private endCount = 0
@@ -110,6 +113,7 @@
 
   constructor (private readonly options: StandinWorkerOptions) {
     this.bornAtMs = options.timers.wallClockMs()
+    this.startedAtMs = options.timers.nowMs()
     options.timers.every(STEP_MS, () => { this.step() })
   }
 
@@ -143,6 +147,7 @@
     this.fence = 0
     this.leaseUntilMs = 0
     this.highestEnded.clear()
+    this.startedAtMs = this.options.timers.nowMs()
     this.bornAtMs = this.options.timers.wallClockMs()
     this.sequence = 0
   }
@@ -165,9 +170,9 @@
 
   async close (): Promise<void> {}
 
-  /** Monotonic clock of the worker, in milliseconds. */
+  /** Monotonic clock of the worker, in milliseconds. It starts anew with each life. */
   get clockMs (): number {
-    return this.options.timers.nowMs() * (this.options.clockRate ?? 1)
+    return (this.options.timers.nowMs() - this.startedAtMs) * (this.options.clockRate ?? 1)
   }
 
   private async performWithFaults<T> (kind: 'start' | 'stop' | 'renew', unanswered: T, refused: T, perform: () => T): Promise<T> {
@@ -180,7 +185,7 @@
     if (faults.delayedCalls[kind] > 0) {
       faults.delayedCalls[kind]--
       const { bornAtMs } = this
-      options.timers.after(faults.callDelayMs, () => { if (this.bornAtMs === bornAtMs) perform() })
+      options.timers.after(faults.callDelayMs, () => { if (this.bornAtMs === bornAtMs || faults.lateCallsOutliveRestarts) perform() })
       await options.timers.sleep(workers.DEFAULT_WORKER_OPTIONS.callTimeoutMs)
       return unanswered
     }
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -207,6 +207,7 @@
   private openSession (report: WorkerReport): void {
     this.services.log.event(events.WorkerJoined, { workerId: report.workerId, bornAtMs: report.bornAtMs, service: report.service, cpuMilli: report.total.cpuMilli, labels: report.labels.join(',') })
     this.session?.endAsReplaced()
+    this.fencing.advance()
     const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing, ownerLeases: this.ownerLeases }, {
       onEnd: ending => { this.finish(ending) },
       onCrash: crash => {
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -350,6 +350,28 @@
     expect(worker.runCount).to.equal(0)
   })
 
+  // Guards against a task that runs beside its next run because a start of an earlier life of its worker is carried out late.
+  it('has a late start refused by the next life of the worker under the same id', async () => {
+    const { timers, worker, runRecorder, executor, endings, order } = await createBench()
+    // The lease of the start is far ahead on the clock of the next life, which starts anew.
+    await passTime(timers, 10_000)
+    executor.applyReport(worker.report())
+    await passTime(timers, 100)
+    worker.faults.delayedCalls.start = 1
+    worker.faults.callDelayMs = 3_000
+    worker.faults.lateCallsOutliveRestarts = true
+    executor.submit(order(0))
+    await passTime(timers, 500)
+    expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Lost])
+    worker.restart()
+    executor.applyReport(worker.report())
+    await passTime(timers, 4_000)
+    expect(runRecorder.starts.size).to.equal(0)
+    executor.submit(order(1))
+    await passTime(timers, 20)
+    expect(worker.runCount).to.equal(1)
+  })
+
   it('raises its fencing token when the worker has seen a higher one', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     await worker.stop({ workerId: 'w-1', fencingToken: timers.wallClockMs() + 10_000 }, { task: { jobId: 'other', step: 0, index: 0 }, run: 1 })
