Send the stops of a job's step in one message, and log late stops by job

Cause: each task of an ended job was one stop message, and each run stopped late one log line: 680 of both for a large job, when many links reopen at once. Beyond 400 lines a second lines are dropped.

Change: the stops of one event loop turn share a message for each job and step, in order with the orders of the link, and leave before the entry closes it. Event 11016 names the runs of one job at one agent.

`unit/fleet/agentConnection` fails before: 682 messages for the stops of one job.

--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -18,7 +18,10 @@
   /** True if the agent is linked to another entry that isn't overloaded. */
   othersHaveRoom = false
   private readonly activity: PeerActivity
+  /** Messages of this event loop turn. At most one of the two lists holds any, so that orders and stops leave in their order. */
   private orders: protocol.runs.IRunOrder[] = []
+  private stops: protocol.runs.IStopRuns[] = []
+  private isFlushScheduled = false
   /** Time of the last message read, on the agent's clock. */
   private heardAtMs = 0
   private lastSentAtMs = 0
@@ -53,6 +56,7 @@
   /** Queues a task; all tasks of one event loop turn are sent in one message. */
   sendTask (job: scheduler.Job, task: scheduler.Task, expiresInMs: number, suspicion: scheduler.Suspicion): void {
     this.unreportedTasks.add(workers.taskKey(task.ref))
+    this.flushStops()
     const last = this.orders.at(-1)
     const { jobId, step } = task.ref
     if (last?.jobId === jobId && last.step === step) {
@@ -60,12 +64,16 @@
       return
     }
     this.orders.push(encodeOrder(job, task, expiresInMs, suspicion))
-    if (this.orders.length === 1) setImmediate(() => { this.flush() })
+    this.scheduleFlush()
   }
 
-  stop (ref: workers.TaskRef): void {
-    this.flush()
-    this.send({ stop: { jobId: ref.jobId, step: ref.step, indexes: [ref.index] } })
+  /** Queues a stop; all stops of a job's step in one event loop turn are sent in one message. */
+  stop ({ jobId, step, index }: workers.TaskRef): void {
+    this.flushOrders()
+    const last = this.stops.at(-1)
+    if (last?.jobId === jobId && last.step === step) last.indexes!.push(index)
+    else this.stops.push({ jobId, step, indexes: [index] })
+    this.scheduleFlush()
   }
 
   sendDemand (demand: workers.Demand | undefined): void {
@@ -84,11 +92,32 @@
 
   /** Ends the stream. */
   close (): void {
+    this.flush()
     this.outbox.end()
     this.outbox.close()
   }
 
+  private scheduleFlush (): void {
+    if (this.isFlushScheduled) return
+    this.isFlushScheduled = true
+    setImmediate(() => {
+      this.isFlushScheduled = false
+      this.flush()
+    })
+  }
+
   private flush (): void {
+    this.flushOrders()
+    this.flushStops()
+  }
+
+  private flushStops (): void {
+    const stops = this.stops
+    this.stops = []
+    for (const stop of stops) this.send({ stop })
+  }
+
+  private flushOrders (): void {
     if (this.orders.length === 0) return
     const orders = this.orders
     this.orders = []
@@ -96,6 +125,7 @@
   }
 
   sendHeartbeat (): void {
+    this.flush()
     this.lastHeartbeatAtMs = this.timers.nowMs()
     this.send({ beat: this.createHeartbeat() })
   }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -246,9 +246,7 @@
       else if (heldAttempt !== undefined && !sent.job.hasEnded) this.placer.sendAgain(agent, sent)
       else this.handleEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
     }
-    for (const task of held) {
-      if (!agent.sent.has(workers.taskKey(task.ref))) this.stopOrders.stopUnknown(port, task)
-    }
+    this.stopOrders.stopUnknown(port, held.filter(({ ref }) => !agent.sent.has(workers.taskKey(ref))))
     this.scheduleDispatch()
   }
 
--- a/packages/scheduler/src/stopOrders.ts
+++ b/packages/scheduler/src/stopOrders.ts
@@ -31,6 +31,17 @@
   isStale: boolean
 }
 
+/** Runs of one job at one agent that are stopped late for the same reason. */
+interface StaleRuns {
+  jobId: string
+  agentId: string
+  reason: StopDelay
+  /** Each as step, index and attempt. */
+  tasks: string[]
+  /** Longest time since the stop was first ordered, in milliseconds; undefined for unknown runs. */
+  sinceOrderedMs?: number
+}
+
 /** Dependencies of the orders. */
 export interface StopOrdersContext {
   timers: settings.Timers
@@ -44,6 +55,7 @@
   /** Number of runs that went on after this entry had ordered their stop or given them up, and that were stopped later. */
   staleCount = 0
   private readonly orders = new Map<SentTask, StopOrder>()
+  private readonly unlogged = new Map<string, StaleRuns>()
 
   constructor (private readonly context: StopOrdersContext) {}
 
@@ -61,10 +73,10 @@
 
   /** Repeats the standing orders for an agent on a link that has just opened. */
   repeatOn (agent: AgentRecord): void {
-    if (this.orders.size === 0) return
     for (const [sent, order] of this.orders) {
       if (order.agent === agent) this.repeat(sent, order, order.sentAtMs === undefined ? StopDelay.LinkClosed : StopDelay.LinkLost)
     }
+    this.writeLog()
   }
 
   /** Repeats the orders whose runs have not ended in time. Called periodically. */
@@ -72,12 +84,16 @@
     for (const [sent, order] of this.orders) {
       if (this.nowMs - (order.sentAtMs ?? 0) >= this.context.repeatMs) this.repeat(sent, order, StopDelay.Unconfirmed)
     }
+    this.writeLog()
   }
 
-  /** Stops a run that the agent holds and of which this entry has no record. */
-  stopUnknown (port: AgentPort, { ref, attempt }: HeldTask): void {
-    port.stop(ref)
-    this.record(port.agentId, ref, attempt, StopDelay.Unknown)
+  /** Stops runs that the agent holds and of which this entry has no record. */
+  stopUnknown (port: AgentPort, held: readonly HeldTask[]): void {
+    for (const { ref, attempt } of held) {
+      port.stop(ref)
+      this.record(port.agentId, ref, attempt, StopDelay.Unknown)
+    }
+    this.writeLog()
   }
 
   private get nowMs (): number {
@@ -94,8 +110,18 @@
     this.record(order.agent.agentId, sent.task.ref, sent.attempt, delay, this.nowMs - order.orderedAtMs)
   }
 
-  private record (agentId: string, ref: workers.TaskRef, attempt: number, reason: StopDelay, sinceOrderedMs?: number): void {
+  private record (agentId: string, { jobId, step, index }: workers.TaskRef, attempt: number, reason: StopDelay, sinceOrderedMs?: number): void {
     this.staleCount++
-    this.context.log.event(events.StaleRunStopped, { ...ref, attempt, agentId, reason, sinceOrderedMs: sinceOrderedMs === undefined ? undefined : Math.round(sinceOrderedMs) })
+    const key = `${agentId} ${jobId} ${reason}`
+    const stale = this.unlogged.get(key) ?? { jobId, agentId, reason, tasks: [] }
+    stale.tasks.push(`${step}.${index}#${attempt}`)
+    if (sinceOrderedMs !== undefined) stale.sinceOrderedMs = Math.max(stale.sinceOrderedMs ?? 0, Math.round(sinceOrderedMs))
+    this.unlogged.set(key, stale)
+  }
+
+  /** Writes one line for each job, agent and reason of the runs recorded since the last call. */
+  private writeLog (): void {
+    for (const { tasks, ...stale } of this.unlogged.values()) this.context.log.event(events.StaleRunStopped, { ...stale, tasks: tasks.join(' ') })
+    this.unlogged.clear()
   }
 }
