Keep a task at the agent until its earlier run there has ended

What callers would see: a task that starts at another worker while its earlier run goes on (TWICE).

Cause: an order that met an earlier run of its task waited for the stop of that run for 60 ms at most, and for none while the worker was unresponsive. It was then returned as not started, and its entry placed it elsewhere, although the worker had lost the stop and the earlier run went on.

Change: such a task is returned only when the earlier run has ended or can't run any more. An order that its entry stops is returned at once as before.

Evidence: `unit/workers/executor` "keeps a task whose earlier run has not ended, until it has": the task was returned while the run went on before the change; passes after it.

--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -16,8 +16,6 @@
   unresponsiveAfterMs: number
   /** Time without a report after which the worker counts as lost; it reports every 1.5 s. */
   reportTimeoutMs: number
-  /** Longest time that a task waits for an earlier run of the same task to be stopped. */
-  maxQueuedMs: number
   /** Attempts to stop a run after which the missing acknowledgement is logged. The stop is repeated until the run has ended. */
   stopAttemptsUntilWarning: number
   /** Largest ratio between the rates of the monotonic clocks of two VMs. */
@@ -32,7 +30,6 @@
   callTimeoutMs: 100,
   unresponsiveAfterMs: 400,
   reportTimeoutMs: 6_000,
-  maxQueuedMs: 60,
   stopAttemptsUntilWarning: 4,
   clockDrift: 1.03
 }
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -150,7 +150,7 @@
     this.services.log.event(events.WorkerLeft, { workerId, runs: this.session?.runCount ?? 0 })
     this.report = { ...this.report, isDraining: true }
     if (this.session !== undefined) this.session.isLeaving = true
-    this.returnWaiting(() => true, ReturnReason.WorkerLeft)
+    this.returnWaiting(ReturnReason.WorkerLeft)
     this.handleLoadChange()
   }
 
@@ -168,7 +168,7 @@
   /** Stops the matching tasks of an entry. */
   stop (owner: string, matches: (order: TaskOrder) => boolean, reason: string): void {
     const isSelected = (order: TaskOrder): boolean => order.owner === owner && matches(order)
-    this.returnWaiting(isSelected, reason)
+    this.returnTasks(this.waiting.filter(isSelected), reason)
     for (const run of this.session?.runs ?? []) {
       if (isSelected(run.order)) this.stopRun(run, reason)
     }
@@ -191,7 +191,7 @@
   /** Refuses new tasks and resolves when no task is left. */
   async drain (): Promise<void> {
     this.isStopping = true
-    this.returnWaiting(() => true, ReturnReason.AgentStopping)
+    this.returnWaiting(ReturnReason.AgentStopping)
     this.handleLoadChange()
     if (this.taskCount > 0) await new Promise<void>(resolve => { this.onIdle = resolve })
   }
@@ -246,7 +246,7 @@
     if (this.session?.acceptsRuns === true) {
       this.reportDeferredEnds(true)
       this.startWaiting()
-    } else this.returnWaiting(() => true, ReturnReason.WorkerUnresponsive)
+    } else this.returnWaiting(ReturnReason.WorkerUnresponsive)
     this.handleLoadChange()
   }
 
@@ -265,7 +265,7 @@
     this.session!.isLeaving = report.isDraining
     if (report.isDraining) {
       this.services.log.event(events.WorkerDraining, { workerId: report.workerId, runs: this.session?.runCount ?? 0 })
-      this.returnWaiting(() => true, ReturnReason.WorkerDraining)
+      this.returnWaiting(ReturnReason.WorkerDraining)
     }
     this.handleLoadChange()
   }
@@ -276,7 +276,7 @@
 
   private startWaiting (): void {
     if (!this.canStart) {
-      this.returnWaiting(() => true, ReturnReason.WorkerUnavailable)
+      this.returnWaiting(ReturnReason.WorkerUnavailable)
       return
     }
     const session = this.session!
@@ -308,10 +308,9 @@
     return false
   }
 
-  /** Reports deferred ends that are due, returns tasks that have waited too long for an earlier run to end, and drops a worker that has stopped reporting. */
+  /** Reports deferred ends that are due, and drops a worker that has stopped reporting. */
   private checkTimeouts (): void {
     this.reportDeferredEnds(false)
-    this.returnWaiting(order => order.age.ms > Math.min(order.expiresAfterMs, this.options.maxQueuedMs), ReturnReason.EarlierRun)
     if (this.report === undefined || this.services.timers.nowMs() - this.reportedAtMs < this.options.reportTimeoutMs) return
     this.services.log.event(events.ReportTimeout, { workerId: this.report.workerId })
     this.session?.end('worker stopped reporting')
@@ -320,9 +319,18 @@
     this.handleLoadChange()
   }
 
-  private returnWaiting (matches: (order: TaskOrder) => boolean, reason: string): void {
-    if (this.waiting.length === 0) return
-    const returned = this.waiting.filter(matches)
+  /** Returns the waiting tasks, so that they can start elsewhere, without those whose earlier run may go on here. */
+  private returnWaiting (reason: string): void {
+    if (this.waiting.length > 0) this.returnTasks(this.waiting.filter(order => !this.mayRun(order)), reason)
+  }
+
+  /** Returns true while an earlier run of the task may go on. */
+  private mayRun ({ task }: TaskOrder): boolean {
+    const key = taskKey(task)
+    return this.session?.find(key) !== undefined || this.deferredEnds.some(({ ending }) => taskKey(ending.order.task) === key)
+  }
+
+  private returnTasks (returned: readonly TaskOrder[], reason: string): void {
     if (returned.length === 0) return
     this.waiting = this.waiting.filter(order => !returned.includes(order))
     for (const order of returned) this.returnTask(order, reason)
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -48,7 +48,6 @@
   LabelMissing = 'worker lacks the required label',
   /** A task of another job that is suspected of a crash is being observed. */
   SuspectRunning = 'another suspect runs',
-  EarlierRun = 'earlier run not ended in time',
   WorkerLeft = 'worker left',
   WorkerDraining = 'worker is draining',
   WorkerUnresponsive = 'worker does not answer',
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -257,6 +257,26 @@
     expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Lost])
   })
 
+  // Guards against a task that starts elsewhere while its earlier run goes on because the worker has lost the stop.
+  it('keeps a task whose earlier run has not ended, until it has', async () => {
+    for (const isUnresponsive of [false, true]) {
+      const { timers, endings, order } = await createBench()
+      const worker = new standin.StandinWorker({ workerId: 'w-2', total: TOTAL, workOf: () => 5_000, sizeOf: () => TASK_SIZE, timers, runRecorder: new standin.RunRecorder() })
+      const executor = createExecutor(worker, timers, endings)
+      executor.applyReport(worker.report())
+      await passTime(timers, 20)
+      executor.submit(order(0))
+      await passTime(timers, 50)
+      worker.faults.delayedCalls.stop = 5
+      worker.faults.callDelayMs = 60_000
+      worker.faults.isUnresponsive = isUnresponsive
+      executor.submit(order(0, { attempt: 2 }))
+      await passTime(timers, 2_500)
+      expect(endings.map(({ order: { attempt }, end }) => [attempt, end])).to.deep.equal(isUnresponsive ? [[1, workers.TaskEnd.Lost], [2, workers.TaskEnd.NotStarted]] : [[1, workers.TaskEnd.Lost]])
+      expect(worker.runCount).to.equal(isUnresponsive ? 0 : 1)
+    }
+  })
+
   it('raises a run number that another entry has already used', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     executor.submit(order(0))
