Replace the copies of a configuration that links have lost

What callers would see: an entry that the store turns away goes on with an old configuration, since nobody has a copy for it (CONFIG).

An entry sends each version to four of its agents, once, and marks them as having it. Links that were reset or silent at that moment lost the copies, and nothing was compared when they reopened, until the next version.

Change: a while after a link has opened or closed, an entry counts its linked agents that have the newest version, by what they say when they greet, and sends it to others until four have it. The copies of a version do not grow beyond that: agents that have it from elsewhere count.

Evidence: `failure/runLinks` "send a configuration again when links have lost its copies": no agent had it within 2 s before the change; passes after it.

--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -31,7 +31,10 @@
 /** Upper limit of the random delay before a new configuration is sent to agents, in milliseconds. An agent that another entry has updated in the meantime is skipped. */
 const CONFIG_PROPAGATION_JITTER_MS = 150
 
-/** Number of agents to which an entry sends a copy of a new configuration. Bounded because a configuration may have a thousand routes and the link of a small entry carries 2 MB/s. */
+/** Delay after a link has opened or closed before lost copies of the configuration are replaced, in milliseconds. A link that is reset reopens in this time. */
+const COPY_CHECK_DELAY_MS = 300
+
+/** Number of linked agents that an entry provides with the newest configuration. Bounded because a configuration may have a thousand routes and the link of a small entry carries 2 MB/s. */
 const CONFIG_COPIES = 4
 
 /** Accepts the links of agents and connects them to the scheduler. */
@@ -40,6 +43,8 @@
   private readonly connections = new Map<string, AgentConnection>()
   private entries: protocol.runs.IEntryAddress[] = []
   private readonly livenessTimer: settings.TimerHandle
+  private copyCheck: settings.TimerHandle | undefined
+  private isStopping = false
 
   constructor (readonly identity: EntryIdentity, private readonly services: EntryNodeServices) {
     this.server = new runtime.LinkServer(identity.address)
@@ -54,7 +59,9 @@
   }
 
   stop (): void {
+    this.isStopping = true
     this.livenessTimer.cancel()
+    this.copyCheck?.cancel()
     for (const connection of this.connections.values()) connection.close()
     this.server.stop()
   }
@@ -105,6 +112,7 @@
     this.services.log.event(events.LinkOpened, { peer: connection.agentId, life: connection.incarnation })
     connection.send({ greeting: { entryId: this.identity.entryId, life: this.identity.life, entries: this.entries, configVersion: this.services.configCache.version } })
     this.services.scheduler.connect(connection, decodeLoad(greeting.load))
+    this.scheduleCopyCheck()
     return connection
   }
 
@@ -151,11 +159,25 @@
 
   /** Sends the configuration to some of the lagging agents, which forward it to entries that cannot reach the store. The others get a heartbeat with the version, so that they send this entry no copy. */
   private propagateConfig (): void {
+    for (const connection of this.sendCopies()) connection.sendHeartbeat()
+  }
+
+  /** Sends the configuration to so many lagging agents that `CONFIG_COPIES` linked ones have it. Returns the other lagging agents. */
+  private sendCopies (): AgentConnection[] {
     const lagging = [...this.connections.values()].filter(connection => connection.configVersion < this.services.configCache.version)
+    const missing = Math.max(0, CONFIG_COPIES - (this.connections.size - lagging.length))
     const first = Math.floor(Math.random() * lagging.length)
-    lagging.forEach((connection, index) => {
-      if ((index - first + lagging.length) % lagging.length < CONFIG_COPIES) this.sendConfig(connection)
-      else connection.sendHeartbeat()
+    const shuffled = [...lagging.slice(first), ...lagging.slice(0, first)]
+    for (const connection of shuffled.slice(0, missing)) this.sendConfig(connection)
+    return shuffled.slice(missing)
+  }
+
+  /** Replaces copies that links have lost, or whose agents are no longer linked. */
+  private scheduleCopyCheck (): void {
+    if (this.isStopping) return
+    this.copyCheck ??= this.services.timers.after(COPY_CHECK_DELAY_MS, () => {
+      this.copyCheck = undefined
+      this.sendCopies()
     })
   }
 
@@ -169,5 +191,6 @@
     if (this.connections.get(connection.agentId) === connection) this.connections.delete(connection.agentId)
     this.services.log.event(events.LinkClosed, { peer: connection.agentId, step: 'link.read', reason, silentMs: Math.round(connection.sinceLastMessageMs()) })
     this.services.scheduler.disconnect(connection, reason)
+    this.scheduleCopyCheck()
   }
 }
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -247,6 +247,16 @@
     await large.stop()
   })
 
+  // Guards against an entry without the store that never hears of a configuration, because the links that carried its copies were reset.
+  it('send a configuration again when links have lost its copies', async () => {
+    for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.CutToClient })
+    bench.configCache.offer({ version: 4, document: Buffer.from('four') })
+    await timers.sleep(300)
+    for (const proxy of bench.proxies) proxy.resetAll()
+    for (const proxy of bench.proxies) proxy.setFault({ kind: standin.LinkFaultKind.None })
+    await bench.waitFor(() => bench.agentCaches.some(cache => cache.version === 4), 2_000)
+  })
+
   it('forward the newest configuration to an entry that has an older one', async () => {
     const cache = new fleet.ConfigCache()
     const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}`, failureDomain: 'a' }, { timers, log, scheduler: new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' }), configCache: cache })
