Count reports of slow runs, ends and crashes apart from load reports

Cause: the counter of link messages took every report without `jobs` for a load report. Reports on run links have no such field, so one on a slow run counted too, and a stand-in worker that stands still for 150 ms on a busy machine makes its runs slow.

Only counters of this process change; what is sent does not.

--- a/packages/protocol/src/traffic.ts
+++ b/packages/protocol/src/traffic.ts
@@ -9,19 +9,23 @@
   tasks: number
 }
 
-/** A message body with tasks grouped by job. */
-interface JobsBody {
+/** The parts of a message body that are counted: tasks grouped by job, and what a report may hold beside a load. */
+interface Body {
   jobs?: ReadonlyArray<{ tasks?: readonly unknown[] | null }> | null
+  ends?: readonly unknown[] | null
+  slow?: readonly unknown[] | null
+  crashes?: readonly unknown[] | null
 }
 
-/** Message counters by kind. A kind is named `sender.field`, after the sender and the first field that is set in the message; a report without tasks counts as `load`. */
+/** Message counters by kind. A kind is named `sender.field`, after the sender and the first field that is set in the message; a report that holds nothing but a load counts as `load`. */
 export class LinkTraffic {
   private readonly counts = new Map<string, MessageTotals>()
 
   add (sender: string, message: object, sizeBytes: number): void {
     const field = Object.keys(message)[0] ?? 'empty'
-    const tasks = countTasks((message as Record<string, JobsBody | undefined>)[field])
-    const isLoadOnly = field === 'report' && tasks === 0
+    const body = (message as Record<string, Body | undefined>)[field]
+    const tasks = countTasks(body)
+    const isLoadOnly = field === 'report' && tasks === 0 && [body?.ends, body?.slow, body?.crashes].every(part => part == null || part.length === 0)
     const count = this.getOrCreate(`${sender}.${isLoadOnly ? 'load' : field}`)
     count.messages++
     count.bytes += sizeBytes
@@ -43,7 +47,7 @@
   }
 }
 
-function countTasks (body: JobsBody | undefined): number {
+function countTasks (body: Body | undefined): number {
   let tasks = 0
   for (const job of body?.jobs ?? []) tasks += job.tasks?.length ?? 0
   return tasks
