Stand-in worker: shorten a lease to the longest that the platform's workers grant

Once its clock started anew with each life, the stand-in took a renewal meant for its earlier life, whose clock was seconds ahead, as a lease of seconds. The platform's workers shorten any lease to `max_hold_ms`. In the log w-4 was born again at 25.637, fell silent, its runs were taken for lost at 29.530 after the lease of 0.7 s, and started elsewhere while the stand-in ran on.

Evidence: `unit/workers/executor` "reports runs of a worker that started again and fell silent as lost only when they have ended there" fails without the bound, with one run left, and passes with it.

--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -95,6 +95,8 @@
 const STEP_MS = 5
 /** Time for which a worker is down after a crash, in milliseconds. */
 const CRASH_DOWN_MS = 3_000
+/** Longest lease that a worker grants, in milliseconds on its clock. A longer one is shortened. */
+const MAX_LEASE_MS = 1_000
 
 /** An in-memory `WorkerDriver` with injectable faults. */
 export class StandinWorker implements workers.WorkerDriver {
@@ -205,7 +207,7 @@
     const key = workers.taskKey(call.ref.task)
     if (this.runs.get(key)?.ref.run === call.ref.run) return { kind: 'started' }
     if (call.leaseUntilMs <= this.clockMs) return refuse(workers.StartRefusal.LeaseExpired)
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, call.leaseUntilMs)
+    this.extendLease(call.leaseUntilMs)
     if (call.ref.run <= (this.highestEnded.get(key) ?? 0)) return refuse(workers.StartRefusal.Superseded)
     if (!workers.fits(this.freeCapacity(), this.options.sizeOf(call.ref.task))) {
       if (this.options.isUnguarded !== true) return refuse(workers.StartRefusal.NoCapacity)
@@ -234,11 +236,16 @@
   private handleRenewal (call: workers.RenewCall): workers.RenewOutcome {
     if (call.fencingToken < this.fence) return { kind: 'fenced' }
     this.fence = call.fencingToken
-    if (call.leaseUntilMs !== undefined) this.leaseUntilMs = Math.max(this.leaseUntilMs, call.leaseUntilMs)
+    if (call.leaseUntilMs !== undefined) this.extendLease(call.leaseUntilMs)
     this.ended = this.ended.filter(end => end.number > call.acknowledgedEnd)
     return { kind: 'answered', runs: this.list() }
   }
 
+  /** Extends the lease, to the longest that the platform's workers grant at most. */
+  private extendLease (untilMs: number): void {
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(untilMs, this.clockMs + MAX_LEASE_MS))
+  }
+
   private list (): workers.WorkerRuns {
     const running = [...this.runs.values()].map(run => ({ ref: run.ref, percent: Math.floor(run.doneMs / run.workMs * 100) }))
     return { bornAtMs: this.bornAtMs, clockMs: this.clockMs, running, ended: [...this.ended] }
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -392,6 +392,25 @@
     expect(worker.runCount).to.equal(1)
   })
 
+  // Guards against runs that outlive their lease because a renewal meant for the earlier life, whose clock was ahead, reached the next one.
+  it('reports runs of a worker that started again and fell silent as lost only when they have ended there', async () => {
+    const { timers, worker, executor, endings, order } = await createBench()
+    await passTime(timers, 5_000)
+    executor.submit(order(0))
+    await passTime(timers, 20)
+    worker.restart()
+    await passTime(timers, 200)
+    executor.applyReport(worker.report())
+    await passTime(timers, 200)
+    worker.faults.isStalled = true
+    executor.submit(order(1))
+    await passTime(timers, 600)
+    worker.faults.isUnresponsive = true
+    for (let waitedMs = 0; endings.length < 2 && waitedMs < 2_000; waitedMs += 5) await passTime(timers, 5)
+    expect(endings.map(({ order: { task }, end }) => [task.index, end])).to.deep.equal([[0, workers.TaskEnd.Lost], [1, workers.TaskEnd.Lost]])
+    expect(worker.runCount, 'runs when the last one is reported as lost').to.equal(0)
+  })
+
   it('raises its fencing token when the worker has seen a higher one', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     await worker.stop({ workerId: 'w-1', fencingToken: timers.wallClockMs() + 10_000 }, { task: { jobId: 'other', step: 0, index: 0 }, run: 1 })
