Answer a cancellation within its limit while the store is silent

What callers would see: a DELETE that waits for seconds, past its deadline, while the store gives no answers.

Cause: the limit was looked at between writes, and a write of three calls may take three seconds.

Change: the answer no longer waits for the write beyond the limit; the write goes on. An entry no longer logs its own cancellations as those of others. `StopDelay` is `StaleReason`.

Evidence: `unit/fleet/cancellations` "are answered within their limit while the store does not answer" had no answer after the limit before the change; passes after it.

--- a/packages/fleet/src/cancellations.ts
+++ b/packages/fleet/src/cancellations.ts
@@ -33,17 +33,18 @@
   /** Publishes a cancellation. Resolves with true once the store holds it, or with false when it doesn't after `limitMs` milliseconds. */
   async publish (jobId: string, limitMs: number): Promise<boolean> {
     const { timers, log } = this.services
-    const untilMs = timers.nowMs() + limitMs
     this.recent.delete(jobId)
     this.recent.set(jobId, timers.nowMs())
-    while (!await this.write()) {
-      if (timers.nowMs() >= untilMs) {
-        log.event(events.CancellationUnpublished, { jobId })
-        return false
-      }
-      await timers.sleep(CANCELLATION_RETRY_MS)
-    }
-    return true
+    const abort = new AbortController()
+    const isPublished = await Promise.race([this.writeRepeatedly(timers.nowMs() + limitMs), timers.sleep(limitMs, abort.signal).then(() => false)])
+    abort.abort()
+    if (!isPublished) log.event(events.CancellationUnpublished, { jobId })
+    return isPublished
+  }
+
+  /** Returns true if this publisher has published the cancellation within its retention. */
+  has (jobId: string): boolean {
+    return this.recent.has(jobId)
   }
 
   /** Writes the key once more if the last write has failed. Called periodically. */
@@ -51,6 +52,15 @@
     if (!await this.lastWrite) await this.write()
   }
 
+  private async writeRepeatedly (untilMs: number): Promise<boolean> {
+    const { timers } = this.services
+    while (!await this.write()) {
+      if (timers.nowMs() >= untilMs) return false
+      await timers.sleep(CANCELLATION_RETRY_MS)
+    }
+    return true
+  }
+
   /** Writes the key after the write that is under way. Cancellations that come meanwhile share the next write. */
   private async write (): Promise<boolean> {
     if (this.nextWrite === undefined) {
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -182,7 +182,7 @@
 
   private handleCancelledJobs (jobIds: readonly string[]): void {
     for (const jobId of jobIds) {
-      if (this.cancelledElsewhere.has(jobId)) continue
+      if (this.cancelledElsewhere.has(jobId) || this.cancellations.has(jobId)) continue
       this.services.log.event(events.CancellationReceived, { jobId })
       this.onCancelled(jobId)
     }
--- a/packages/scheduler/src/stopOrders.ts
+++ b/packages/scheduler/src/stopOrders.ts
@@ -10,8 +10,8 @@
   attempt: number
 }
 
-/** Why the stop of a run is ordered again, or only now. */
-enum StopDelay {
+/** Why a run has outlived the order to stop it. */
+enum StaleReason {
   /** No link was open when the stop was ordered. */
   LinkClosed = 'link was closed',
   /** The link that carried the order has closed since. */
@@ -35,7 +35,7 @@
 interface StaleRuns {
   jobId: string
   agentId: string
-  reason: StopDelay
+  reason: StaleReason
   /** Each as step, index and attempt. */
   tasks: string[]
   /** Longest time since the stop was first ordered, in milliseconds; undefined for unknown runs. */
@@ -74,7 +74,7 @@
   /** Repeats the standing orders for an agent on a link that has just opened. */
   repeatOn (agent: AgentRecord): void {
     for (const [sent, order] of this.orders) {
-      if (order.agent === agent) this.repeat(sent, order, order.sentAtMs === undefined ? StopDelay.LinkClosed : StopDelay.LinkLost)
+      if (order.agent === agent) this.repeat(sent, order, order.sentAtMs === undefined ? StaleReason.LinkClosed : StaleReason.LinkLost)
     }
     this.writeLog()
   }
@@ -82,7 +82,7 @@
   /** Repeats the orders whose runs have not ended in time. Called periodically. */
   repeatOverdue (): void {
     for (const [sent, order] of this.orders) {
-      if (this.nowMs - (order.sentAtMs ?? 0) >= this.context.repeatMs) this.repeat(sent, order, StopDelay.Unconfirmed)
+      if (this.nowMs - (order.sentAtMs ?? 0) >= this.context.repeatMs) this.repeat(sent, order, StaleReason.Unconfirmed)
     }
     this.writeLog()
   }
@@ -91,7 +91,7 @@
   stopUnknown (port: AgentPort, held: readonly HeldTask[]): void {
     for (const { ref, attempt } of held) {
       port.stop(ref)
-      this.record(port.agentId, ref, attempt, StopDelay.Unknown)
+      this.record(port.agentId, ref, attempt, StaleReason.Unknown)
     }
     this.writeLog()
   }
@@ -100,7 +100,7 @@
     return this.context.timers.nowMs()
   }
 
-  private repeat (sent: SentTask, order: StopOrder, delay: StopDelay): void {
+  private repeat (sent: SentTask, order: StopOrder, delay: StaleReason): void {
     const { port, incarnation } = order.agent
     if (port?.incarnation !== incarnation) return
     port.stop(sent.task.ref)
@@ -110,7 +110,7 @@
     this.record(order.agent.agentId, sent.task.ref, sent.attempt, delay, this.nowMs - order.orderedAtMs)
   }
 
-  private record (agentId: string, { jobId, step, index }: workers.TaskRef, attempt: number, reason: StopDelay, sinceOrderedMs?: number): void {
+  private record (agentId: string, { jobId, step, index }: workers.TaskRef, attempt: number, reason: StaleReason, sinceOrderedMs?: number): void {
     this.staleCount++
     const key = `${agentId} ${jobId} ${reason}`
     const stale = this.unlogged.get(key) ?? { jobId, agentId, reason, tasks: [] }
--- a/test/unit/fleet/cancellations.test.ts
+++ b/test/unit/fleet/cancellations.test.ts
@@ -76,6 +76,21 @@
     expect(bench.cancelled).to.deep.equal(['job'])
   })
 
+  // Guards against a caller that waits for its answer as long as the store is silent.
+  it('are answered within their limit while the store does not answer', async () => {
+    bench.store.faults.slowMs = 60_000
+    const startedAtMs = bench.timers.nowMs()
+    let answeredAtMs = Number.POSITIVE_INFINITY
+    const published = bench.members[0]!.publishCancellation('job', PUBLISH_LIMIT_MS).then(isPublished => {
+      answeredAtMs = bench.timers.nowMs()
+      return isPublished
+    })
+    await passTime(bench.timers, PUBLISH_LIMIT_MS + 50)
+    expect(answeredAtMs - startedAtMs).to.be.at.most(PUBLISH_LIMIT_MS + 50)
+    expect(await published).to.equal(false)
+    bench.store.faults.slowMs = 0
+  })
+
   it('are written again after an answer of the store was lost', async () => {
     bench.store.faults.loseAnswers = true
     bench.timers.after(100, () => { bench.store.faults.loseAnswers = false })
