Log what the loss of a run is concluded from, and runs that go on after their reported end

Logs could not tell the hypotheses of the incident apart: 10014 named no evidence, and a run that the worker listed within three seconds of its reported end left no line. 10014 of a lost run now says how long ago the worker had confirmed it and acknowledged a stop, and how many answers did not list it. 10022 and the counter runs_reappeared show a run that goes on, by the order of queries: only an answer to a query sent after the end counts. No logic changes.

--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -59,8 +59,8 @@
 
 /** Runs tasks on one worker. */
 export class RunExecutor {
-  /** Number of ends by kind, and of crashes of the worker while runs were active, since the process started. */
-  readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0, workerCrashes: 0 }
+  /** Number of ends by kind, of crashes of the worker while runs were active, and of runs that went on after their end had been reported, since the process started. */
+  readonly counters = { runsDone: 0, runsFailed: 0, runsLost: 0, tasksReturned: 0, workerCrashes: 0, runsReappeared: 0 }
   private readonly options: WorkerOptions
   private readonly fencing: FencingToken
   private readonly ownerLeases: OwnerLeases
@@ -214,6 +214,7 @@
         this.counters.workerCrashes++
         this.handlers.onCrash(crash)
       },
+      onReappeared: () => { this.counters.runsReappeared++ },
       onChange: () => { this.handleSessionChange() }
     })
     session.isLeaving = report.isDraining
--- a/packages/workers/src/runRegistry.ts
+++ b/packages/workers/src/runRegistry.ts
@@ -50,6 +50,15 @@
 /** Time for which ended runs are retained, in milliseconds, so that a run listed by an outdated answer is not mistaken for an orphaned run. */
 const ENDED_RUN_RETENTION_MS = 3_000
 
+/** A run that this agent counts as ended, and why. */
+export interface RecentEnd {
+  readonly atMs: number
+  /** What the end was concluded from. */
+  readonly reason: string
+  /** True once the worker has listed the run as running in answer to a query that was sent after the end. */
+  hasReappeared: boolean
+}
+
 /** An active run that the worker has listed as ended. */
 export interface ListedEnd {
   run: ActiveRun
@@ -63,7 +72,7 @@
   /** True while the worker may not have received `acknowledgedEnd`. */
   hasUnacknowledged = false
   private readonly activeRuns = new Map<string, ActiveRun>()
-  private readonly recentEnds = new Map<string, number>()
+  private readonly recentEnds = new Map<string, RecentEnd>()
   private usedSize: RunSize = NO_SIZE
 
   /** Capacity that the runs take. */
@@ -104,16 +113,16 @@
     this.usedSize = addSize(this.usedSize, run.order.size)
   }
 
-  /** Removes a run that has ended. */
-  remove (run: ActiveRun, nowMs: number): void {
+  /** Removes a run that has ended. `reason` says what the end was concluded from. */
+  remove (run: ActiveRun, nowMs: number, reason: string): void {
     this.activeRuns.delete(taskKey(run.order.task))
     this.usedSize = subtractSize(this.usedSize, run.order.size)
-    this.recentEnds.set(refKey(run.ref), nowMs)
+    this.recordEnd(run.ref, nowMs, reason)
   }
 
-  /** Returns true for a run that ended within the retention time. */
-  hasRecentlyEnded (ref: RunRef): boolean {
-    return this.recentEnds.has(refKey(ref))
+  /** Returns the end of a run that ended within the retention time. */
+  findRecentEnd (ref: RunRef): RecentEnd | undefined {
+    return this.recentEnds.get(refKey(ref))
   }
 
   /** Records each end that the worker lists once. Returns the ends of active runs. */
@@ -126,7 +135,7 @@
       if (end.number !== this.acknowledgedEnd + 1) continue
       this.acknowledgedEnd = end.number
       this.hasUnacknowledged = true
-      this.recentEnds.set(refKey(end.ref), nowMs)
+      this.recordEnd(end.ref, nowMs, end.cause)
       const run = this.findRef(end.ref)
       if (run !== undefined) listed.push({ run, cause: end.cause })
     }
@@ -134,8 +143,15 @@
     return listed
   }
 
+  private recordEnd (ref: RunRef, atMs: number, reason: string): void {
+    const key = refKey(ref)
+    // Keeps the map in the order of the ends.
+    this.recentEnds.delete(key)
+    this.recentEnds.set(key, { atMs, reason, hasReappeared: false })
+  }
+
   private pruneRecentEnds (nowMs: number): void {
-    for (const [key, atMs] of this.recentEnds) {
+    for (const [key, { atMs }] of this.recentEnds) {
       if (atMs > nowMs - ENDED_RUN_RETENTION_MS) return
       this.recentEnds.delete(key)
     }
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -8,7 +8,7 @@
 import { events } from './events.ts'
 import { ReportDeferral, ReturnReason, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
 import { RunTimeRatioEstimate } from './runTimeRatio.ts'
-import { type ActiveRun, RunRegistry, RunPhase, StartProof } from './runRegistry.ts'
+import { type ActiveRun, type RecentEnd, RunRegistry, RunPhase, StartProof } from './runRegistry.ts'
 import { subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
 import type { OwnerLeases } from './ownerLeases.ts'
@@ -31,6 +31,8 @@
   onEnd: (ending: TaskEnding) => void
   /** The worker has crashed while runs were active. Called before their ends. */
   onCrash: (crash: WorkerCrash) => void
+  /** The worker still runs a task whose end has been reported. */
+  onReappeared: () => void
   /** The state has changed. */
   onChange: () => void
 }
@@ -442,7 +444,7 @@
     for (const each of running) {
       const run = this.registry.findRef(each.ref)
       if (run === undefined) {
-        this.stopOrphanedRun(each.ref)
+        this.handleUnknownRun(each.ref, sentAtMs)
         continue
       }
       listed.add(run)
@@ -476,24 +478,43 @@
     return timers.nowMs() > run.startedAtMs + options.leaseMs * options.clockDrift
   }
 
-  private stopOrphanedRun (ref: RunRef): void {
-    if (this.registry.hasRecentlyEnded(ref)) return
+  /** Handles a run that the worker lists and that is not active here. `sentAtMs` is the time of the query. */
+  private handleUnknownRun (ref: RunRef, sentAtMs: number): void {
+    const recentEnd = this.registry.findRecentEnd(ref)
+    if (recentEnd !== undefined) {
+      if (sentAtMs > recentEnd.atMs) this.recordReappeared(ref, recentEnd)
+      return
+    }
     this.services.log.event(events.OrphanedRun, { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run })
     this.services.driver.stop(this.scope, ref)
   }
 
+  private recordReappeared (ref: RunRef, recentEnd: RecentEnd): void {
+    if (recentEnd.hasReappeared) return
+    recentEnd.hasReappeared = true
+    this.handlers.onReappeared()
+    this.services.log.event(events.RunReappeared, { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run, reason: recentEnd.reason, sinceEndMs: Math.round(this.services.timers.nowMs() - recentEnd.atMs) })
+  }
+
   private settle (run: ActiveRun, end: TaskEnd, reason: string, deferral = ReportDeferral.None): void {
     if (!this.isActive(run)) return
     const { task } = run.order
     const nowMs = this.services.timers.nowMs()
-    this.registry.remove(run, nowMs)
+    this.registry.remove(run, nowMs, reason)
     const runMs = nowMs - run.startedAtMs
     if (end === TaskEnd.Done) this.runTimeRatio.recordFinished(task.jobId, runMs, run.order.estimatedMs)
-    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli })
+    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli, ...describeEvidence(run, end, nowMs) })
     this.handlers.onEnd({ order: run.order, end, runMs, reason, deferral })
   }
 }
 
+/** Describes what the loss of a run is concluded from: the time since the worker confirmed the run and since it acknowledged a stop, in milliseconds, and the answers that did not list it. */
+function describeEvidence ({ confirmedAtMs, stopAcknowledgedAtMs, missedAnswers }: ActiveRun, end: TaskEnd, nowMs: number): settings.LogFields {
+  if (end !== TaskEnd.Lost) return {}
+  const elapsedMs = (sinceMs: number): number | undefined => sinceMs < Number.POSITIVE_INFINITY ? Math.round(nowMs - sinceMs) : undefined
+  return { sinceConfirmedMs: elapsedMs(confirmedAtMs), sinceStopMs: elapsedMs(stopAcknowledgedAtMs), missedAnswers }
+}
+
 function resolveEnd (cause: EndCause): TaskEnd {
   switch (cause) {
     case EndCause.Done: return TaskEnd.Done
