Red tests: ends of runs that are reported while the worker still runs them

Stand-in workers can take time to end a stopped run, no longer list it meanwhile, and answer over a path on which calls overtake each other, as the platform's pages allow.

--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -2,6 +2,15 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 
+/** Kinds of calls to a worker. */
+export type CallKind = 'start' | 'stop' | 'renew'
+
+/** Way of a call to the worker, or of its answer back. */
+export enum PathLeg {
+  Request = 'request',
+  Answer = 'answer'
+}
+
 /** Faults of a stand-in worker, set by tests at any time. Call counters decrease by one with each affected call. */
 export interface WorkerFaults {
   /** Calls time out without effect. */
@@ -9,13 +18,13 @@
   /** Calls fail immediately, as if the connection were refused. */
   isDown: boolean
   /** Number of next calls, by kind, that time out and take effect only after a delay. */
-  delayedCalls: { start: number, stop: number, renew: number }
+  delayedCalls: Record<CallKind, number>
   /** Delay of calls that take effect late, in milliseconds. */
   callDelayMs: number
   /** Late calls are also carried out by the next life of the worker under the same id. */
   lateCallsOutliveRestarts: boolean
   /** Number of next calls, by kind, that take effect and time out because the answer is lost. */
-  lostAnswers: { start: number, stop: number, renew: number }
+  lostAnswers: Record<CallKind, number>
   /** Runs make no progress. */
   isStalled: boolean
   /** Every run fails. */
@@ -72,6 +81,7 @@
   /** Progress towards `workMs`. */
   doneMs: number
   startedAtMs: number
+  isStopping: boolean
 }
 
 /** Options of a stand-in worker. */
@@ -87,6 +97,12 @@
   isUnguarded?: boolean
   /** Rate of the worker's clock relative to the timer service. Defaults to 1. */
   clockRate?: number
+  /** Returns the time for which a call or its answer is under way, in milliseconds. It is asked for each, so that calls can overtake each other. None by default. */
+  pathDelayMs?: (kind: CallKind, leg: PathLeg) => number
+  /** Returns the time that a run takes to end after a stop, in milliseconds. None by default. */
+  stopDurationMs?: () => number
+  /** True for a worker that no longer lists a run that is being stopped. */
+  hidesStoppingRuns?: boolean
   timers: settings.Timers
   runRecorder: RunRecorder
 }
@@ -103,7 +119,7 @@
   readonly faults: WorkerFaults = { isUnresponsive: false, isDown: false, delayedCalls: { start: 0, stop: 0, renew: 0 }, callDelayMs: 2_000, lateCallsOutliveRestarts: false, lostAnswers: { start: 0, stop: 0, renew: 0 }, isStalled: false, isFailing: false, isRefusing: false, slowFactor: 1, capacityShare: 1, countsOverloads: true }
   bornAtMs: number
   private startedAtMs: number
-  private runs = new Map<string, StandinRun>()
+  private runs = new Set<StandinRun>()
   private ended: workers.EndedRun[] = []
   private endCount = 0
   private fence = 0
@@ -142,7 +158,7 @@
 
   /** Starts a new incarnation of the worker: drops all runs, unacknowledged ends, the lease and the fencing token. */
   restart (): void {
-    for (const key of this.runs.keys()) this.options.runRecorder.recordEnd(key)
+    for (const { ref } of this.runs) this.options.runRecorder.recordEnd(workers.taskKey(ref.task))
     this.runs.clear()
     this.ended = []
     this.endCount = 0
@@ -155,14 +171,19 @@
   }
 
   async start (call: workers.StartCall): Promise<workers.StartOutcome> {
-    return await this.performWithFaults('start', { kind: 'unanswered', reason: 'fault' }, { kind: 'refused', refusal: workers.StartRefusal.Unhealthy }, () => this.handleStart(call))
+    const unanswered: workers.StartOutcome = { kind: 'unanswered', reason: 'fault' }
+    return await this.sendOnPath('start', unanswered, 0, async () => await this.performWithFaults('start', unanswered, { kind: 'refused', refusal: workers.StartRefusal.Unhealthy }, () => this.handleStart(call)))
   }
 
   async stop (scope: workers.CallScope, ref: workers.RunRef): Promise<boolean> {
-    return await this.performWithFaults('stop', false, false, () => this.handleStop(scope, ref))
+    return await this.sendOnPath('stop', false, 0, async () => await this.performWithFaults('stop', false, false, () => this.handleStop(scope, ref)))
   }
 
   async renew (call: workers.RenewCall): Promise<workers.RenewOutcome> {
+    return await this.sendOnPath<workers.RenewOutcome>('renew', { kind: 'unanswered', reason: 'fault' }, call.waitMs, async () => await this.handleQuery(call))
+  }
+
+  private async handleQuery (call: workers.RenewCall): Promise<workers.RenewOutcome> {
     const outcome = await this.performWithFaults<workers.RenewOutcome>('renew', { kind: 'unanswered', reason: 'fault' }, { kind: 'down', reason: 'fault' }, () => this.handleRenewal(call))
     if (outcome.kind !== 'answered' || call.waitMs === 0 || outcome.runs.ended.length > 0) return outcome
     await Promise.race([this.options.timers.sleep(call.waitMs), new Promise<void>(resolve => { this.waiters.push(resolve) })])
@@ -177,7 +198,25 @@
     return (this.options.timers.nowMs() - this.startedAtMs) * (this.options.clockRate ?? 1)
   }
 
-  private async performWithFaults<T> (kind: 'start' | 'stop' | 'renew', unanswered: T, refused: T, perform: () => T): Promise<T> {
+  /** Carries out a call after its way to the worker, unless another life of the worker has begun, and returns the answer after its way back or the time limit of the call. */
+  private async sendOnPath<T> (kind: CallKind, unanswered: T, waitMs: number, perform: () => Promise<T>): Promise<T> {
+    const { pathDelayMs, timers } = this.options
+    if (pathDelayMs === undefined) return await perform()
+    const { bornAtMs } = this
+    const exchange = async (): Promise<T> => {
+      await timers.sleep(pathDelayMs(kind, PathLeg.Request))
+      if (this.bornAtMs !== bornAtMs) return unanswered
+      const answer = await perform()
+      await timers.sleep(pathDelayMs(kind, PathLeg.Answer))
+      return this.bornAtMs === bornAtMs ? answer : unanswered
+    }
+    const expired = new AbortController()
+    const answer = await Promise.race([exchange(), timers.sleep(workers.DEFAULT_WORKER_OPTIONS.callTimeoutMs + waitMs, expired.signal).then(() => unanswered)])
+    expired.abort()
+    return answer
+  }
+
+  private async performWithFaults<T> (kind: CallKind, unanswered: T, refused: T, perform: () => T): Promise<T> {
     const { faults, options } = this
     if (faults.isDown) return refused
     if (faults.isUnresponsive) {
@@ -205,7 +244,7 @@
     this.fence = call.fencingToken
     if (this.faults.isRefusing) return refuse(workers.StartRefusal.Unhealthy)
     const key = workers.taskKey(call.ref.task)
-    if (this.runs.get(key)?.ref.run === call.ref.run) return { kind: 'started' }
+    if (this.runsOf(call.ref.task).some(({ ref }) => ref.run === call.ref.run)) return { kind: 'started' }
     if (call.leaseUntilMs <= this.clockMs) return refuse(workers.StartRefusal.LeaseExpired)
     this.extendLease(call.leaseUntilMs)
     if (call.ref.run <= (this.highestEnded.get(key) ?? 0)) return refuse(workers.StartRefusal.Superseded)
@@ -213,7 +252,7 @@
       if (this.options.isUnguarded !== true) return refuse(workers.StartRefusal.NoCapacity)
       if (this.faults.countsOverloads) this.options.runRecorder.overloads++
     }
-    this.runs.set(key, { ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs() })
+    this.runs.add({ ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs(), isStopping: false })
     this.options.runRecorder.recordStart(key)
     if (this.options.crashesAfterMs?.(call.ref.task) === 0) {
       this.options.runRecorder.recordCrash(key)
@@ -228,11 +267,28 @@
     this.fence = scope.fencingToken
     const key = workers.taskKey(ref.task)
     this.highestEnded.set(key, Math.max(ref.run, this.highestEnded.get(key) ?? 0))
-    const run = this.runs.get(key)
-    if (run !== undefined && run.ref.run <= ref.run) this.end(key, run, workers.EndCause.Stopped)
+    for (const run of this.runsOf(ref.task)) {
+      if (run.ref.run <= ref.run) this.stopRun(run)
+    }
     return true
   }
 
+  private stopRun (run: StandinRun): void {
+    if (run.isStopping) return
+    const durationMs = this.options.stopDurationMs?.() ?? 0
+    if (durationMs === 0) {
+      this.end(run, workers.EndCause.Stopped)
+      return
+    }
+    run.isStopping = true
+    this.options.timers.after(durationMs, () => { this.end(run, workers.EndCause.Stopped) })
+  }
+
+  private runsOf (task: workers.TaskRef): StandinRun[] {
+    const key = workers.taskKey(task)
+    return [...this.runs].filter(({ ref }) => workers.taskKey(ref.task) === key)
+  }
+
   private handleRenewal (call: workers.RenewCall): workers.RenewOutcome {
     if (call.fencingToken < this.fence) return { kind: 'fenced' }
     this.fence = call.fencingToken
@@ -247,12 +303,13 @@
   }
 
   private list (): workers.WorkerRuns {
-    const running = [...this.runs.values()].map(run => ({ ref: run.ref, percent: Math.floor(run.doneMs / run.workMs * 100) }))
+    const listed = [...this.runs].filter(run => !run.isStopping || this.options.hidesStoppingRuns !== true)
+    const running = listed.map(run => ({ ref: run.ref, percent: Math.floor(run.doneMs / run.workMs * 100) }))
     return { bornAtMs: this.bornAtMs, clockMs: this.clockMs, running, ended: [...this.ended] }
   }
 
   private freeCapacity (): workers.RunSize {
-    return [...this.runs.values()].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.capacity)
+    return [...this.runs].reduce((capacity, run) => workers.subtractSize(capacity, this.options.sizeOf(run.ref.task)), this.capacity)
   }
 
   /** Goes down with all runs. A new incarnation is back after `downMs`. A worker that is down stays so for as long as it would. */
@@ -268,22 +325,30 @@
   }
 
   private step (): void {
-    for (const [key, run] of [...this.runs]) {
+    for (const run of [...this.runs]) {
       const crashesAfterMs = this.options.crashesAfterMs?.(run.ref.task)
       if (crashesAfterMs !== undefined && this.options.timers.nowMs() - run.startedAtMs >= crashesAfterMs) {
-        this.options.runRecorder.recordCrash(key)
+        this.options.runRecorder.recordCrash(workers.taskKey(run.ref.task))
         this.crash()
         return
       }
-      if (this.clockMs > this.leaseUntilMs) this.end(key, run, workers.EndCause.LeaseExpired)
-      else if (this.faults.isFailing) this.end(key, run, workers.EndCause.Failed)
-      else if (!this.faults.isStalled) run.doneMs += STEP_MS / this.faults.slowFactor
-      if (run.doneMs >= run.workMs && this.runs.has(key)) this.end(key, run, workers.EndCause.Done)
+      if (this.clockMs > this.leaseUntilMs) this.end(run, workers.EndCause.LeaseExpired)
+      else if (!run.isStopping) this.work(run)
+    }
+  }
+
+  private work (run: StandinRun): void {
+    if (this.faults.isFailing) {
+      this.end(run, workers.EndCause.Failed)
+      return
     }
+    if (!this.faults.isStalled) run.doneMs += STEP_MS / this.faults.slowFactor
+    if (run.doneMs >= run.workMs) this.end(run, workers.EndCause.Done)
   }
 
-  private end (key: string, run: StandinRun, cause: workers.EndCause): void {
-    this.runs.delete(key)
+  private end (run: StandinRun, cause: workers.EndCause): void {
+    if (!this.runs.delete(run)) return
+    const key = workers.taskKey(run.ref.task)
     this.options.runRecorder.recordEnd(key)
     if (cause === workers.EndCause.Done) this.options.runRecorder.done.add(key)
     this.highestEnded.set(key, Math.max(run.ref.run, this.highestEnded.get(key) ?? 0))
--- /dev/null
+++ b/test/unit/workers/believedEnds.test.ts
@@ -0,0 +1,82 @@
+/** Guards against ends of runs that are reported while the worker still runs them. */
+import { expect } from 'chai'
+import * as settings from '@egretvalve/settings'
+import * as standin from '@egretvalve/standin'
+import * as workers from '@egretvalve/workers'
+import { passTime } from '../../support/simulatedTime.ts'
+
+const TASK_SIZE: workers.RunSize = { cpuMilli: 1_000, memoryMb: 1, accelerators: 0 }
+const TOTAL: workers.RunSize = { cpuMilli: 32_000, memoryMb: 1_024, accelerators: 0 }
+
+interface Bench {
+  timers: settings.FakeTimers
+  worker: standin.StandinWorker
+  executor: workers.RunExecutor
+  endings: workers.TaskEnding[]
+  submit: (jobId: string, count: number) => void
+}
+
+function createExecutor (timers: settings.FakeTimers, worker: standin.StandinWorker, endings: workers.TaskEnding[]): workers.RunExecutor {
+  return new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
+}
+
+async function createBench (options: Partial<standin.StandinWorkerOptions> = {}): Promise<Bench> {
+  const timers = new settings.FakeTimers()
+  const runRecorder = new standin.RunRecorder()
+  const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => 1_000, sizeOf: () => TASK_SIZE, timers, runRecorder, ...options })
+  const endings: workers.TaskEnding[] = []
+  const executor = createExecutor(timers, worker, endings)
+  executor.applyReport(worker.report())
+  await passTime(timers, 200)
+  const submit = (jobId: string, count: number): void => {
+    for (let index = 0; index < count; index++) executor.submit({ owner: 'entry-1', task: { jobId, step: 0, index }, attempt: 1, queue: 'queue', spec: '', size: TASK_SIZE, estimatedMs: 1_000, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 })
+  }
+  return { timers, worker, executor, endings, submit }
+}
+
+describe('ends of runs that the worker does not list', () => {
+  it('are not concluded from answers that were written before the start was carried out', async () => {
+    const delaysMs = { start: { request: 0, answer: 0 }, stop: { request: 0, answer: 0 }, renew: { request: 0, answer: 0 } }
+    const { timers, worker, executor, endings, submit } = await createBench({ pathDelayMs: (kind, leg) => delaysMs[kind][leg] })
+    submit('stopped', 3)
+    await passTime(timers, 100)
+    delaysMs.start.request = 40
+    delaysMs.renew.answer = 60
+    executor.stop('entry-1', ({ task }) => task.jobId === 'stopped', 'test')
+    submit('started', 1)
+    await passTime(timers, 200)
+    expect(worker.runCount).to.equal(1)
+    expect(endings.filter(({ order }) => order.task.jobId === 'started').map(({ reason }) => reason)).to.deep.equal([])
+  })
+
+  // Guards against a task that is placed elsewhere during its stop, on workers that list only what goes on.
+  it('are not concluded before a stop can have ended, for a run that has started', async () => {
+    const { timers, worker, executor, endings, submit } = await createBench({ hidesStoppingRuns: true, stopDurationMs: () => 50 })
+    submit('job', 1)
+    await passTime(timers, 100)
+    executor.stop('entry-1', () => true, 'test')
+    while (endings.length === 0) await passTime(timers, 5)
+    expect(worker.runCount).to.equal(0)
+  })
+
+  it('are not concluded before a stop can have ended, for a start that was carried out after its time-out', async () => {
+    const delaysMs = { start: { request: 103, answer: 0 }, stop: { request: 5, answer: 0 }, renew: { request: 0, answer: 0 } }
+    const { timers, worker, endings, submit } = await createBench({ hidesStoppingRuns: true, stopDurationMs: () => 50, pathDelayMs: (kind, leg) => delaysMs[kind][leg] })
+    submit('job', 1)
+    await passTime(timers, 115)
+    expect(worker.runCount).to.equal(1)
+    while (endings.length === 0) await passTime(timers, 5)
+    expect(worker.runCount).to.equal(0)
+  })
+
+  it('are not concluded by the next incarnation of the agent before its stops can have ended', async () => {
+    const { timers, worker, executor, submit } = await createBench({ hidesStoppingRuns: true, stopDurationMs: () => 50 })
+    submit('job', 1)
+    await passTime(timers, 100)
+    await executor.close()
+    const next = createExecutor(timers, worker, [])
+    next.applyReport(worker.report())
+    while (!next.load.isPresent) await passTime(timers, 5)
+    expect(worker.runCount).to.equal(0)
+  })
+})
