Conclude the end of a run only from answers that must have listed it

Callers saw tasks that ran twice at the same time: a run that had just been confirmed was reported as lost and its task placed elsewhere, while it ran on to its end, unstopped. Cause: updateMissedAnswers counted answers to queries sent after the start was sent. Calls use four connections and overtake each other, so the worker may have handled these queries before the start; the confirming queries of several stopped runs give three such answers in one moment. Now an answer counts only if its query was sent after the worker had confirmed the run, after it had acknowledged its stop, or after the start had expired: each such answer lists the run unless it has ended.

--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -465,17 +465,20 @@
       return
     }
     if (sentAtMs > run.confirmedAtMs) run.isUnlisted = true
-    if (sentAtMs <= run.startedAtMs || run.phase === RunPhase.Starting) return
+    if (!this.wouldList(run, sentAtMs)) return
     // After an acknowledged stop the worker refuses a late start, so one answer suffices.
     const needed = sentAtMs > run.stopAcknowledgedAtMs ? 1 : MAX_MISSED_ANSWERS
-    if (++run.missedAnswers < needed) return
-    if (run.phase === RunPhase.Running || run.stopAcknowledgedAtMs < Number.POSITIVE_INFINITY || this.hasStartExpired(run)) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
+    if (++run.missedAnswers >= needed) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
   }
 
-  /** True when the lease carried by the run's start has expired, so that the worker would refuse a late arrival of it. */
-  private hasStartExpired (run: ActiveRun): boolean {
-    const { options, timers } = this.services
-    return timers.nowMs() > run.startedAtMs + options.leaseMs * options.clockDrift
+  /**
+   * Returns true if the answer to a query sent at this time lists the run unless it has ended or will never start. Calls overtake each
+   * other, so the worker may have handled an earlier query before the start.
+   */
+  private wouldList (run: ActiveRun, sentAtMs: number): boolean {
+    const { options } = this.services
+    const startExpiresAtMs = run.startedAtMs + options.leaseMs * options.clockDrift
+    return sentAtMs > Math.min(run.confirmedAtMs, run.stopAcknowledgedAtMs, run.phase === RunPhase.Starting ? Number.POSITIVE_INFINITY : startExpiresAtMs)
   }
 
   /** Handles a run that the worker lists and that is not active here. `sentAtMs` is the time of the query. */
