Report a stopped run as ended only when its stop can have ended

What callers would see: a task that runs twice for up to 50 ms, while its first run is being stopped. Cause: one answer that did not list the run, to a query sent 20 ms after the acknowledged stop, counted as its end; a stop takes up to 50 ms, and the platform's page promises only that the end is listed, not that the run stays listed until then. Now such a run counts as ended 50 ms after the acknowledgement or after the first answer without it, and the confirming query is sent then; ends that the worker lists come as early as before, by the waiting query.

--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -18,6 +18,8 @@
   reportTimeoutMs: number
   /** Attempts to stop a run after which the missing acknowledgement is logged. The stop is repeated until the run has ended. */
   stopAttemptsUntilWarning: number
+  /** Longest time that a stop takes on the worker's clock, by the platform's bounds. */
+  stopDurationMs: number
   /** Largest ratio between the rates of the monotonic clocks of two VMs. */
   clockDrift: number
 }
@@ -31,5 +33,6 @@
   unresponsiveAfterMs: 400,
   reportTimeoutMs: 6_000,
   stopAttemptsUntilWarning: 4,
+  stopDurationMs: 50,
   clockDrift: 1.03
 }
--- a/packages/workers/src/runRegistry.ts
+++ b/packages/workers/src/runRegistry.ts
@@ -41,8 +41,10 @@
   observedAtMs: number
   /** Age of the order when the worker acknowledged the start. */
   waitedMs: number
-  /** Consecutive answers to queries sent after the start that did not list the run. */
+  /** Consecutive answers that did not list the run, although they would have listed one that goes on. */
   missedAnswers: number
+  /** Monotonic time of the first of these answers. Infinite before. */
+  unlistedAtMs: number
   /** Monotonic time at which the worker acknowledged a stop: from then on it refuses a late arrival of the start. Infinite before. */
   stopAcknowledgedAtMs: number
 }
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -55,8 +55,6 @@
 const MAX_MISSED_ANSWERS = 3
 /** Longest time between the query before a start and the start for which the worker counts as responsive, in milliseconds. */
 const MAX_CHECK_AGE_MS = 50
-/** Delay before the worker is queried for the end of a stopped run, in milliseconds; a stop takes at most 50 ms. */
-const CONFIRM_PAUSE_MS = 20
 /** Delay before a stop or a query is retried, in milliseconds. */
 const RETRY_PAUSE_MS = 40
 
@@ -142,7 +140,7 @@
   /** Starts a task. Its end is reported exactly once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
-    const run: ActiveRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startProof: StartProof.None, confirmedAtMs: Number.POSITIVE_INFINITY, isUnlisted: false, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
+    const run: ActiveRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startProof: StartProof.None, confirmedAtMs: Number.POSITIVE_INFINITY, isUnlisted: false, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, unlistedAtMs: Number.POSITIVE_INFINITY, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
     this.registry.add(run)
     this.wake?.()
     await this.sendStart(run)
@@ -271,14 +269,20 @@
     }
   }
 
-  /** Queries the worker, up to `MAX_MISSED_ANSWERS` times, until it lists the end of a stopped run or no longer lists the run. */
+  /** Queries the worker, up to `MAX_MISSED_ANSWERS` times, once a stopped run has ended for certain, unless its end was listed before. */
   private async confirmStop (run: ActiveRun): Promise<void> {
     for (let attempt = 0; attempt < MAX_MISSED_ANSWERS && this.isActive(run); attempt++) {
-      await this.services.timers.sleep(CONFIRM_PAUSE_MS, this.abort.signal)
+      await this.services.timers.sleep(attempt === 0 ? this.stopDurationMs : RETRY_PAUSE_MS, this.abort.signal)
       if (this.isActive(run)) await this.queryRuns(0, false)
     }
   }
 
+  /** Longest time for which a run goes on after the worker has acknowledged its stop, on the agent's clock. */
+  private get stopDurationMs (): number {
+    const { options } = this.services
+    return options.stopDurationMs * options.clockDrift
+  }
+
   /** Stops the runs that an earlier incarnation of the agent started, and acknowledges all ends. */
   private async takeOver (): Promise<void> {
     while (this.state === SessionState.TakingOver) {
@@ -461,14 +465,20 @@
   private updateMissedAnswers (run: ActiveRun, isListed: boolean, sentAtMs: number): void {
     if (isListed) {
       run.missedAnswers = 0
+      run.unlistedAtMs = Number.POSITIVE_INFINITY
       run.isUnlisted = false
       return
     }
     if (sentAtMs > run.confirmedAtMs) run.isUnlisted = true
     if (!this.wouldList(run, sentAtMs)) return
+    const nowMs = this.services.timers.nowMs()
+    run.missedAnswers++
+    run.unlistedAtMs = Math.min(run.unlistedAtMs, nowMs)
     // After an acknowledged stop the worker refuses a late start, so one answer suffices.
     const needed = sentAtMs > run.stopAcknowledgedAtMs ? 1 : MAX_MISSED_ANSWERS
-    if (++run.missedAnswers >= needed) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
+    // The worker may omit a run that is being stopped.
+    const endedByMs = Math.min(run.stopAcknowledgedAtMs, run.unlistedAtMs) + this.stopDurationMs
+    if (run.missedAnswers >= needed && nowMs >= endedByMs) this.settle(run, TaskEnd.Lost, 'worker does not list the run')
   }
 
   /**
