Accept tasks after a take-over only when stops that are under way can have ended

A worker that has begun after the agent, and was called by no earlier session, is accepted at once as before.

--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -68,15 +68,19 @@
   private reservationTimer: settings.TimerHandle | undefined
   private session: WorkerSession | undefined
   private report: WorkerReport | undefined
+  /** Birth of the incarnation with which the last session was opened. */
+  private lastBornAtMs: number | undefined
   private reportedAtMs = 0
   private waiting: TaskOrder[] = []
   private deferredEnds: DeferredEnd[] = []
   private isStopping = false
   private onIdle: (() => void) | undefined
   private readonly checkTimer: settings.TimerHandle
+  private readonly startedAtMs: number
 
   constructor (private readonly services: ExecutorServices, private readonly handlers: ExecutorHandlers) {
     this.options = services.options ?? DEFAULT_WORKER_OPTIONS
+    this.startedAtMs = services.timers.nowMs()
     this.fencing = new FencingToken(services.timers, services.log)
     this.ownerLeases = services.ownerLeases ?? UNLIMITED_OWNER_LEASES
     this.checkTimer = services.timers.every(CHECK_PERIOD_MS, () => { this.checkTimeouts() })
@@ -208,7 +212,7 @@
     this.services.log.event(events.WorkerJoined, { workerId: report.workerId, bornAtMs: report.bornAtMs, service: report.service, cpuMilli: report.total.cpuMilli, labels: report.labels.join(',') })
     this.session?.endAsReplaced()
     this.fencing.advance()
-    const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing, ownerLeases: this.ownerLeases }, {
+    const session = new WorkerSession(report, { ...this.services, options: this.options, fencing: this.fencing, ownerLeases: this.ownerLeases, soleSinceMs: this.lastBornAtMs === report.bornAtMs ? this.services.timers.nowMs() : this.startedAtMs }, {
       onEnd: ending => { this.finish(ending) },
       onCrash: crash => {
         this.counters.workerCrashes++
@@ -218,6 +222,7 @@
       onChange: () => { this.handleSessionChange() }
     })
     session.isLeaving = report.isDraining
+    this.lastBornAtMs = report.bornAtMs
     this.session = session
     session.run()
     this.handleLoadChange()
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -45,6 +45,8 @@
   fencing: FencingToken
   ownerLeases: OwnerLeases
   options: WorkerOptions
+  /** Monotonic time since which no other session can have called this incarnation of the worker, in milliseconds. */
+  soleSinceMs: number
 }
 
 /** Attempts to start a run, each with a new run number or fencing token, before the task is returned. */
@@ -283,22 +285,34 @@
     return options.stopDurationMs * options.clockDrift
   }
 
-  /** Stops the runs that an earlier incarnation of the agent started, and acknowledges all ends. */
+  /** Stops the runs that an earlier incarnation of the agent started, acknowledges all ends, and waits until stops that are under way have ended. */
   private async takeOver (): Promise<void> {
+    let stopsEndByMs: number | undefined
     while (this.state === SessionState.TakingOver) {
+      const sentAtMs = this.services.timers.nowMs()
       const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd: this.registry.acknowledgedEnd, waitMs: 0 })
       if (outcome.kind === 'answered' && outcome.runs.bornAtMs === this.worker.bornAtMs) {
         this.handleAnswer(outcome.runs)
         const last = outcome.runs.ended.at(-1)
         if (last !== undefined) this.registry.acknowledgedEnd = Math.max(this.registry.acknowledgedEnd, last.number)
-        if (outcome.runs.running.length === 0 && last === undefined) return this.becomeReady()
-        await Promise.all(outcome.runs.running.map(async each => await this.services.driver.stop(this.scope, each.ref)))
+        stopsEndByMs ??= this.mayHaveEarlierStops(outcome.runs.clockMs) ? this.services.timers.nowMs() + this.stopDurationMs : sentAtMs
+        if (outcome.runs.running.length === 0 && last === undefined && sentAtMs >= stopsEndByMs) return this.becomeReady()
+        if (outcome.runs.running.length > 0) {
+          await Promise.all(outcome.runs.running.map(async each => await this.services.driver.stop(this.scope, each.ref)))
+          stopsEndByMs = this.services.timers.nowMs() + this.stopDurationMs
+        }
       } else if (outcome.kind === 'answered') this.handleReplacement()
       else this.handleFailedRenewal(outcome)
       await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
     }
   }
 
+  /** Returns true if an earlier session, of this agent or another, may have ordered stops that go on unlisted. The worker's clock counts from the start of its incarnation. */
+  private mayHaveEarlierStops (workerClockMs: number): boolean {
+    const { soleSinceMs, options, timers } = this.services
+    return workerClockMs * options.clockDrift > timers.nowMs() - soleSinceMs
+  }
+
   private becomeReady (): void {
     this.state = SessionState.Ready
     this.services.log.event(events.TakenOver, { workerId: this.worker.workerId, acknowledgedEnd: this.registry.acknowledgedEnd })
--- a/test/unit/workers/believedEnds.test.ts
+++ b/test/unit/workers/believedEnds.test.ts
@@ -79,4 +79,21 @@
     while (!next.load.isPresent) await passTime(timers, 5)
     expect(worker.runCount).to.equal(0)
   })
+
+  it('are not concluded by a further session with the worker before the stops of the first can have ended', async () => {
+    const { timers, worker, executor, endings, submit } = await createBench({ hidesStoppingRuns: true, stopDurationMs: () => 50 })
+    // The worker's incarnation is younger than the agent, so no other agent has called it.
+    await passTime(timers, 1_000)
+    worker.restart()
+    executor.applyReport(worker.report())
+    await passTime(timers, workers.DEFAULT_WORKER_OPTIONS.reportTimeoutMs - 200)
+    submit('job', 1)
+    await passTime(timers, 190)
+    executor.stop('entry-1', () => true, 'test')
+    await passTime(timers, 15)
+    expect(executor.load.isPresent).to.equal(false)
+    executor.applyReport(worker.report())
+    while (endings.length === 0) await passTime(timers, 5)
+    expect(worker.runCount).to.equal(0)
+  })
 })
