Stop a run that goes on after its reported end at once

Callers saw the whole length of a doubled run: once an agent had reported an end that had not come, hasRecentlyEnded hid the run from its search for orphans for three seconds, by when it had mostly ended done. Whether an answer may list an ended run depends on the order of queries, not on time: an answer to a query that was sent after the end lists only what goes on. Such a run is now stopped, logged (10022, with what the end was concluded from) and counted (runs_reappeared). Evidence: unit/workers/believedEnds "are taken back by a list that still shows the run" failed before: two runs went on, now one.

--- a/packages/workers/src/events.ts
+++ b/packages/workers/src/events.ts
@@ -24,5 +24,5 @@
   TakenOver: { code: 10019, level: Info, message: 'worker taken over; runs of an earlier incarnation of the agent have ended' },
   WorkerCrashed: { code: 10020, level: Warn, message: 'worker crashed; its active runs are lost' },
   CapacityChanged: { code: 10021, level: Info, message: 'capacity of the worker has changed' },
-  RunReappeared: { code: 10022, level: Warn, message: 'worker runs a task whose end has been reported' }
+  RunReappeared: { code: 10022, level: Warn, message: 'worker runs a task whose end has been reported; it is stopped' }
 })
--- a/packages/workers/src/runRegistry.ts
+++ b/packages/workers/src/runRegistry.ts
@@ -49,7 +49,7 @@
   stopAcknowledgedAtMs: number
 }
 
-/** Time for which ended runs are retained, in milliseconds, so that a run listed by an outdated answer is not mistaken for an orphaned run. */
+/** Time for which ended runs are retained, in milliseconds, so that a run listed by an outdated answer is not mistaken for an orphaned run. No answer is that old. */
 const ENDED_RUN_RETENTION_MS = 3_000
 
 /** A run that this agent counts as ended, and why. */
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -8,7 +8,7 @@
 import { events } from './events.ts'
 import { ReportDeferral, ReturnReason, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
 import { RunTimeRatioEstimate } from './runTimeRatio.ts'
-import { type ActiveRun, type RecentEnd, RunRegistry, RunPhase, StartProof } from './runRegistry.ts'
+import { type ActiveRun, RunRegistry, RunPhase, StartProof } from './runRegistry.ts'
 import { subtractSize } from './size.ts'
 import type { FencingToken } from './fencing.ts'
 import type { OwnerLeases } from './ownerLeases.ts'
@@ -505,24 +505,20 @@
     return sentAtMs > Math.min(run.confirmedAtMs, run.stopAcknowledgedAtMs, run.phase === RunPhase.Starting ? Number.POSITIVE_INFINITY : startExpiresAtMs)
   }
 
-  /** Handles a run that the worker lists and that is not active here. `sentAtMs` is the time of the query. */
+  /** Stops a run that the worker lists and that is not active here, unless the answer may be older than the end of the run. `sentAtMs` is the time of the query. */
   private handleUnknownRun (ref: RunRef, sentAtMs: number): void {
     const recentEnd = this.registry.findRecentEnd(ref)
-    if (recentEnd !== undefined) {
-      if (sentAtMs > recentEnd.atMs) this.recordReappeared(ref, recentEnd)
-      return
+    if (recentEnd !== undefined && sentAtMs <= recentEnd.atMs) return
+    const fields = { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run }
+    if (recentEnd === undefined) this.services.log.event(events.OrphanedRun, fields)
+    else if (!recentEnd.hasReappeared) {
+      recentEnd.hasReappeared = true
+      this.handlers.onReappeared()
+      this.services.log.event(events.RunReappeared, { ...fields, reason: recentEnd.reason, sinceEndMs: Math.round(this.services.timers.nowMs() - recentEnd.atMs) })
     }
-    this.services.log.event(events.OrphanedRun, { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run })
     this.services.driver.stop(this.scope, ref)
   }
 
-  private recordReappeared (ref: RunRef, recentEnd: RecentEnd): void {
-    if (recentEnd.hasReappeared) return
-    recentEnd.hasReappeared = true
-    this.handlers.onReappeared()
-    this.services.log.event(events.RunReappeared, { jobId: ref.task.jobId, step: ref.task.step, index: ref.task.index, run: ref.run, reason: recentEnd.reason, sinceEndMs: Math.round(this.services.timers.nowMs() - recentEnd.atMs) })
-  }
-
   private settle (run: ActiveRun, end: TaskEnd, reason: string, deferral = ReportDeferral.None): void {
     if (!this.isActive(run)) return
     const { task } = run.order
--- a/test/unit/workers/believedEnds.test.ts
+++ b/test/unit/workers/believedEnds.test.ts
@@ -20,6 +20,10 @@
   return new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
 }
 
+function createOrder (timers: settings.FakeTimers, jobId: string, index: number): workers.TaskOrder {
+  return { owner: 'entry-1', task: { jobId, step: 0, index }, attempt: 1, queue: 'queue', spec: '', size: TASK_SIZE, estimatedMs: 1_000, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 }
+}
+
 async function createBench (options: Partial<standin.StandinWorkerOptions> = {}): Promise<Bench> {
   const timers = new settings.FakeTimers()
   const runRecorder = new standin.RunRecorder()
@@ -29,7 +33,7 @@
   executor.applyReport(worker.report())
   await passTime(timers, 200)
   const submit = (jobId: string, count: number): void => {
-    for (let index = 0; index < count; index++) executor.submit({ owner: 'entry-1', task: { jobId, step: 0, index }, attempt: 1, queue: 'queue', spec: '', size: TASK_SIZE, estimatedMs: 1_000, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 })
+    for (let index = 0; index < count; index++) executor.submit(createOrder(timers, jobId, index))
   }
   return { timers, worker, executor, endings, submit }
 }
@@ -96,4 +100,31 @@
     while (endings.length === 0) await passTime(timers, 5)
     expect(worker.runCount).to.equal(0)
   })
+
+  it('are taken back by a list that still shows the run: it is stopped, logged and counted', async () => {
+    const { timers, worker } = await createBench()
+    const logged: Array<{ code: number, fields: settings.LogFields }> = []
+    const log: settings.Log = { event: ({ code }, fields = {}) => { logged.push({ code, fields }) }, close: async () => {} }
+    let isHidden = false
+    const driver: workers.WorkerDriver = {
+      start: async call => await worker.start(call),
+      stop: async (scope, ref) => await worker.stop(scope, ref),
+      renew: async call => {
+        const outcome = await worker.renew(call)
+        if (outcome.kind === 'answered' && isHidden) outcome.runs.running = outcome.runs.running.filter(({ ref }) => ref.task.index !== 0)
+        return outcome
+      },
+      close: async () => {}
+    }
+    const executor = new workers.RunExecutor({ timers, log, driver }, { onEnd: () => { isHidden = false }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
+    executor.applyReport(worker.report())
+    await passTime(timers, 200)
+    for (let index = 0; index < 2; index++) executor.submit(createOrder(timers, 'job', index))
+    await passTime(timers, 20)
+    isHidden = true
+    await passTime(timers, 800)
+    expect(worker.runCount).to.equal(1)
+    expect(executor.counters.runsReappeared).to.equal(1)
+    expect(logged.filter(({ code }) => code === 10022).map(({ fields }) => [fields.jobId, fields.index, fields.reason])).to.deep.equal([['job', 0, 'worker does not list the run']])
+  })
 })
