Count a call as unsent only if it was given no connection

What callers would see: a task that runs twice, since an agent that fails to reach its worker returns the task as not started. Cause: the code of an error alone decided, and some codes (host unreachable, a pool that is closed) also end calls of which the request was sent. Evidence: the new test of unit/runtime/httpCaller got 'unsent' before for a call that the server had read. Now only a call that was given no connection is unsent.

--- a/packages/runtime/src/httpCaller.ts
+++ b/packages/runtime/src/httpCaller.ts
@@ -2,7 +2,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as undici from 'undici'
 
-/** Codes of errors that occur before any byte of the request has been sent. */
+/** Codes of errors that show, for a call that was given no connection, that it will not be sent. */
 const UNSENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_DESTROYED', 'UND_ERR_CLOSED'])
 
 const ABORT_REASON = 'no answer in time'
@@ -115,7 +115,7 @@
   }
 
   onError (error: Error): void {
-    this.settle(describeFailure(error))
+    this.settle(describeFailure(error, this.abortRequest !== undefined))
   }
 
   private settle (outcome: HttpOutcome): void {
@@ -127,9 +127,10 @@
   }
 }
 
-function describeFailure (error: Error): HttpOutcome {
+/** `hadConnection` is true for a call of which bytes may have been sent. Such a call can fail with the same codes. */
+function describeFailure (error: Error, hadConnection: boolean): HttpOutcome {
   const { code } = error as { code?: unknown }
-  if (typeof code === 'string' && UNSENT_CODES.has(code)) return { kind: 'unsent', code, reason: error.message }
+  if (!hadConnection && typeof code === 'string' && UNSENT_CODES.has(code)) return { kind: 'unsent', code, reason: error.message }
   return { kind: 'unanswered', reason: error.message }
 }
 
--- a/test/unit/runtime/httpCaller.test.ts
+++ b/test/unit/runtime/httpCaller.test.ts
@@ -48,6 +48,15 @@
     expect(received).to.deep.equal(['/a', '/b'])
   })
 
+  // Guards against a start that counts as not sent while the worker carries it out.
+  it('reports a sent call as unanswered, also when the error is one of a call that was not sent', async () => {
+    answer = () => {}
+    const call = caller.call({ method: 'POST', path: '/a', timeoutMs: 10 * TIMEOUT_MS })
+    while (received.length === 0) await timers.sleep(5)
+    await caller.close()
+    expect((await call).kind).to.equal('unanswered')
+  })
+
   it('reports a refused connection as unsent', async () => {
     server.close()
     server.closeAllConnections()
