Return no waiting order while the earlier run of its task goes on

What callers would see: a task that runs twice for the length of a stop. Cause: the agent keeps an order while it stops an earlier run of the task, but not if the order was stopped itself, or if the lease of its entry ran low: then it was returned as not started, and the entry could place it elsewhere. Evidence: unit/workers/executor "returns no task while its earlier run goes on" failed before, in both cases: one run was there when the order was returned. Now each return waits for the earlier run, the stop included.

--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -72,6 +72,8 @@
   private lastBornAtMs: number | undefined
   private reportedAtMs = 0
   private waiting: TaskOrder[] = []
+  /** Reasons for which waiting tasks are to be returned once their earlier runs have ended. */
+  private readonly stopReasons = new WeakMap<TaskOrder, string>()
   private deferredEnds: DeferredEnd[] = []
   private isStopping = false
   private onIdle: (() => void) | undefined
@@ -172,7 +174,8 @@
   /** Stops the matching tasks of an entry. */
   stop (owner: string, matches: (order: TaskOrder) => boolean, reason: string): void {
     const isSelected = (order: TaskOrder): boolean => order.owner === owner && matches(order)
-    this.returnTasks(this.waiting.filter(isSelected), reason)
+    for (const order of this.waiting.filter(isSelected)) this.stopReasons.set(order, reason)
+    this.returnWaiting(reason, isSelected)
     for (const run of this.session?.runs ?? []) {
       if (isSelected(run.order)) this.stopRun(run, reason)
     }
@@ -288,9 +291,11 @@
     const session = this.session!
     const remaining: TaskOrder[] = []
     for (const order of this.waiting) {
-      if (order.age.ms > order.expiresAfterMs) this.returnTask(order, ReturnReason.Expired)
+      const stopReason = this.stopReasons.get(order)
+      if (this.mayRun(order)) remaining.push(order)
+      else if (stopReason !== undefined) this.returnTask(order, stopReason)
+      else if (order.age.ms > order.expiresAfterMs) this.returnTask(order, ReturnReason.Expired)
       else if (this.ownerLeases.remainingMs(order.owner) < this.options.minStartLeaseMs) this.returnTask(order, ReturnReason.OwnerLeaseExpired)
-      else if (session.find(taskKey(order.task)) !== undefined) remaining.push(order)
       else if (order.requirement !== undefined && !this.report!.labels.includes(order.requirement)) this.returnTask(order, ReturnReason.LabelMissing)
       else if (order.observationMs > 0 && this.isObserving(other => other.task.jobId !== order.task.jobId)) this.returnTask(order, ReturnReason.SuspectRunning)
       else if (fits(this.reservations.freeCapacityFor(order.owner, session.free), order.size)) this.start(order, session)
@@ -325,9 +330,9 @@
     this.handleLoadChange()
   }
 
-  /** Returns the waiting tasks, so that they can start elsewhere, without those whose earlier run may go on here. */
-  private returnWaiting (reason: string): void {
-    if (this.waiting.length > 0) this.returnTasks(this.waiting.filter(order => !this.mayRun(order)), reason)
+  /** Returns the selected waiting tasks, so that they can start elsewhere, without those whose earlier run may go on here. */
+  private returnWaiting (reason: string, isSelected: (order: TaskOrder) => boolean = () => true): void {
+    if (this.waiting.length > 0) this.returnTasks(this.waiting.filter(order => isSelected(order) && !this.mayRun(order)), reason)
   }
 
   /** Returns true while an earlier run of the task may go on. */
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -277,6 +277,27 @@
     }
   })
 
+  // Guards against a task that starts elsewhere during the stop of its earlier run, because the waiting order is returned for another reason.
+  it('returns no task while its earlier run goes on, whatever the reason', async () => {
+    for (const cause of ['owner lease', 'stop']) {
+      const timers = new settings.FakeTimers()
+      const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => 1_000, sizeOf: () => TASK_SIZE, stopDurationMs: () => 50, timers, runRecorder: new standin.RunRecorder() })
+      const leaseMs = new Map([['entry-1', 1_000], ['entry-2', cause === 'owner lease' ? 100 : 1_000]])
+      const returned: number[] = []
+      const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: owner => leaseMs.get(owner) ?? 0 } }, { onEnd: ({ order: { owner } }) => { if (owner === 'entry-2') returned.push(worker.runCount) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
+      executor.applyReport(worker.report())
+      await passTime(timers, 200)
+      const task = { jobId: 'job', step: 0, index: 0 }
+      const submit = (owner: string): void => { executor.submit({ owner, task, attempt: 1, queue: 'queue', spec: '', size: TASK_SIZE, estimatedMs: 1_000, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs: 2_000 }) }
+      submit('entry-1')
+      await passTime(timers, 50)
+      submit('entry-2')
+      if (cause === 'stop') executor.stop('entry-2', () => true, 'test')
+      await passTime(timers, 300)
+      expect(returned, cause).to.deep.equal([0])
+    }
+  })
+
   it('raises a run number that another entry has already used', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     executor.submit(order(0))
