Never estimate a worker's clock ahead of one that is slow

What callers would see: a task that runs twice after its agent froze or was cut off. Cause: the estimate of the worker's clock went on at the agent's rate from the last answer, and an idle worker gets no calls; after a minute with a clock that is 2% slow it was 1.2 s ahead, so that a lease meant to end with the owner lease of 300 ms lasted for the longest that the worker grants, 1,000 ms, while the entry places the task elsewhere. Evidence: unit/workers/executor "lets the worker end a run with the owner lease, also if the worker was idle for a minute" failed before. The estimate now goes on at the lowest rate that the bounds allow, and reports, which carry the worker's clock, keep it exact without calls.

--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -137,7 +137,7 @@
 
   /** Creates the worker's next report, with an increased sequence number. */
   report (isDraining = false): workers.WorkerReport {
-    return { workerId: this.options.workerId, bornAtMs: this.bornAtMs, service: 'spares', total: this.capacity, labels: [], isDraining, sequence: ++this.sequence }
+    return { workerId: this.options.workerId, bornAtMs: this.bornAtMs, service: 'spares', total: this.capacity, labels: [], isDraining, sequence: ++this.sequence, clockMs: this.clockMs }
   }
 
   /** Capacity at present. */
--- a/packages/workers/src/clock.ts
+++ b/packages/workers/src/clock.ts
@@ -1,30 +1,38 @@
 /** Clocks: conversion to a worker's clock, and times that include VM suspensions. */
 import type * as settings from '@egretvalve/settings'
 
-/** Estimate of a worker's monotonic clock. It is never ahead of the worker's own clock. */
+/** Estimate of a worker's monotonic clock. It is never ahead of the worker's own clock, also if that one is slower than the agent's. */
 export class WorkerClock {
-  private offsetMs: number | undefined
+  private known: { clockMs: number, atMs: number } | undefined
 
-  constructor (private readonly timers: settings.Timers) {}
+  /** `maxRateRatio` is the largest ratio between the rates of two VMs' clocks. */
+  constructor (private readonly timers: settings.Timers, private readonly maxRateRatio: number) {}
 
   /** True once an answer has carried the worker's time. */
   get isKnown (): boolean {
-    return this.offsetMs !== undefined
+    return this.known !== undefined
   }
 
   /** Applies the worker's time from an answer. The answer was written before it was read, so the estimate is never ahead. */
   update (clockMs: number): void {
-    this.offsetMs = clockMs - this.timers.nowMs()
+    this.known = { clockMs: Math.max(clockMs, this.estimateMs), atMs: this.timers.nowMs() }
   }
 
-  /** Discards the time, because another incarnation of the worker starts a new clock. */
-  reset (): void {
-    this.offsetMs = undefined
+  /** Applies the time from a report, which may have another writer: one that is later than the worker's clock can be is ignored. */
+  updateFromReport (clockMs: number): void {
+    if (this.known === undefined) return
+    const latestMs = this.known.clockMs + (this.timers.nowMs() - this.known.atMs) * this.maxRateRatio
+    if (clockMs <= latestMs) this.update(clockMs)
   }
 
   /** Returns the worker's time after a delay, in milliseconds. */
   timeAfter (delayMs: number): number {
-    return Math.floor(this.timers.nowMs() + delayMs + (this.offsetMs ?? 0))
+    return Math.floor(this.estimateMs + delayMs)
+  }
+
+  private get estimateMs (): number {
+    if (this.known === undefined) return Number.NEGATIVE_INFINITY
+    return this.known.clockMs + (this.timers.nowMs() - this.known.atMs) / this.maxRateRatio
   }
 }
 
--- a/packages/workers/src/driver.ts
+++ b/packages/workers/src/driver.ts
@@ -20,6 +20,8 @@
   isDraining: boolean
   /** Increases with each report of one incarnation. */
   sequence: number
+  /** Monotonic clock of the worker when it wrote the report, in milliseconds; undefined if the report has none. */
+  clockMs?: number
 }
 
 /** One task of a job. */
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -147,6 +147,7 @@
     const isSameIncarnation = known?.workerId === report.workerId && known.bornAtMs === report.bornAtMs
     if (!isSameIncarnation || this.session === undefined) this.openSession(report)
     else this.applyChanges(report, known, this.session)
+    if (report.clockMs !== undefined) this.session?.updateClock(report.clockMs)
     return true
   }
 
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -80,7 +80,7 @@
   private crashCount = 0
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
-    this.clock = new WorkerClock(services.timers)
+    this.clock = new WorkerClock(services.timers, services.options.clockDrift)
     this.runTimeRatio = new RunTimeRatioEstimate(services.timers)
     this.lastAnswerAtMs = services.timers.nowMs()
     this.total = worker.total
@@ -114,6 +114,11 @@
     return this.registry.find(key)
   }
 
+  /** Applies the time in a report of this incarnation, which keeps leases exact while no calls are made. */
+  updateClock (clockMs: number): void {
+    this.clock.updateFromReport(clockMs)
+  }
+
   /** Takes over the worker, then renews the lease and collects the ends of runs until `end` is called. */
   async run (): Promise<void> {
     await this.takeOver()
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -162,6 +162,25 @@
     expect(worker.runCount).to.equal(0)
   })
 
+  // Guards against a lease on the worker that outlasts the owner lease, because the worker's clock fell behind while no calls were made.
+  it('lets the worker end a run with the owner lease, also if the worker was idle for a minute and its clock is slow', async () => {
+    const { timers, worker, order } = await createBench(0.98)
+    let leaseEndsAtMs = 0
+    const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver: worker, ownerLeases: { remainingMs: () => leaseEndsAtMs - timers.nowMs() } }, { onEnd: () => {}, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
+    for (let reports = 0; reports < 40; reports++) {
+      executor.applyReport(worker.report())
+      await passTime(timers, 1_500)
+    }
+    worker.faults.isStalled = true
+    leaseEndsAtMs = timers.nowMs() + 300
+    executor.submit(order(0))
+    await passTime(timers, 5)
+    expect(worker.runCount).to.equal(1)
+    await executor.close()
+    await passTime(timers, 300 * workers.DEFAULT_WORKER_OPTIONS.clockDrift)
+    expect(worker.runCount).to.equal(0)
+  })
+
   it('returns a task whose owner lease has nearly expired, and starts those of other owners', async () => {
     const { timers, worker, endings, order } = await createBench()
     const remainingMs: Record<string, number> = { 'entry-1': workers.DEFAULT_WORKER_OPTIONS.minStartLeaseMs - 1, 'entry-2': 1_000 }
