Send a task only to the agent that holds its earlier run, until that has ended

What callers would see: a task of a job that is submitted again runs twice, while the stop of its earlier run is under way or lost. Evidence: unit/scheduler/scheduler "sends a task of a resubmitted job to no other agent before the stop of its earlier run is confirmed" failed before. Another entry that gets the job still relies on the caller.

--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -73,6 +73,8 @@
         candidates = this.findCandidates(job, step, reserved)
         sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.context.entryCount()), this.context.random)
       }
+      const holderId = this.context.stopOrders.findHolder(task.ref)
+      if (holderId !== undefined && !candidates.some(({ agentId }) => agentId === holderId)) continue
       if (!this.placeTask(job, task, sample, candidates, reserved)) return
       if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
     }
@@ -86,8 +88,9 @@
     for (const task of job.waitingTasks()) {
       if (!this.isSuspect(task) || this.awaitsVerdict(task)) continue
       const step = job.stepOf(task)
-      const isFull = chosen === undefined || !workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size)
-      if (isFull) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED, true)), step)
+      const holderId = this.context.stopOrders.findHolder(task.ref)
+      const isUsable = chosen !== undefined && workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size) && (holderId === undefined || holderId === chosen.agentId)
+      if (!isUsable) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED, true)), step)
       if (chosen === undefined) continue
       this.send(job, task, chosen)
       placed.push(this.describePlacement(task))
@@ -167,8 +170,10 @@
     return this.context.ejection.accepts(agent.agentId, this.nowMs)
   }
 
-  /** Removes the workers that must not get the task. Workers that the task avoids remain only when there is no other. */
+  /** Removes the workers that must not get the task: all others while a run of it is being stopped on one. Workers that the task avoids remain only when there is no other. */
   private filterFor (job: Job, task: Task, candidates: Candidate[]): Candidate[] {
+    const holderId = this.context.stopOrders.findHolder(task.ref)
+    if (holderId !== undefined) return candidates.filter(({ agentId }) => agentId === holderId && this.context.ejection.accepts(agentId, this.nowMs))
     const { maxPerWorker } = job.stepOf(task)
     const allowed = maxPerWorker === undefined ? candidates : candidates.filter(each => job.countOn(each.agentId, task.ref.step) < maxPerWorker)
     const accepting = allowed.filter(each => this.context.ejection.accepts(each.agentId, this.nowMs))
--- a/packages/scheduler/src/stopOrders.ts
+++ b/packages/scheduler/src/stopOrders.ts
@@ -55,6 +55,8 @@
   /** Number of runs that went on after this entry had ordered their stop or given them up, and that were stopped later. */
   staleCount = 0
   private readonly orders = new Map<SentTask, StopOrder>()
+  /** Runs with a standing order, by the key of their task. */
+  private readonly runs = new Map<string, SentTask>()
   private readonly unlogged = new Map<string, StaleRuns>()
 
   constructor (private readonly context: StopOrdersContext) {}
@@ -62,13 +64,23 @@
   /** Orders the stop of a run. Does nothing if it has been ordered already. */
   order (agent: AgentRecord, sent: SentTask): void {
     if (this.orders.has(sent)) return
+    this.runs.set(workers.taskKey(sent.task.ref), sent)
     this.orders.set(sent, { agent, orderedAtMs: this.nowMs, sentAtMs: agent.port === undefined ? undefined : this.nowMs, isStale: false })
     agent.port?.stop(sent.task.ref)
   }
 
   /** Withdraws the order for a run that has ended or is certain to have ended. */
   withdraw (sent: SentTask | undefined): void {
-    if (sent !== undefined) this.orders.delete(sent)
+    if (sent === undefined || !this.orders.delete(sent)) return
+    const key = workers.taskKey(sent.task.ref)
+    if (this.runs.get(key) === sent) this.runs.delete(key)
+  }
+
+  /** Returns the agent of a run of the task that is being stopped. Until its end is known, the task may be sent only there, as that agent starts it after the end. */
+  findHolder (task: workers.TaskRef): string | undefined {
+    if (this.runs.size === 0) return undefined
+    const sent = this.runs.get(workers.taskKey(task))
+    return sent === undefined ? undefined : this.orders.get(sent)?.agent.agentId
   }
 
   /** Repeats the standing orders for an agent on a link that has just opened. */
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -235,6 +235,29 @@
     expect(other.ordered).to.deep.equal([])
   })
 
+  // Guards against a task of a resubmitted job that starts elsewhere while the stop of its earlier run is not confirmed.
+  it('sends a task of a resubmitted job to no other agent before the stop of its earlier run is confirmed', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    const earlier = submit(createJob('job', 2))
+    await flushEventLoop()
+    const other = new FakePort('agent-2')
+    created.connect(other, createLoad())
+    created.handleLoad(first, createLoad({ isDraining: true, received: 2 }))
+    created.abandon(earlier.job)
+    const again = submit(createJob('job', 2))
+    await passTime(timers, 200)
+    expect(other.ordered).to.deep.equal([])
+    created.handleEnds(first, [createEnd(first.ordered[1]!, workers.TaskEnd.Lost)])
+    await flushEventLoop()
+    expect(other.ordered.map(({ ref }) => ref.index)).to.deep.equal([1])
+    created.handleEnds(first, [createEnd(first.ordered[0]!, workers.TaskEnd.Lost)])
+    await flushEventLoop()
+    created.handleEnds(other, other.ordered.map(each => createEnd(each, workers.TaskEnd.Done)))
+    expect(again.outcomes).to.deep.equal([{ kind: 'succeeded' }])
+  })
+
   it('places the tasks of a lost agent again only after their runs have certainly ended', async () => {
     const { timers, scheduler: created, submit } = createBench()
     const lost = new FakePort('agent-1')
