Start nothing for a caller that has left before its request was read

Cause: an entry that stood still, or whose callers' connections waited at its listener, reads a request together with the end of its connection. The end is read a turn of the event loop after the request, and reaches the job only when the response has closed, some turns later; the tasks were on their way by then, while the caller had submitted again at another entry. Now a new job is submitted only after the sockets have been polled once more, one turn of the event loop, and the end of a caller's half of the connection abandons its jobs at once.

--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -9,7 +9,7 @@
 import type { AcceptDelay } from './acceptDelay.ts'
 import { formatAddress, parseAddress } from './addresses.ts'
 import { readBody } from './body.ts'
-import { type CutCounts, ServerConnections } from './connections.ts'
+import { type CutCounts, pollSockets, ServerConnections } from './connections.ts'
 import type { LinkTls } from './links.ts'
 import { TlsSource } from './tlsSource.ts'
 
@@ -22,8 +22,10 @@
   query: URLSearchParams
   headers: http.IncomingHttpHeaders
   body: Buffer
-  /** Aborts if the caller closes its connection before the response has been written. */
+  /** Aborts if the caller closes its connection, or its half of it, before the response has been written. */
   signal: AbortSignal
+  /** Resolves with false if the caller had closed its connection by now. The end of a connection is read after the request that came before it. */
+  isCallerPresent: () => Promise<boolean>
   /** Time for which the request waited for its connection to be accepted, in milliseconds; 0 for later requests of a connection. */
   waitedMs: number
 }
@@ -246,18 +248,34 @@
       return parseTarget().searchParams
     },
     get signal () {
-      abort ??= createDisconnectSignal(response)
+      abort ??= createDisconnectSignal(request, response)
       return abort.signal
+    },
+    isCallerPresent: async () => {
+      await pollSockets()
+      return !hasCallerLeft(request, response)
     }
   }
 }
 
-/** Creates a controller that aborts if the connection is closed before the response has been written. */
-function createDisconnectSignal (response: http.ServerResponse): AbortController {
+function hasCallerLeft ({ socket }: MoleculerRequest, response: http.ServerResponse): boolean {
+  return response.closed || socket.destroyed || socket.readableEnded
+}
+
+/** Creates a controller that aborts if the caller closes the connection, or its half of it, before the response has been written. */
+function createDisconnectSignal (request: MoleculerRequest, response: http.ServerResponse): AbortController {
   const abort = new AbortController()
-  const handleClose = (): void => { if (!response.writableEnded) abort.abort() }
-  if (response.closed) handleClose()
-  else response.once('close', handleClose)
+  const handleLeft = (): void => { if (!response.writableEnded) abort.abort() }
+  if (hasCallerLeft(request, response)) {
+    handleLeft()
+    return abort
+  }
+  // The response closes only some turns of the event loop after the caller's end has been read.
+  request.socket.once('end', handleLeft)
+  response.once('close', () => {
+    request.socket.removeListener('end', handleLeft)
+    handleLeft()
+  })
   return abort
 }
 
