--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -151,6 +151,11 @@
     return this.runs.size
   }
 
+  /** Returns true while a run of the task goes on, also one that is being stopped. */
+  isRunning (task: workers.TaskRef): boolean {
+    return this.runsOf(task).length > 0
+  }
+
   /** Number of run ends not yet acknowledged by the agent. */
   get unacknowledgedCount (): number {
     return this.ended.length
