--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -1,4 +1,5 @@
 /** Session with one incarnation of a worker: starts and stops runs, renews their lease and collects the ends that the worker lists. */
+import { setMaxListeners } from 'node:events'
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
 import { WorkerClock } from './clock.ts'
@@ -80,6 +81,8 @@
   private crashCount = 0
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
+    // One listener for each stop that is under way.
+    setMaxListeners(0, this.abort.signal)
     this.clock = new WorkerClock(services.timers, services.options.clockDrift)
     this.runTimeRatio = new RunTimeRatioEstimate(services.timers)
     this.lastAnswerAtMs = services.timers.nowMs()
