Own engine: count a task as not run only if no connection was opened for it

The class of the incident, in packages/agent: a task that a backend server had read counted as not run if its connection then failed with a code of an unreachable host, and was started on another server, also if it is not repeatable. Now these codes count only while a connection is being opened. The rest of the engine was read for the same cause: a lost agent's tasks are unknown, and started again only if they are repeatable.

--- a/packages/agent/src/tasks/backendClient.ts
+++ b/packages/agent/src/tasks/backendClient.ts
@@ -4,8 +4,9 @@
 
 const { wire } = protocol
 
-/** Error codes that occur before any byte of the request was sent, so that the task has certainly not run. */
-const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+/** Error codes that show, when a connection is being opened, that no byte of the request was sent, so that the task has certainly not run. */
+const UNREACHABLE_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'])
+const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT'
 const CONNECT_TIMEOUT_MS = 2_000
 const HTTP_OK_LOWEST = 200
 const HTTP_OK_HIGHEST = 299
@@ -70,10 +71,14 @@
 }
 
 function resolveFailure (thrown: unknown, address: string): BackendOutcome {
-  const code = (thrown as { code?: string }).code ?? ''
   const error = `backend.request (${address}): ${thrown instanceof Error ? thrown.message : String(thrown)}`
-  if (NOT_SENT_CODES.has(code)) {
+  if (isNotSent(thrown as NodeJS.ErrnoException)) {
     return { state: wire.TaskState.TASK_STATE_NOT_RUN, refusal: wire.RefusalReason.REFUSAL_REASON_NO_BACKEND, error }
   }
   return { state: wire.TaskState.TASK_STATE_UNKNOWN, error }
 }
+
+/** An open connection can fail with the same codes, after the request was sent. */
+function isNotSent ({ code = '', syscall }: NodeJS.ErrnoException): boolean {
+  return code === CONNECT_TIMEOUT_CODE || (syscall === 'connect' && UNREACHABLE_CODES.has(code))
+}
