Logs: warnings about a job survive sampling, and a further attempt names the end of the one before

The record of the incident held no line of the agents that had the doubled runs. Lines of warnings and errors are no longer sampled by job, and 11005 gives for each further attempt how the one before ended, such as after=lost:worker-does-not-list-the-run.

--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -25,6 +25,8 @@
   failures: number
   agentId: string | undefined
   sentAtMs: number
+  /** How the last attempt ended, for the log; undefined before the first end and after success. */
+  lastEnd: string | undefined
   /** Agents on which the task failed, was refused by an unhealthy worker, or was stopped as slow or stalled. */
   readonly avoided: Set<string>
 }
@@ -190,6 +192,7 @@
     failures: 0,
     agentId: undefined,
     sentAtMs: 0,
+    lastEnd: undefined,
     avoided: new Set<string>()
   }))
 }
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -61,7 +61,7 @@
     this.logPlaced(job, placed)
   }
 
-  /** Places waiting tasks and adds a description of each to `placed`: step, index, attempt, agent, its free cores, its speed factor and the milliseconds since its last message. */
+  /** Places waiting tasks and adds a description of each to `placed`: step, index, attempt, agent, its free cores, its speed factor, the milliseconds since its last message and, for a further attempt, how the one before ended. */
   private placeTasks (job: Job, reserved: Set<string>, placed: string[]): void {
     let step = -1
     let candidates: Candidate[] = []
@@ -131,7 +131,7 @@
   private describePlacement (task: Task): string {
     const agent = this.context.agents.get(task.agentId!)!
     const freeCores = Math.round(agent.view.free.cpuMilli / 1_000)
-    return `${task.ref.step}.${task.ref.index}#${task.attempt}@${agent.agentId},free=${freeCores},speed=${this.context.speeds.factorOf(agent.agentId).toFixed(2)},age=${Math.round(agent.port?.sinceLastMessageMs() ?? 0)}`
+    return `${task.ref.step}.${task.ref.index}#${task.attempt}@${agent.agentId},free=${freeCores},speed=${this.context.speeds.factorOf(agent.agentId).toFixed(2)},age=${Math.round(agent.port?.sinceLastMessageMs() ?? 0)}${task.lastEnd === undefined ? '' : `,after=${task.lastEnd}`}`
   }
 
   /** Sends a task to a worker of the sample, else to any worker with free capacity, else reserves the worker with the most free processors. Returns false when no worker is left to reserve. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -344,6 +344,7 @@
   private applyTaskEnd (sent: SentTask, agent: AgentRecord, end: ReportedEnd): void {
     const { job, task } = sent
     task.agentId = undefined
+    task.lastEnd = end.end === workers.TaskEnd.Done ? undefined : `${end.end}:${end.reason.replaceAll(' ', '-')}`
     switch (end.end) {
       case workers.TaskEnd.Done:
         job.setPhase(task, TaskPhase.Done)
--- a/packages/settings/src/log.ts
+++ b/packages/settings/src/log.ts
@@ -30,7 +30,7 @@
 export interface LogOptions {
   /** Destination of the lines; standard error by default. */
   stream?: NodeJS.WritableStream
-  /** Lines per second above which events are sampled by job or dropped; unlimited by default. The number of dropped lines is logged before the next line written. */
+  /** Lines per second above which events are dropped, those below a warning sampled by job; unlimited by default. The number of dropped lines is logged before the next line written. */
   maxLinesPerS?: number
 }
 
@@ -63,7 +63,7 @@
   return {
     event: (event, fields) => {
       // winston formats an event before its transports filter it by level, so filter here.
-      if (!enabledLevels.has(event.level) || !budget.tryAcquire(readJobId(fields))) return
+      if (!enabledLevels.has(event.level) || !budget.tryAcquire(isSampled(event) ? readJobId(fields) : undefined)) return
       const lines = budget.consumeDroppedCount() + consumeBufferDroppedCount(buffer)
       if (lines > 0) write(LINES_DROPPED_EVENT, { lines })
       write(event, fields)
@@ -75,6 +75,11 @@
   }
 }
 
+/** Returns false for warnings and errors: they are written beside jobs that are left out, as they tell what went wrong with one. */
+function isSampled ({ level }: LogEvent): boolean {
+  return level !== LogLevel.Warn && level !== LogLevel.Error
+}
+
 function readJobId (fields: LogFields | undefined): string | undefined {
   const jobId = fields?.jobId
   return typeof jobId === 'string' ? jobId : undefined
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -258,6 +258,19 @@
     expect(again.outcomes).to.deep.equal([{ kind: 'succeeded' }])
   })
 
+  it('logs with each further attempt of a task how the one before ended', async () => {
+    const placed: string[] = []
+    const timers = new settings.FakeTimers()
+    const created = new scheduler.Scheduler({ timers, log: { event: ({ code }, fields) => { if (code === 11005) placed.push(String(fields?.tasks)) }, close: async () => {} }, random: () => 0.5, failureDomain: 'a' })
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    created.submit(createJob('job', 1), TERMS, 2_000)
+    await flushEventLoop()
+    created.handleEnds(port, [createEnd(port.ordered[0]!, workers.TaskEnd.Lost, 'worker does not list the run')])
+    await flushEventLoop()
+    expect(placed.map(tasks => /,after=(.*)$/.exec(tasks)?.[1])).to.deep.equal([undefined, 'lost:worker-does-not-list-the-run'])
+  })
+
   it('places the tasks of a lost agent again only after their runs have certainly ended', async () => {
     const { timers, scheduler: created, submit } = createBench()
     const lost = new FakePort('agent-1')
--- a/test/unit/settings/log.test.ts
+++ b/test/unit/settings/log.test.ts
@@ -62,4 +62,9 @@
       ''
     ])
   })
+
+  it('tell what went wrong with a job also when its other lines are left out', async () => {
+    const lines = await logLines(settings.LogLevel.Info, [...Array.from({ length: 9 }, () => ({ event: started, fields: { jobId: 'j1' } })), { event: last, fields: { jobId: 'j2' } }, { event: failed, fields: { jobId: 'j2' } }], { maxLinesPerS: 40 })
+    expect(lines.filter(line => line.includes('"j2"'))).to.deep.equal(['{"timestamp":"T","level":"error","message":"failed \\"badly\\"","event":2,"jobId":"j2","program":"agent","nodeId":"node-1"}'])
+  })
 })
