Count a run that was never listed under the longest lease that a worker grants

Cause: a worker had started again under its name, unnoticed; four starts reached its new life, whose clock had begun anew, so that the time of 700 ms on the old clock was a lease of the longest length there, 1,000 ms. A list shows the life of the worker; until one shows the run, its end counts after the longest lease. A take-over ends the wait for every run, as starts under way are refused for their lower token.

--- a/packages/workers/src/defaults.ts
+++ b/packages/workers/src/defaults.ts
@@ -4,6 +4,8 @@
 export interface WorkerOptions {
   /** Duration of the lease from each renewal. Runs of a dead agent end after this time, well before the 1,300 ms after which a caller resubmits its job. */
   leaseMs: number
+  /** Longest lease that a worker grants. One that has started again unnoticed takes a time on its earlier clock for a lease of this length. */
+  maxLeaseMs: number
   /** Shortest lease with which a run is started. */
   minStartLeaseMs: number
   /** Period of lease renewals: four may be lost before the lease expires. */
@@ -26,6 +28,7 @@
 
 export const DEFAULT_WORKER_OPTIONS: WorkerOptions = {
   leaseMs: 700,
+  maxLeaseMs: 1_000,
   minStartLeaseMs: 150,
   renewPeriodMs: 150,
   endWaitMs: 400,
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -6,7 +6,7 @@
 import { type RunSize, taskKey, type WorkerDriver, type WorkerReport } from './driver.ts'
 import { events } from './events.ts'
 import { FencingToken } from './fencing.ts'
-import { ReportDeferral, ReturnReason, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
+import { ReturnReason, TaskEnd, type TaskEnding, type TaskOrder } from './order.ts'
 import { type OwnerLeases, UNLIMITED_OWNER_LEASES } from './ownerLeases.ts'
 import { type Demand, Reservations } from './reservations.ts'
 import type { ActiveRun } from './runRegistry.ts'
@@ -353,13 +353,13 @@
     const { jobId, step, index } = order.task
     this.services.log.event(events.TaskReturned, { jobId, step, index, attempt: order.attempt, reason, ageMs: Math.round(order.age.ms), ownerLeaseMs: Math.round(this.ownerLeases.remainingMs(order.owner)) })
     this.count(TaskEnd.NotStarted)
-    this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason, deferral: ReportDeferral.None })
+    this.handlers.onEnd({ order, end: TaskEnd.NotStarted, runMs: 0, reason, deferredForMs: 0 })
     this.notifyIfIdle()
   }
 
   private finish (ending: TaskEnding): void {
-    if (ending.deferral !== ReportDeferral.None) {
-      this.deferredEnds.push({ ending, untilMs: this.services.timers.nowMs() + this.options.leaseMs * this.options.clockDrift })
+    if (ending.deferredForMs > 0) {
+      this.deferredEnds.push({ ending, untilMs: this.services.timers.nowMs() + ending.deferredForMs })
       return
     }
     this.count(ending.end)
@@ -379,14 +379,14 @@
     }
   }
 
-  /** Reports deferred ends of tasks that can no longer be running. */
+  /** Reports deferred ends of tasks that can no longer be running. After a take-over none is, as a start under way is refused for its lower token. */
   private reportDeferredEnds (isTakenOver: boolean): void {
     if (this.deferredEnds.length === 0) return
     const nowMs = this.services.timers.nowMs()
-    const isDue = ({ ending, untilMs }: DeferredEnd): boolean => nowMs > untilMs || (isTakenOver && ending.deferral === ReportDeferral.UntilTakenOver)
+    const isDue = ({ untilMs }: DeferredEnd): boolean => isTakenOver || nowMs > untilMs
     const due = this.deferredEnds.filter(isDue)
     this.deferredEnds = this.deferredEnds.filter(each => !isDue(each))
-    for (const { ending } of due) this.finish({ ...ending, deferral: ReportDeferral.None })
+    for (const { ending } of due) this.finish({ ...ending, deferredForMs: 0 })
   }
 
   private stopRun (run: ActiveRun, reason: string): void {
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -55,18 +55,10 @@
   AgentStopping = 'agent stops'
 }
 
-/** How long the report of an end is deferred, because the task might still be running. */
-export enum ReportDeferral {
-  None = 'none',
-  /** Until the next incarnation of the worker has been taken over. */
-  UntilTakenOver = 'until-taken-over',
-  /** Until the lease carried by the start has expired. */
-  UntilLeaseExpires = 'until-lease-ends'
-}
-
 /** The end of a task. */
 export interface TaskEnding {
-  deferral: ReportDeferral
+  /** Time for which the report waits, unless the next incarnation of the worker is taken over before, because the task might still be running; in milliseconds. */
+  deferredForMs: number
   order: TaskOrder
   end: TaskEnd
   runMs: number
--- a/packages/workers/src/runRegistry.ts
+++ b/packages/workers/src/runRegistry.ts
@@ -31,6 +31,8 @@
   startProof: StartProof
   /** Monotonic time at which the worker confirmed the run. Infinite before. */
   confirmedAtMs: number
+  /** True once the worker has listed the run. */
+  wasListed: boolean
   /** True after an answer to a query sent after the confirmation that did not list the run: it has ended there. */
   isUnlisted: boolean
   startedAtMs: number
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -7,7 +7,7 @@
 import type { WorkerOptions } from './defaults.ts'
 import { EndCause, type CallScope, type EndedRun, type RenewOutcome, type RunRef, type RunningRun, type RunSize, StartRefusal, type WorkerDriver, type WorkerReport, type WorkerRuns } from './driver.ts'
 import { events } from './events.ts'
-import { ReportDeferral, ReturnReason, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
+import { ReturnReason, type TaskEnding, TaskEnd, type TaskOrder } from './order.ts'
 import { RunTimeRatioEstimate } from './runTimeRatio.ts'
 import { type ActiveRun, RunRegistry, RunPhase, StartProof } from './runRegistry.ts'
 import { subtractSize } from './size.ts'
@@ -144,13 +144,13 @@
     this.state = SessionState.Ended
     this.abort.abort()
     this.wake?.()
-    for (const run of this.registry.all) this.settle(run, TaskEnd.Lost, reason, run.phase === RunPhase.Starting ? ReportDeferral.UntilLeaseExpires : ReportDeferral.UntilTakenOver)
+    for (const run of this.registry.all) this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run))
   }
 
   /** Starts a task. Its end is reported exactly once, whatever happens. */
   async start (order: TaskOrder): Promise<void> {
     const nowMs = this.services.timers.nowMs()
-    const run: ActiveRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startProof: StartProof.None, confirmedAtMs: Number.POSITIVE_INFINITY, isUnlisted: false, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, unlistedAtMs: Number.POSITIVE_INFINITY, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
+    const run: ActiveRun = { order, ref: { task: order.task, run: order.attempt }, phase: RunPhase.Starting, startProof: StartProof.None, confirmedAtMs: Number.POSITIVE_INFINITY, wasListed: false, isUnlisted: false, startedAtMs: nowMs, percent: 0, progressAtMs: nowMs, observedAtMs: nowMs, waitedMs: 0, missedAnswers: 0, unlistedAtMs: Number.POSITIVE_INFINITY, stopAcknowledgedAtMs: Number.POSITIVE_INFINITY }
     this.registry.add(run)
     this.wake?.()
     await this.sendStart(run)
@@ -360,12 +360,23 @@
       log.event(events.WorkerUnresponsive, { workerId: this.worker.workerId, silentMs: Math.round(nowMs - this.lastAnswerAtMs), runs: this.registry.count })
       this.handlers.onChange()
     }
-    if (this.state === SessionState.Unresponsive && nowMs > this.leaseSentAtMs + options.leaseMs * options.clockDrift) {
+    if (this.state !== SessionState.Unresponsive) return
+    const leaseMs = this.registry.all.reduce((longestMs, run) => Math.max(longestMs, this.longestLeaseMs(run)), 0)
+    if (nowMs > this.leaseSentAtMs + leaseMs) {
       this.reportCrash(CrashKind.Unresponsive)
       this.settleAllAsLost('lease lapsed on a silent worker')
     }
   }
 
+  /**
+   * Longest time, on the agent's clock, for which a run goes on after the last call that extends its lease. Until the worker has listed the
+   * run, which shows its incarnation, it may run on one that has started again and takes the lease for a longer one.
+   */
+  private longestLeaseMs (run: ActiveRun): number {
+    const { leaseMs, maxLeaseMs, clockDrift } = this.services.options
+    return (run.wasListed ? leaseMs : maxLeaseMs) * clockDrift
+  }
+
   private reportCrash (kind: CrashKind): void {
     // A worker that fell silent may have crashed right after its last answer.
     const crashedAtMs = kind === CrashKind.Unresponsive ? this.lastAnswerAtMs : this.services.timers.nowMs()
@@ -475,6 +486,7 @@
       }
       listed.add(run)
       this.confirm(run)
+      run.wasListed = true
       if (run.phase === RunPhase.Starting) run.phase = RunPhase.Running
       if (each.percent > run.percent) run.progressAtMs = nowMs
       run.percent = each.percent
@@ -527,7 +539,7 @@
     this.services.driver.stop(this.scope, ref)
   }
 
-  private settle (run: ActiveRun, end: TaskEnd, reason: string, deferral = ReportDeferral.None): void {
+  private settle (run: ActiveRun, end: TaskEnd, reason: string, deferredForMs = 0): void {
     if (!this.isActive(run)) return
     const { task } = run.order
     const nowMs = this.services.timers.nowMs()
@@ -535,7 +547,7 @@
     const runMs = nowMs - run.startedAtMs
     if (end === TaskEnd.Done) this.runTimeRatio.recordFinished(task.jobId, runMs, run.order.estimatedMs)
     this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli, ...describeEvidence(run, end, nowMs) })
-    this.handlers.onEnd({ order: run.order, end, runMs, reason, deferral })
+    this.handlers.onEnd({ order: run.order, end, runMs, reason, deferredForMs })
   }
 }
 
--- a/test/unit/fleet/owners.test.ts
+++ b/test/unit/fleet/owners.test.ts
@@ -15,7 +15,7 @@
 
 function createEnding (timers: settings.FakeTimers, owner: string): workers.TaskEnding {
   const order: workers.TaskOrder = { owner, task: { jobId: 'job', step: 0, index: 0 }, attempt: 1, queue: 'queue', spec: '', size: workers.NO_SIZE, estimatedMs: 1, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs: 1 }
-  return { order, end: workers.TaskEnd.Done, runMs: 1, reason: '', deferral: workers.ReportDeferral.None }
+  return { order, end: workers.TaskEnd.Done, runMs: 1, reason: '', deferredForMs: 0 }
 }
 
 function createOwners (timers: settings.FakeTimers = new settings.FakeTimers()): { timers: settings.FakeTimers, clock: workers.ElapsedClock, owners: Owners } {
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -372,6 +372,23 @@
     expect(runsAtLoss).to.deep.equal([0])
   })
 
+  // Guards against a start that reaches the next life of the worker before the agent knows of it, and gets the longest lease there.
+  it('reports a run as lost only when it has ended, also if it was started on a life of the worker that the agent did not know', async () => {
+    for (const isReported of [false, true]) {
+      const { timers, worker, executor, endings, order } = await createBench(0.98)
+      await passTime(timers, 5_000)
+      worker.restart()
+      worker.faults.isStalled = true
+      executor.submit(order(0))
+      worker.faults.isUnresponsive = true
+      expect(worker.runCount).to.equal(1)
+      await passTime(timers, 5)
+      if (isReported) executor.applyReport(worker.report())
+      while (endings.length === 0) await passTime(timers, 5)
+      expect(worker.runCount, `reported: ${isReported}`).to.equal(0)
+    }
+  })
+
   it('reports runs as lost only after the lease when the worker stops reporting', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
     worker.faults.isStalled = true
