--- /dev/null
+++ b/packages/claims/src/defaults.ts
@@ -0,0 +1,27 @@
+/** Times and counts of claims. */
+
+/** Number of registrars of a job. One of them may be lost or unreachable without another entry getting the job. */
+export const REGISTRARS_PER_JOB = 2
+/** Time for which a process counts as young, in milliseconds. Claims on its jobs also stand at older registrars, as not all entries are linked to it yet. */
+export const YOUNG_MS = 3_000
+/** Time without an answer to a claim after which another registrar takes the place of a silent one, in milliseconds. */
+export const ANSWER_TIMEOUT_MS = 75
+/** Time without an answer after which the link to a silent registrar is opened anew, in milliseconds. */
+export const REOPEN_AFTER_MS = 1_300
+/** Period of the checks for registrars that have not answered, in milliseconds. */
+export const CHECK_PERIOD_MS = 25
+/** Time after which a claim on a job that another entry holds is repeated, in milliseconds. */
+export const HELD_RETRY_MS = 25
+/** Longest time for which releases wait for a claim that they can travel with, in milliseconds. */
+export const RELEASE_DELAY_MS = 20
+/** Time from the end of a claimant's link until its runs have certainly ended if its process has, in milliseconds: the owner lease of its agents and the stop of the runs. */
+export const CLAIMANT_GONE_MS = 1_250
+/** Time for which a registrar remembers that a job has succeeded, in milliseconds. */
+export const SUCCESS_RETENTION_MS = 5_000
+/** Period in which a registrar removes expired claims, in milliseconds. */
+export const SWEEP_PERIOD_MS = 1_000
+/** Remaining time at which a claim is extended while runs of its job go on, and the time by which it is extended, in milliseconds. */
+export const RENEW_BEFORE_MS = 500
+export const RENEWAL_MS = 1_500
+/** Largest ratio between the rates of the monotonic clocks of two VMs. */
+export const CLOCK_DRIFT = 1.03
--- /dev/null
+++ b/packages/claims/src/jobClaims.ts
@@ -0,0 +1,296 @@
+/** The claims of one entry on the jobs that it runs. */
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { events } from './events.ts'
+import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
+import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
+
+/** Receives the results of claims. */
+export interface ClaimObserver {
+  /** The entry may start tasks of the job. */
+  onGranted: (jobId: string) => void
+  /** Another entry may still run the job. The claim is repeated until it is granted or released. */
+  onHeld: (jobId: string, holderId: string) => void
+  /** The job has succeeded at another entry. The claim has ended. */
+  onSucceeded: (jobId: string, holderId: string) => void
+  /** Another entry has got a job that had been granted. The claim has ended as far as others are concerned; runs must be stopped. */
+  onLost: (jobId: string, holderId: string) => void
+}
+
+/** Dependencies of the claims. */
+export interface JobClaimsServices {
+  timers: settings.Timers
+  log: settings.Log
+}
+
+enum RequestState {
+  Sent = 'sent',
+  Granted = 'granted',
+  Held = 'held'
+}
+
+/** A claim at one registrar. */
+interface SentClaim {
+  readonly registrar: Registrar
+  state: RequestState
+  sentAtMs: number
+}
+
+interface OpenClaim {
+  readonly jobId: string
+  /** Monotonic time at which the runs of the job will certainly have ended, in milliseconds. */
+  validUntilMs: number
+  isGranted: boolean
+  /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
+  isContended: boolean
+  readonly sent: Map<string, SentClaim>
+}
+
+/** Claims jobs at their registrars. A claim that is granted stands until it is released. */
+export class JobClaims {
+  /** Number of claims that were granted although no other entry could be asked. */
+  unconfirmedCount = 0
+  /** Number of jobs that waited for another entry. */
+  heldCount = 0
+  private readonly registrars: Registrars
+  private readonly claims = new Map<string, OpenClaim>()
+  /** Claims without an answer, oldest first. */
+  private readonly unanswered = new Set<SentClaim>()
+  /** Messages that have not been sent, by registrar. */
+  private readonly queues = new Map<string, ClaimRequests>()
+  private readonly renewTimer: settings.TimerHandle
+  private checkDueAtMs: number | undefined
+  private isFlushScheduled = false
+  private releaseTimer: settings.TimerHandle | undefined
+
+  constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
+    this.registrars = new Registrars(services.timers)
+    this.renewTimer = services.timers.every(RENEW_BEFORE_MS / 2, () => { this.renewExpiring() })
+  }
+
+  /** Number of jobs that are claimed. */
+  get size (): number {
+    return this.claims.size
+  }
+
+  stop (): void {
+    this.renewTimer.cancel()
+    this.releaseTimer?.cancel()
+  }
+
+  /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted already; else the observer is called. */
+  claim (jobId: string, validForMs: number): boolean {
+    const known = this.claims.get(jobId)
+    if (known !== undefined) {
+      known.validUntilMs = Math.max(known.validUntilMs, this.nowMs + validForMs)
+      if (known.isGranted) this.renew(known)
+      return known.isGranted
+    }
+    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map() }
+    this.claims.set(jobId, claim)
+    this.advance(claim)
+    return false
+  }
+
+  /** Ends the claim on a job of which nothing runs here any more. */
+  release (jobId: string, hasSucceeded: boolean): void {
+    const claim = this.claims.get(jobId)
+    if (claim === undefined) return
+    this.claims.delete(jobId)
+    for (const each of claim.sent.values()) this.withdraw(claim, each, hasSucceeded)
+  }
+
+  /** Records an open link to an entry, which may be this one, that has run for `upMs` milliseconds. */
+  handleOpened (entryId: string, port: RegistrarPort, upMs: number): void {
+    this.forget(entryId)
+    this.registrars.open(entryId, port, upMs)
+    this.advanceAll()
+  }
+
+  /** Records that a link has closed, or could not be opened. Claims at that registrar are made at the next one. */
+  handleClosed (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
+    this.forget(entryId)
+    this.registrars.close(entryId, state)
+    this.advanceAll()
+  }
+
+  /** Applies the answers of a registrar. */
+  handleAnswers (entryId: string, answers: readonly ClaimAnswer[]): void {
+    const registrar = this.registrars.get(entryId)
+    if (registrar !== undefined) registrar.silentSinceMs = undefined
+    for (const answer of answers) this.handleAnswer(entryId, answer)
+  }
+
+  private get nowMs (): number {
+    return this.services.timers.nowMs()
+  }
+
+  private handleAnswer (entryId: string, { jobId, verdict, holderId }: ClaimAnswer): void {
+    const claim = this.claims.get(jobId)
+    const sent = claim?.sent.get(entryId)
+    if (claim === undefined || sent === undefined) return
+    this.unanswered.delete(sent)
+    switch (verdict) {
+      case ClaimVerdict.Granted:
+        if (sent.state !== RequestState.Sent) return
+        sent.state = RequestState.Granted
+        this.advance(claim)
+        return
+      case ClaimVerdict.Held:
+        this.handleHeld(claim, sent, holderId)
+        return
+      case ClaimVerdict.Succeeded:
+        this.handleSucceeded(claim, entryId, holderId)
+        return
+      default: protocol.assertNever(verdict)
+    }
+  }
+
+  private handleHeld (claim: OpenClaim, sent: SentClaim, holderId: string): void {
+    claim.sent.delete(sent.registrar.entryId)
+    if (claim.isGranted) {
+      this.services.log.event(events.ClaimLost, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
+      this.observer.onLost(claim.jobId, holderId)
+      return
+    }
+    if (!claim.isContended) {
+      this.heldCount++
+      this.services.log.event(events.JobHeld, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
+      this.observer.onHeld(claim.jobId, holderId)
+    }
+    claim.isContended = true
+    this.withdrawBelow(claim, sent.registrar)
+    this.services.timers.after(HELD_RETRY_MS, () => { if (this.claims.get(claim.jobId) === claim) this.advance(claim) })
+  }
+
+  private handleSucceeded (claim: OpenClaim, entryId: string, holderId: string): void {
+    claim.sent.delete(entryId)
+    if (claim.isGranted) return
+    this.services.log.event(events.JobSucceededElsewhere, { jobId: claim.jobId, holder: holderId })
+    this.release(claim.jobId, false)
+    this.observer.onSucceeded(claim.jobId, holderId)
+  }
+
+  /** Withdraws the claim at the registrars that are asked after the one that has refused it. */
+  private withdrawBelow (claim: OpenClaim, refusing: Registrar): void {
+    const order = this.registrars.choose(claim.jobId)
+    const above = order.slice(0, order.indexOf(refusing))
+    for (const each of [...claim.sent.values()]) {
+      if (above.includes(each.registrar)) continue
+      claim.sent.delete(each.registrar.entryId)
+      this.withdraw(claim, each, false)
+    }
+  }
+
+  private withdraw (claim: OpenClaim, { registrar, state }: SentClaim, hasSucceeded: boolean): void {
+    if (state === RequestState.Held) return
+    const queue = this.queueOf(registrar)
+    const unsent = queue.claims.findIndex(({ jobId }) => jobId === claim.jobId)
+    if (unsent >= 0) queue.claims.splice(unsent, 1)
+    queue.releases.push({ jobId: claim.jobId, hasSucceeded })
+    this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => { this.flush() })
+  }
+
+  private advanceAll (): void {
+    for (const claim of [...this.claims.values()]) this.advance(claim)
+  }
+
+  /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
+  private advance (claim: OpenClaim): void {
+    const chosen = this.registrars.choose(claim.jobId)
+    for (const registrar of chosen) {
+      if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
+      if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
+    }
+    if (claim.isGranted || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
+    claim.isGranted = true
+    if (chosen.every(({ entryId }) => entryId === this.ownId)) this.unconfirmedCount++
+    this.observer.onGranted(claim.jobId)
+  }
+
+  private send (claim: OpenClaim, registrar: Registrar): void {
+    if (registrar.port === undefined) return
+    const sent: SentClaim = { registrar, state: RequestState.Sent, sentAtMs: this.nowMs }
+    claim.sent.set(registrar.entryId, sent)
+    this.unanswered.add(sent)
+    this.queueClaim(claim, registrar)
+    this.scheduleCheck()
+  }
+
+  private queueClaim (claim: OpenClaim, registrar: Registrar): void {
+    this.queueOf(registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+    if (this.isFlushScheduled) return
+    this.isFlushScheduled = true
+    setImmediate(() => {
+      this.isFlushScheduled = false
+      this.flush()
+    })
+  }
+
+  private queueOf ({ entryId }: Registrar): ClaimRequests {
+    const known = this.queues.get(entryId)
+    if (known !== undefined) return known
+    const created: ClaimRequests = { claims: [], releases: [] }
+    this.queues.set(entryId, created)
+    return created
+  }
+
+  private flush (): void {
+    this.releaseTimer?.cancel()
+    this.releaseTimer = undefined
+    const queues = [...this.queues]
+    this.queues.clear()
+    for (const [entryId, requests] of queues) this.registrars.get(entryId)?.port?.send(requests)
+  }
+
+  private renewExpiring (): void {
+    for (const claim of this.claims.values()) {
+      if (!claim.isGranted || claim.validUntilMs - this.nowMs > RENEW_BEFORE_MS) continue
+      claim.validUntilMs = this.nowMs + RENEWAL_MS
+      this.renew(claim)
+    }
+  }
+
+  private renew (claim: OpenClaim): void {
+    for (const { registrar } of claim.sent.values()) if (registrar.port !== undefined) this.queueClaim(claim, registrar)
+  }
+
+  /** Drops what was sent to a registrar and not answered, and that it has granted claims. */
+  private forget (entryId: string): void {
+    this.queues.delete(entryId)
+    for (const claim of this.claims.values()) {
+      const sent = claim.sent.get(entryId)
+      if (sent === undefined) continue
+      this.unanswered.delete(sent)
+      claim.sent.delete(entryId)
+    }
+  }
+
+  private scheduleCheck (): void {
+    if (this.checkDueAtMs !== undefined) return
+    this.checkDueAtMs = this.nowMs + CHECK_PERIOD_MS
+    this.services.timers.after(CHECK_PERIOD_MS, () => {
+      const lateMs = this.nowMs - this.checkDueAtMs!
+      this.checkDueAtMs = undefined
+      // After a stall of this process the answers that have arrived are read first.
+      if (lateMs < CHECK_PERIOD_MS) this.checkUnanswered()
+      if (this.unanswered.size > 0) this.scheduleCheck()
+    })
+  }
+
+  /** Finds registrars that are silent. Claims that wait for them are made at the next ones. */
+  private checkUnanswered (): void {
+    let hasChanged = false
+    for (const { registrar, sentAtMs } of this.unanswered) {
+      if (this.nowMs - sentAtMs < ANSWER_TIMEOUT_MS) break
+      if (registrar.silentSinceMs === undefined) {
+        registrar.silentSinceMs = sentAtMs
+        hasChanged = true
+        this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(this.nowMs - sentAtMs) })
+      }
+      if (this.nowMs - registrar.silentSinceMs > REOPEN_AFTER_MS) registrar.port?.reset()
+    }
+    if (hasChanged) this.advanceAll()
+  }
+}
--- /dev/null
+++ b/packages/claims/src/model.ts
@@ -0,0 +1,42 @@
+/** Claims and their answers. */
+
+/** Answer of a registrar to a claim. */
+export enum ClaimVerdict {
+  Granted = 'granted',
+  /** Another entry may still run the job. */
+  Held = 'held',
+  /** The job has succeeded at an entry. */
+  Succeeded = 'succeeded'
+}
+
+/** An entry process that claims jobs. */
+export interface Claimant {
+  entryId: string
+  /** Changes when the process restarts. */
+  incarnation: string
+}
+
+export interface ClaimRequest {
+  jobId: string
+  /** Time after which the claimant's runs of the job have certainly ended, in milliseconds. */
+  validForMs: number
+}
+
+/** Ends a claim: no run of the job goes on at the claimant. */
+export interface ClaimRelease {
+  jobId: string
+  hasSucceeded: boolean
+}
+
+export interface ClaimAnswer {
+  jobId: string
+  verdict: ClaimVerdict
+  /** Entry that holds the job, or at which it has succeeded; empty if the claim was granted. */
+  holderId: string
+}
+
+/** What a claimant sends in one message. Releases take effect before claims. */
+export interface ClaimRequests {
+  claims: ClaimRequest[]
+  releases: ClaimRelease[]
+}
--- /dev/null
+++ b/packages/claims/src/registrars.ts
@@ -0,0 +1,86 @@
+/** The entries that may be registrars, and their order for each job. */
+import * as protocol from '@egretvalve/protocol'
+import type * as settings from '@egretvalve/settings'
+import { REGISTRARS_PER_JOB, YOUNG_MS } from './defaults.ts'
+import type { ClaimRequests } from './model.ts'
+
+/** State of the link to a registrar. */
+export enum LinkState {
+  Open = 'open',
+  /** Closed a moment ago and being redialled. Claims wait for the result. */
+  Reopening = 'reopening',
+  Absent = 'absent'
+}
+
+/** Open link to a registrar. */
+export interface RegistrarPort {
+  send: (requests: ClaimRequests) => void
+  /** Closes the link, so that it is dialled again. */
+  reset: () => void
+}
+
+/** An entry that may be a registrar. */
+export interface Registrar {
+  readonly entryId: string
+  state: LinkState
+  port: RegistrarPort | undefined
+  /** Monotonic time at which the process no longer counts as young, in milliseconds. */
+  matureAtMs: number
+  /** Monotonic time of the oldest claim that it has not answered in time, in milliseconds; undefined while it answers. */
+  silentSinceMs: number | undefined
+}
+
+/** Registry of registrars. */
+export class Registrars {
+  private readonly byId = new Map<string, Registrar>()
+
+  constructor (private readonly timers: settings.Timers) {}
+
+  get all (): Iterable<Registrar> {
+    return this.byId.values()
+  }
+
+  get (entryId: string): Registrar | undefined {
+    return this.byId.get(entryId)
+  }
+
+  /** Adds an entry without an open link if it is unknown. */
+  add (entryId: string): Registrar {
+    const known = this.byId.get(entryId)
+    if (known !== undefined) return known
+    const added: Registrar = { entryId, state: LinkState.Absent, port: undefined, matureAtMs: 0, silentSinceMs: undefined }
+    this.byId.set(entryId, added)
+    return added
+  }
+
+  /** Records an open link to a process that has run for `upMs` milliseconds. */
+  open (entryId: string, port: RegistrarPort, upMs: number): void {
+    Object.assign(this.add(entryId), { state: LinkState.Open, port, matureAtMs: this.timers.nowMs() + YOUNG_MS - upMs, silentSinceMs: undefined })
+  }
+
+  /** Records that a link is closed. */
+  close (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
+    Object.assign(this.add(entryId), { state, port: undefined, silentSinceMs: undefined })
+  }
+
+  /**
+   * Returns the registrars of a job by rendezvous hashing, highest rank first, out of those that answer. If one of them is young, the
+   * list also holds those that entries without a link to it choose.
+   */
+  choose (jobId: string): Registrar[] {
+    const ranked = this.rank(jobId)
+    const first = ranked.slice(0, REGISTRARS_PER_JOB)
+    const nowMs = this.timers.nowMs()
+    const mature = ranked.filter(({ matureAtMs }) => matureAtMs <= nowMs).slice(0, REGISTRARS_PER_JOB)
+    return ranked.filter(registrar => first.includes(registrar) || mature.includes(registrar))
+  }
+
+  private rank (jobId: string): Registrar[] {
+    const weighted: Array<{ registrar: Registrar, weight: number }> = []
+    for (const registrar of this.byId.values()) {
+      if (registrar.state === LinkState.Absent || registrar.silentSinceMs !== undefined) continue
+      weighted.push({ registrar, weight: protocol.hashText(`${registrar.entryId}/${jobId}`) })
+    }
+    return weighted.sort((left, right) => right.weight - left.weight).map(({ registrar }) => registrar)
+  }
+}
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -78,3 +78,9 @@
 /** Number of cancellations that an entry publishes at most, and the longest id of a job in one. */
 export const MAX_PUBLISHED_CANCELLATIONS = 5_000
 export const MAX_JOB_ID_CHARS = 64
+/** Time that the link to another entry may take to open before claims no longer wait for it, in milliseconds. */
+export const CLAIM_LINK_OPEN_MS = 300
+/** Time after which a link to another entry that has not opened is dialled again, in milliseconds. */
+export const CLAIM_LINK_DIAL_TIMEOUT_MS = 2_000
+/** Longest validity of a claim that a registrar accepts, in milliseconds. */
+export const MAX_CLAIM_VALIDITY_MS = 3_600_000
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -5,6 +5,7 @@
 import type * as settings from '@egretvalve/settings'
 import { AgentConnection } from './agentConnection.ts'
 import { type ConfigCache, decodeCopy } from './configCopy.ts'
+import type { EntryClaims } from './entryClaims.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
 import { decodeCrash, decodeEnd, decodeHeld, decodeLoad, decodeSlow } from './messages.ts'
@@ -24,6 +25,8 @@
   log: settings.Log
   scheduler: scheduler.Scheduler
   configCache: ConfigCache
+  /** Claims on jobs, which the other entries answer over the same server. */
+  claims?: EntryClaims
   /** Returns true while this entry refuses a part of its jobs or isn't ready, so that callers of others are not sent to it. */
   isOverloaded?: () => boolean
 }
@@ -49,6 +52,7 @@
   constructor (readonly identity: EntryIdentity, private readonly services: EntryNodeServices) {
     this.server = new runtime.LinkServer(identity.address)
     this.server.accept('exchange', protocol.runLink.exchange, async (stream, peer) => { await this.serve(stream, peer) })
+    services.claims?.accept(this.server)
     this.livenessTimer = runLivenessChecks(services.timers, () => { for (const connection of this.connections.values()) connection.keepAlive() })
     services.configCache.subscribe(() => { services.timers.after(Math.random() * CONFIG_PROPAGATION_JITTER_MS, () => { this.propagateConfig() }) })
   }
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -19,5 +19,7 @@
   StepFailed: { code: 12013, level: Warn, message: 'step of a loop failed with an exception; the loop continues' },
   EntryUnusable: { code: 12014, level: Warn, message: 'entry of another writer in the list; it is not used' },
   CancellationUnpublished: { code: 12015, level: Warn, message: 'other entries could not be told of a cancelled job' },
-  CancellationReceived: { code: 12016, level: Info, message: 'job was cancelled at another entry' }
+  CancellationReceived: { code: 12016, level: Info, message: 'job was cancelled at another entry' },
+  ClaimLinkOpened: { code: 12017, level: Info, message: 'link to another entry opened for claims' },
+  ClaimLinkClosed: { code: 12018, level: Warn, message: 'link to another entry closed' }
 })
--- a/packages/protocol/src/services.ts
+++ b/packages/protocol/src/services.ts
@@ -66,3 +66,10 @@
     runs.FromAgent as Codec<runs.FromAgent, runs.IFromAgent>,
     runs.FromEntry as Codec<runs.FromEntry, runs.IFromEntry>)
 }
+
+/** Stream that an entry opens to another one to claim jobs there. */
+export const claimLink = {
+  exchange: createStreamMethod('/egretvalve.ClaimLink/Exchange', 'claimant', 'registrar',
+    runs.FromClaimant as Codec<runs.FromClaimant, runs.IFromClaimant>,
+    runs.FromRegistrar as Codec<runs.FromRegistrar, runs.IFromRegistrar>)
+}
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -43,6 +43,10 @@
   readonly usefulUntilMs: number
   readonly deadlineAtMs: number
   readonly tasks: Task[][]
+  /** True once this entry is the one that may start tasks of the job. */
+  isClaimed = false
+  /** True if another entry may have started tasks of the job. */
+  mayRunElsewhere = false
   outcome: JobOutcome | undefined
   endedAtMs = 0
   /** Number of tasks sent to agents, without those returned unstarted. */
@@ -79,7 +83,7 @@
 
   /** True when a task may have started. The job must not be refused then, as a refusal states that nothing has started. */
   get mayHaveStarted (): boolean {
-    return this.possibleStarts > 0
+    return this.possibleStarts > 0 || this.mayRunElsewhere
   }
 
   recordSent (): void {
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -10,6 +10,7 @@
 import { events } from './events.ts'
 import { type Job, type Task, TaskPhase } from './job.ts'
 import type { StepSpec } from './model.ts'
+import type { RunCounts } from './runCounts.ts'
 import type { SpeedEstimate } from './speed.ts'
 import type { StopOrders } from './stopOrders.ts'
 import type { UnconfirmedStarts } from './unconfirmedStarts.ts'
@@ -26,6 +27,7 @@
   unconfirmedStarts: UnconfirmedStarts
   containment: Containment
   stopOrders: StopOrders
+  runCounts: RunCounts
   failureDomain: string
   /** Returns a number from 0 to 1. */
   random: () => number
@@ -205,7 +207,9 @@
     this.sentCount++
     const key = workers.taskKey(task.ref)
     // The agent stops an earlier run of the task itself before it starts this one.
-    this.context.stopOrders.withdraw(agent.sent.get(key))
+    const earlier = agent.sent.get(key)
+    this.context.stopOrders.withdraw(earlier)
+    if (earlier === undefined) this.context.runCounts.add(task.ref.jobId)
     const sent: SentTask = { job, task, attempt: task.attempt, observationMs: this.observationMsOf(task), port: agent.port! }
     agent.sent.set(key, sent)
     this.context.ejection.recordSent(agent.agentId)
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -17,12 +17,21 @@
 import { Placer } from './placer.ts'
 import { Refusals } from './refusals.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
+import { RunCounts } from './runCounts.ts'
 import { SpeedEstimate } from './speed.ts'
 import { type HeldTask, StopOrders } from './stopOrders.ts'
 import { UnconfirmedStarts } from './unconfirmedStarts.ts'
 import { recordOutcome } from './workerOutcomes.ts'
 import type { ReportedLoad } from './workerView.ts'
 
+/** Claims on jobs, of which one entry at a time holds each. */
+export interface ClaimPort {
+  /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted already; otherwise `handleClaimGranted` follows. */
+  claim: (jobId: string, validForMs: number) => boolean
+  /** Ends the claim on a job of which nothing runs any more. Ignored without a claim. */
+  release: (jobId: string, hasSucceeded: boolean) => void
+}
+
 /** Dependencies of the scheduler. */
 export interface SchedulerServices {
   timers: settings.Timers
@@ -35,6 +44,8 @@
   lagMs?: () => number
   /** Returns the number of entries that share the workers. */
   entryCount?: () => number
+  /** Claims on jobs. Without it, this is the only entry. */
+  claims?: ClaimPort
   /** Called for each job that has ended or was refused, with the time since its arrival in milliseconds. */
   onEnded?: (outcome: JobOutcome, durationMs: number) => void
 }
@@ -83,6 +94,7 @@
   private readonly demandNotifier: DemandNotifier
   private readonly refusals: Refusals
   private readonly stopOrders: StopOrders
+  private readonly runCounts = new RunCounts()
   private readonly tick: settings.TimerHandle
   /** Time of the last periodic check. */
   private checkedAtMs: number
@@ -109,6 +121,7 @@
       unconfirmedStarts: this.unconfirmedStarts,
       containment: this.containment,
       stopOrders: this.stopOrders,
+      runCounts: this.runCounts,
       failureDomain: services.failureDomain,
       random: services.random,
       entryCount: () => services.entryCount?.() ?? 1
@@ -185,10 +198,37 @@
     this.counts.accepted++
     job.advance()
     this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0), waitedMs: Math.round(waitedMs) })
+    job.isClaimed = this.services.claims?.claim(job.id, deadlineMs - waitedMs + this.options.lostAfterMs) ?? true
     this.scheduleDispatch()
     return job
   }
 
+  /** Starts the tasks of a job that no other entry runs. */
+  handleClaimGranted (jobId: string): void {
+    const job = this.open.get(jobId)
+    if (job === undefined) return
+    job.isClaimed = true
+    this.scheduleDispatch()
+  }
+
+  /** Records that another entry may run the job, so that it is not refused as one that has not run. */
+  handleClaimHeld (jobId: string): void {
+    const job = this.open.get(jobId)
+    if (job !== undefined) job.mayRunElsewhere = true
+  }
+
+  /** Ends a job that has succeeded at another entry. */
+  handleClaimSucceeded (jobId: string, holderId: string): void {
+    const job = this.open.get(jobId)
+    if (job !== undefined) this.end(job, { kind: 'succeeded' }, `succeeded at ${holderId}`)
+  }
+
+  /** Ends a job that another entry has got, and stops its runs. */
+  handleClaimLost (jobId: string, holderId: string): void {
+    const job = this.open.get(jobId)
+    if (job !== undefined) this.end(job, { kind: 'expired', reason: 'another entry has the job' }, `claimed by ${holderId}`)
+  }
+
   /** Ends a job whose callers have all disconnected. A resubmission runs it again. */
   abandon (job: Job): void {
     if (!job.hasEnded) this.end(job, { kind: 'abandoned' }, 'caller disconnected')
@@ -333,14 +373,24 @@
     const sent = agent.sent.get(key)
     if (sent === undefined || sent.attempt !== end.attempt) return
     agent.sent.delete(key)
+    this.runCounts.remove(end.ref.jobId)
     this.stopOrders.withdraw(sent)
     if (end.end === workers.TaskEnd.NotStarted) sent.job.recordNotStarted()
     if (end.end !== workers.TaskEnd.Done) this.services.log.event(events.TaskNotCompleted, { jobId: end.ref.jobId, step: end.ref.step, index: end.ref.index, attempt: end.attempt, agentId: agent.agentId, end: end.end, reason: end.reason, runMs: Math.round(end.runMs), sinceSentMs: Math.round(this.nowMs - sent.task.sentAtMs) })
     recordOutcome(this.ejection, agent.agentId, end, this.nowMs)
-    if (sent.job.hasEnded || sent.task.attempt !== end.attempt || sent.task.phase !== TaskPhase.Sent) return
+    if (sent.job.hasEnded) {
+      this.releaseClaim(sent.job)
+      return
+    }
+    if (sent.task.attempt !== end.attempt || sent.task.phase !== TaskPhase.Sent) return
     this.applyTaskEnd(sent, agent, end)
   }
 
+  /** Releases the claim on an ended job once no run of it is left. */
+  private releaseClaim ({ id, outcome }: Job): void {
+    if (!this.open.has(id) && !this.runCounts.has(id)) this.services.claims?.release(id, outcome?.kind === 'succeeded')
+  }
+
   private applyTaskEnd (sent: SentTask, agent: AgentRecord, end: ReportedEnd): void {
     const { job, task } = sent
     task.agentId = undefined
@@ -457,6 +507,7 @@
   private finish (job: Job, outcome: JobOutcome): void {
     this.counts[outcome.kind]++
     job.finish(outcome, this.nowMs)
+    this.releaseClaim(job)
     this.services.onEnded?.(outcome, this.nowMs - job.arrivedAtMs)
   }
 
@@ -473,7 +524,7 @@
     const { nowMs } = this
     const queue: QueuedJob[] = []
     for (const job of this.open.values()) {
-      if (!job.hasWaitingTask) continue
+      if (!job.isClaimed || !job.hasWaitingTask) continue
       queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, usefulUntilMs: job.usefulUntilMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()), hasStarted: job.mayHaveStarted })
     }
     queue.sort((left, right) => compareJobs(left, right, nowMs))
