Log jobs whose callers leave right after their tasks were sent

What callers saw: a task ran twice at the same time; one of the two runs was stopped 7 to 9 ms after its start. Counter lateRequests. No decision changes.

--- a/packages/scheduler/src/defaults.ts
+++ b/packages/scheduler/src/defaults.ts
@@ -22,6 +22,8 @@
   moveGain: number
   /** Time without a report of a run's end after which the order to stop it is repeated on an open link. A stop takes 50 ms at most, beside the messages. */
   stopRepeatMs: number
+  /** Age below which a job that its caller abandons counts as submitted by a late request: the caller leaves no sooner than a round trip after it sent it. */
+  lateRequestMs: number
   /** Bounds of the time after which a refused caller may retry. */
   minRetryAfterMs: number
   maxRetryAfterMs: number
@@ -42,6 +44,7 @@
   slowFactor: 2.5,
   moveGain: 1.3,
   stopRepeatMs: 250,
+  lateRequestMs: 50,
   minRetryAfterMs: 1_000,
   maxRetryAfterMs: 8_000,
   cancelRetentionMs: 120_000,
--- a/packages/scheduler/src/events.ts
+++ b/packages/scheduler/src/events.ts
@@ -19,5 +19,6 @@
   TaskGivenUp: { code: 11013, level: Warn, message: 'task given up: workers crash while they run it' },
   QueueContained: { code: 11014, level: Warn, message: 'queue contained: its tasks crash workers, and it keeps only a part of them' },
   QueueReleased: { code: 11015, level: Info, message: 'queue no longer contained' },
-  StaleRunStopped: { code: 11016, level: Warn, message: 'runs stopped that their entry no longer wants' }
+  StaleRunStopped: { code: 11016, level: Warn, message: 'runs stopped that their entry no longer wants' },
+  RequestLate: { code: 11017, level: Warn, message: 'caller left right after its job was accepted; the request was probably late, and the job may run at another entry' }
 })
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -35,6 +35,8 @@
 export class Job {
   /** Time at which the caller's request reached this VM. */
   readonly arrivedAtMs: number
+  /** Time at which this entry accepted the job. */
+  readonly acceptedAtMs: number
   /** Also counts the time for which the VM was suspended. */
   readonly age: workers.Age
   /** Time after which the job misses its latency objective. */
@@ -54,6 +56,7 @@
 
   constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0, waitedMs = 0) {
     this.arrivedAtMs = nowMs - waitedMs
+    this.acceptedAtMs = nowMs
     this.age = age
     const objectiveMs = terms.slackFactor * longestChainMs(spec.steps) + terms.targetLatencyMs
     this.dueAtMs = this.arrivedAtMs + objectiveMs
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -60,13 +60,15 @@
   /** Jobs that failed because workers crashed under one of their tasks. They are counted as failed too. */
   givenUp: number
   moves: number
+  /** Jobs whose callers left right after tasks were sent. */
+  lateRequests: number
   /** Runs that went on after their stop had been ordered, or that were unknown here, and were stopped later. */
   staleRunsStopped: number
 }
 
 /** Schedules the jobs of one entry. */
 export class Scheduler {
-  private readonly counts = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, abandoned: 0, cancelled: 0, givenUp: 0, moves: 0 }
+  private readonly counts = { accepted: 0, refused: 0, succeeded: 0, failed: 0, expired: 0, abandoned: 0, cancelled: 0, givenUp: 0, moves: 0, lateRequests: 0 }
   private readonly options: SchedulerOptions
   /** Jobs that have not ended, by id. */
   private readonly open = new Map<string, Job>()
@@ -191,7 +193,9 @@
 
   /** Ends a job whose callers have all disconnected. A resubmission runs it again. */
   abandon (job: Job): void {
-    if (!job.hasEnded) this.end(job, { kind: 'abandoned' }, 'caller disconnected')
+    if (job.hasEnded) return
+    if (job.mayHaveStarted && this.nowMs - job.acceptedAtMs < this.options.lateRequestMs) this.recordLateRequest(job)
+    this.end(job, { kind: 'abandoned' }, 'caller disconnected')
   }
 
   /** Ends a job by order of a caller, and makes sure that no resubmission runs it. The job may be unknown here. */
@@ -381,6 +385,12 @@
     this.stopOrders.order(agent, sent)
   }
 
+  /** Records a job whose caller left right after its acceptance: its request was probably old, and the job may run at another entry. */
+  private recordLateRequest (job: Job): void {
+    this.counts.lateRequests++
+    this.services.log.event(events.RequestLate, { jobId: job.id, sinceAcceptedMs: Math.round(this.nowMs - job.acceptedAtMs), agents: job.sentTasks().map(({ agentId }) => agentId).join(' '), lagMs: Math.round(this.services.lagMs?.() ?? 0) })
+  }
+
   /** Checks deadlines and silent agents. */
   private runPeriodicChecks (): void {
     this.refusals.recordWorkerPresence()
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -271,6 +271,23 @@
     expect(placed.map(tasks => /,after=(.*)$/.exec(tasks)?.[1])).to.deep.equal([undefined, 'lost:worker-does-not-list-the-run'])
   })
 
+  it('warns of a job whose caller leaves right after its tasks were sent, and not of other abandoned jobs', async () => {
+    const warned: unknown[] = []
+    const timers = new settings.FakeTimers()
+    const created = new scheduler.Scheduler({ timers, log: { event: ({ code }, fields) => { if (code === 11017) warned.push(fields) }, close: async () => {} }, random: () => 0.5, failureDomain: 'a' })
+    created.connect(new FakePort('agent-1'), createLoad())
+    const abandonAfter = async (jobId: string, waitMs: number): Promise<void> => {
+      const job = created.submit(createJob(jobId, 1), TERMS, 2_000)
+      await flushEventLoop()
+      await passTime(timers, waitMs)
+      created.abandon(job)
+    }
+    await abandonAfter('late', 8)
+    await abandonAfter('young', 300)
+    expect(warned).to.deep.equal([{ jobId: 'late', sinceAcceptedMs: 8, agents: 'agent-1', lagMs: 0 }])
+    expect(created.counters.lateRequests).to.equal(1)
+  })
+
   it('places the tasks of a lost agent again only after their runs have certainly ended', async () => {
     const { timers, scheduler: created, submit } = createBench()
     const lost = new FakePort('agent-1')
