--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -61,6 +61,7 @@
   private readonly queues = new Map<string, ClaimRequests>()
   private readonly renewTimer: settings.TimerHandle
   private checkDueAtMs: number | undefined
+  private wasStalled = false
   private isFlushScheduled = false
   private releaseTimer: settings.TimerHandle | undefined
 
@@ -271,10 +272,11 @@
     if (this.checkDueAtMs !== undefined) return
     this.checkDueAtMs = this.nowMs + CHECK_PERIOD_MS
     this.services.timers.after(CHECK_PERIOD_MS, () => {
-      const lateMs = this.nowMs - this.checkDueAtMs!
-      this.checkDueAtMs = undefined
       // After a stall of this process the answers that have arrived are read first.
-      if (lateMs < CHECK_PERIOD_MS) this.checkUnanswered()
+      const isStalled = this.nowMs - this.checkDueAtMs! > CHECK_PERIOD_MS
+      this.checkDueAtMs = undefined
+      if (!isStalled || this.wasStalled) this.checkUnanswered()
+      this.wasStalled = isStalled
       if (this.unanswered.size > 0) this.scheduleCheck()
     })
   }
