--- /dev/null
+++ b/test/unit/claims/jobClaims.test.ts
@@ -0,0 +1,368 @@
+/** The claims of one entry at its registrars. */
+import { expect } from 'chai'
+import * as claims from '@egretvalve/claims'
+import * as protocol from '@egretvalve/protocol'
+import * as settings from '@egretvalve/settings'
+import { flushEventLoop, passTime } from '../../support/simulatedTime.ts'
+
+const { ClaimVerdict, LinkState } = claims
+const VALID_MS = 3_000
+const MATURE_MS = 60_000
+
+/** A registrar that answers when it is told to. */
+class FakeRegistrar implements claims.RegistrarPort {
+  readonly messages: claims.ClaimRequests[] = []
+  resets = 0
+  private unanswered: claims.ClaimRequest[] = []
+
+  constructor (readonly entryId: string, private readonly owner: () => claims.JobClaims) {}
+
+  send (requests: claims.ClaimRequests): void {
+    this.messages.push(requests)
+    this.unanswered.push(...requests.claims)
+  }
+
+  reset (): void {
+    this.resets++
+  }
+
+  /** Answers the oldest claim, or all, that came in. */
+  answer (verdict: claims.ClaimVerdict, count = this.unanswered.length): void {
+    const answered = this.unanswered.splice(0, count)
+    this.owner().handleAnswers(this.entryId, answered.map(({ jobId }) => ({ jobId, verdict, holderId: verdict === ClaimVerdict.Granted ? '' : 'holder' })))
+  }
+
+  get claimed (): string[] {
+    return this.messages.flatMap(message => message.claims.map(({ jobId }) => jobId))
+  }
+
+  get released (): claims.ClaimRelease[] {
+    return this.messages.flatMap(({ releases }) => releases)
+  }
+}
+
+interface Bench {
+  timers: settings.FakeTimers
+  claims: claims.JobClaims
+  /** Registrars of the job `job`, highest rank first, then the others. */
+  ranked: FakeRegistrar[]
+  open: (registrar: FakeRegistrar, upMs?: number) => void
+  /** What the observer was told, oldest first. */
+  told: string[]
+}
+
+/** Claims of an entry with open links to `count` registrars, none of which is the entry itself. */
+function createBench (count = 3): Bench {
+  const timers = new settings.FakeTimers()
+  const told: string[] = []
+  const created = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, {
+    onGranted: jobId => { told.push(`granted ${jobId}`) },
+    onHeld: (jobId, holderId) => { told.push(`held ${jobId} ${holderId}`) },
+    onSucceeded: (jobId, holderId) => { told.push(`succeeded ${jobId} ${holderId}`) },
+    onLost: (jobId, holderId) => { told.push(`lost ${jobId} ${holderId}`) }
+  })
+  const registrars = Array.from({ length: count }, (_, number) => new FakeRegistrar(`entry-${number}`, () => created))
+  const open = (registrar: FakeRegistrar, upMs = MATURE_MS): void => { created.handleOpened(registrar.entryId, registrar, upMs) }
+  for (const registrar of registrars) open(registrar)
+  return { timers, claims: created, ranked: rank(registrars), open, told }
+}
+
+function rank (registrars: readonly FakeRegistrar[]): FakeRegistrar[] {
+  const left = [...registrars]
+  const ranked: FakeRegistrar[] = []
+  while (left.length > 0) {
+    const choice = new claims.Registrars(new settings.FakeTimers())
+    for (const { entryId } of left) choice.open(entryId, { send: () => {}, reset: () => {} }, MATURE_MS)
+    const [first] = choice.choose('job')
+    ranked.push(...left.splice(left.findIndex(({ entryId }) => entryId === first!.entryId), 1))
+  }
+  return ranked
+}
+
+/** A job that both registrars have granted. */
+async function createGranted (count = 3): Promise<Bench> {
+  const bench = createBench(count)
+  bench.claims.claim('job', VALID_MS)
+  await flushEventLoop()
+  for (const registrar of bench.ranked) registrar.answer(ClaimVerdict.Granted)
+  expect(bench.told).to.deep.equal(['granted job'])
+  bench.told.length = 0
+  return bench
+}
+
+describe('claims of an entry', () => {
+  before(async () => { await protocol.loadHash() })
+
+  it('grants a job once both registrars have granted it, and asks no other', async () => {
+    const { claims: created, ranked, told } = createBench()
+    expect(created.claim('job', VALID_MS)).to.equal(false)
+    await flushEventLoop()
+    expect(ranked.map(({ claimed }) => claimed)).to.deep.equal([['job'], ['job'], []])
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal([])
+    ranked[0]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+    expect(created.claim('job', VALID_MS)).to.equal(true)
+  })
+
+  it('sends the claims of one turn of the event loop in one message', async () => {
+    const { claims: created, ranked } = createBench(2)
+    for (let job = 0; job < 50; job++) created.claim(`job-${job}`, VALID_MS)
+    await flushEventLoop()
+    expect(ranked.map(({ messages }) => messages.length)).to.deep.equal([1, 1])
+    expect(ranked[0]!.claimed).to.have.length(50)
+  })
+
+  it('lets releases wait for a claim that they can travel with, for a bounded time', async () => {
+    const { claims: created, timers, ranked } = await createGranted()
+    created.release('job', true)
+    await flushEventLoop()
+    expect(ranked[0]!.released).to.deep.equal([])
+    await passTime(timers, claims.RELEASE_DELAY_MS)
+    for (const registrar of ranked.slice(0, 2)) expect(registrar.released).to.deep.equal([{ jobId: 'job', hasSucceeded: true }])
+    expect(ranked[2]!.messages).to.deep.equal([])
+    expect(created.size).to.equal(0)
+  })
+
+  it('repeats a claim that another entry holds until it is granted, and tells once', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    for (let round = 0; round < 3; round++) {
+      ranked[0]!.answer(ClaimVerdict.Held)
+      await passTime(timers, claims.HELD_RETRY_MS)
+    }
+    expect(told).to.deep.equal(['held job holder'])
+    expect(created.heldCount).to.equal(1)
+    ranked[0]!.answer(ClaimVerdict.Granted)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['held job holder', 'granted job'])
+  })
+
+  it('withdraws a claim below the registrar that has refused it, and asks there again only after the first has granted', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    ranked[0]!.answer(ClaimVerdict.Held)
+    await passTime(timers, 60)
+    expect(ranked[1]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+    expect(ranked[1]!.claimed).to.have.length(1)
+    ranked[0]!.answer(ClaimVerdict.Granted)
+    await flushEventLoop()
+    expect(ranked[1]!.claimed).to.have.length(2)
+  })
+
+  it('keeps a claim above the registrar that has refused it', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[0]!.answer(ClaimVerdict.Granted)
+    ranked[1]!.answer(ClaimVerdict.Held)
+    await passTime(timers, claims.HELD_RETRY_MS)
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    expect(ranked[0]!.released).to.deep.equal([])
+    expect(told).to.deep.equal(['held job holder', 'granted job'])
+  })
+
+  it('replaces a silent registrar by the next in rank', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    await passTime(timers, claims.ANSWER_TIMEOUT_MS - 10)
+    expect(ranked[2]!.claimed).to.deep.equal([])
+    await passTime(timers, claims.CHECK_PERIOD_MS + 10)
+    expect(ranked[2]!.claimed).to.deep.equal(['job'])
+    ranked[2]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
+  it('asks a silent registrar again once it answers', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await passTime(timers, 150)
+    created.claim('job', VALID_MS)
+    ranked[0]!.answer(ClaimVerdict.Granted)
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    const before = ranked[0]!.claimed.length + ranked[1]!.claimed.length
+    for (let job = 0; job < 20; job++) created.claim(`job-${job}`, VALID_MS)
+    await flushEventLoop()
+    expect(ranked[0]!.claimed.length + ranked[1]!.claimed.length).to.be.above(before + 10)
+  })
+
+  it('reopens the link to a registrar that stays silent', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', 60_000)
+    await passTime(timers, claims.REOPEN_AFTER_MS - 100)
+    expect(ranked[0]!.resets).to.equal(0)
+    await passTime(timers, 200)
+    expect(ranked[0]!.resets).to.be.above(0)
+  })
+
+  it('claims at the next registrar when a link closes before the answer', async () => {
+    const { claims: created, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    created.handleClosed(ranked[0]!.entryId, LinkState.Absent)
+    await flushEventLoop()
+    ranked[2]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
+  it('claims at the next registrar when a link closes after the grant', async () => {
+    const { claims: created, ranked, told } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Absent)
+    await flushEventLoop()
+    expect(ranked[2]!.claimed).to.deep.equal(['job'])
+    ranked[2]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal([])
+    expect(created.claim('job', VALID_MS)).to.equal(true)
+  })
+
+  it('waits for a link that reopens, and claims again on it', async () => {
+    const { claims: created, open, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    await flushEventLoop()
+    expect(ranked[2]!.claimed).to.deep.equal([])
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    reopened.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
+  it('claims granted jobs again on a link that reopens', async () => {
+    const { claims: created, open, ranked } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    expect(reopened.claimed).to.deep.equal(['job'])
+  })
+
+  it('claims at a young entry beside the registrars of those that do not know it yet', async () => {
+    const { claims: created, open, ranked } = createBench()
+    const young = ranked[0]!
+    open(young, 0)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(ranked.map(({ claimed }) => claimed)).to.deep.equal([['job'], ['job'], ['job']])
+  })
+
+  it('extends the claim while runs go on', async () => {
+    const { timers, ranked, told } = await createGranted()
+    await passTime(timers, 3 * VALID_MS)
+    for (const registrar of ranked.slice(0, 2)) {
+      expect(registrar.claimed.length).to.be.within(4, 20)
+      for (const { claims: sent } of registrar.messages) for (const { validForMs } of sent) expect(validForMs).to.be.within(0, VALID_MS)
+    }
+    expect(told).to.deep.equal([])
+  })
+
+  it('sends each extension with the time that is left', async () => {
+    const { claims: created, timers, ranked } = await createGranted()
+    await passTime(timers, 1_000)
+    created.claim('job', 500)
+    await flushEventLoop()
+    expect(ranked[0]!.messages.at(-1)!.claims.map(({ validForMs }) => validForMs)).to.deep.equal([VALID_MS - 1_000])
+  })
+
+  it('stops extending a claim that is released', async () => {
+    const { claims: created, timers, ranked } = await createGranted()
+    created.release('job', false)
+    await passTime(timers, 10_000)
+    expect(ranked[0]!.claimed).to.deep.equal(['job'])
+  })
+
+  it('withdraws a claim that is released before the answer', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    created.release('job', false)
+    await passTime(timers, claims.RELEASE_DELAY_MS)
+    for (const registrar of ranked.slice(0, 2)) {
+      expect(registrar.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+      registrar.answer(ClaimVerdict.Granted)
+    }
+    expect(told).to.deep.equal([])
+    expect(created.size).to.equal(0)
+  })
+
+  it('sends no claim that is released in the same turn of the event loop', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    created.release('job', false)
+    await passTime(timers, 100)
+    for (const { claimed } of ranked) expect(claimed).to.deep.equal([])
+  })
+
+  it('ends a claim on a job that has succeeded elsewhere', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[0]!.answer(ClaimVerdict.Succeeded)
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['succeeded job holder'])
+    expect(created.size).to.equal(0)
+    await passTime(timers, 100)
+    expect(ranked[1]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+  })
+
+  it('tells that a granted job was lost when a registrar names another holder', async () => {
+    const { claims: created, open, ranked, told } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    reopened.answer(ClaimVerdict.Held)
+    expect(told).to.deep.equal(['lost job holder'])
+  })
+
+  it('grants a job at once, and counts it as unconfirmed, when the entry is its own only registrar', async () => {
+    const told: string[] = []
+    const timers = new settings.FakeTimers()
+    const table = new claims.ClaimTable(timers)
+    const created: claims.JobClaims = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, { onGranted: jobId => { told.push(jobId) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
+    created.handleOpened('own', { send: requests => { created.handleAnswers('own', table.apply({ entryId: 'own', incarnation: 'life' }, requests)) }, reset: () => {} }, MATURE_MS)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(told).to.deep.equal(['job'])
+    expect(created.unconfirmedCount).to.equal(1)
+  })
+})
+
+describe('two entries that claim the same job at the same time', () => {
+  before(async () => { await protocol.loadHash() })
+
+  for (const order of [[0, 1], [1, 0]]) {
+    it(`do not block each other, with messages in the order ${order.join(' ')}`, async () => {
+      const timers = new settings.FakeTimers()
+      const tables = ['entry-a', 'entry-b'].map(entryId => ({ entryId, table: new claims.ClaimTable(timers) }))
+      const granted: number[] = []
+      const claimants = [0, 1].map(number => {
+        const claimant = { entryId: `claimant-${number}`, incarnation: `life-${number}` }
+        const created: claims.JobClaims = new claims.JobClaims(claimant.entryId, { timers, log: settings.createSilentLog() }, { onGranted: () => { granted.push(number) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
+        // Each claimant is nearer to another registrar, so that each gets one of them first.
+        for (const [index, { entryId, table }] of tables.entries()) {
+          const pathMs = order[number] === index ? 1 : 12
+          created.handleOpened(entryId, { send: requests => { timers.after(pathMs, () => { const answers = table.apply(claimant, requests); timers.after(pathMs, () => { created.handleAnswers(entryId, answers) }) }) }, reset: () => {} }, MATURE_MS)
+        }
+        return created
+      })
+      for (const claimant of claimants) claimant.claim('job', VALID_MS)
+      await passTime(timers, 300)
+      expect(granted).to.have.length(1)
+      const [holder] = granted
+      claimants[holder!]!.release('job', false)
+      await passTime(timers, 300)
+      expect(granted).to.deep.equal([holder, 1 - holder!])
+    })
+  }
+})
