--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -34,17 +34,20 @@
 interface SentClaim {
   readonly registrar: Registrar
   state: RequestState
-  sentAtMs: number
 }
 
 interface OpenClaim {
   readonly jobId: string
+  /** Tells the answers to this claim from those to an earlier one on the same job. */
+  readonly sequence: number
   /** Monotonic time at which the runs of the job will certainly have ended, in milliseconds. */
   validUntilMs: number
   isGranted: boolean
   /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
   isContended: boolean
   readonly sent: Map<string, SentClaim>
+  /** Registrars of the job, and the version of their registry that they were chosen from. */
+  chosen: { registrars: readonly Registrar[], version: number }
 }
 
 /** Claims jobs at their registrars. A claim that is granted stands until it is released. */
@@ -55,11 +58,10 @@
   heldCount = 0
   private readonly registrars: Registrars
   private readonly claims = new Map<string, OpenClaim>()
-  /** Claims without an answer, oldest first. */
-  private readonly unanswered = new Set<SentClaim>()
   /** Messages that have not been sent, by registrar. */
   private readonly queues = new Map<string, ClaimRequests>()
   private readonly renewTimer: settings.TimerHandle
+  private lastSequence = 0
   private checkDueAtMs: number | undefined
   private wasStalled = false
   private isFlushScheduled = false
@@ -88,7 +90,7 @@
       if (known.isGranted) this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map() }
+    const claim: OpenClaim = { jobId, sequence: ++this.lastSequence, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
     return false
@@ -119,19 +121,21 @@
   /** Applies the answers of a registrar. */
   handleAnswers (entryId: string, answers: readonly ClaimAnswer[]): void {
     const registrar = this.registrars.get(entryId)
-    if (registrar !== undefined) registrar.silentSinceMs = undefined
+    registrar?.awaitedSinceMs.shift()
     for (const answer of answers) this.handleAnswer(entryId, answer)
+    if (registrar?.isSilent !== true) return
+    this.registrars.setSilent(registrar, false)
+    this.advanceAll()
   }
 
   private get nowMs (): number {
     return this.services.timers.nowMs()
   }
 
-  private handleAnswer (entryId: string, { jobId, verdict, holderId }: ClaimAnswer): void {
+  private handleAnswer (entryId: string, { jobId, sequence, verdict, holderId }: ClaimAnswer): void {
     const claim = this.claims.get(jobId)
     const sent = claim?.sent.get(entryId)
-    if (claim === undefined || sent === undefined) return
-    this.unanswered.delete(sent)
+    if (claim?.sequence !== sequence || sent === undefined) return
     switch (verdict) {
       case ClaimVerdict.Granted:
         if (sent.state !== RequestState.Sent) return
@@ -175,7 +179,7 @@
 
   /** Withdraws the claim at the registrars that are asked after the one that has refused it. */
   private withdrawBelow (claim: OpenClaim, refusing: Registrar): void {
-    const order = this.registrars.choose(claim.jobId)
+    const order = this.registrarsOf(claim)
     const above = order.slice(0, order.indexOf(refusing))
     for (const each of [...claim.sent.values()]) {
       if (above.includes(each.registrar)) continue
@@ -199,7 +203,7 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
-    const chosen = this.registrars.choose(claim.jobId)
+    const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
       if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
@@ -210,17 +214,20 @@
     this.observer.onGranted(claim.jobId)
   }
 
+  private registrarsOf (claim: OpenClaim): readonly Registrar[] {
+    const { version } = this.registrars
+    if (claim.chosen.version !== version) claim.chosen = { registrars: this.registrars.choose(claim.jobId), version }
+    return claim.chosen.registrars
+  }
+
   private send (claim: OpenClaim, registrar: Registrar): void {
     if (registrar.port === undefined) return
-    const sent: SentClaim = { registrar, state: RequestState.Sent, sentAtMs: this.nowMs }
-    claim.sent.set(registrar.entryId, sent)
-    this.unanswered.add(sent)
+    claim.sent.set(registrar.entryId, { registrar, state: RequestState.Sent })
     this.queueClaim(claim, registrar)
-    this.scheduleCheck()
   }
 
   private queueClaim (claim: OpenClaim, registrar: Registrar): void {
-    this.queueOf(registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+    this.queueOf(registrar).claims.push({ jobId: claim.jobId, sequence: claim.sequence, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => {
@@ -242,7 +249,16 @@
     this.releaseTimer = undefined
     const queues = [...this.queues]
     this.queues.clear()
-    for (const [entryId, requests] of queues) this.registrars.get(entryId)?.port?.send(requests)
+    for (const [entryId, requests] of queues) this.sendRequests(this.registrars.get(entryId), requests)
+  }
+
+  private sendRequests (registrar: Registrar | undefined, requests: ClaimRequests): void {
+    if (registrar?.port === undefined || requests.claims.length + requests.releases.length === 0) return
+    if (requests.claims.length > 0) {
+      registrar.awaitedSinceMs.push(this.nowMs)
+      this.scheduleCheck()
+    }
+    registrar.port.send(requests)
   }
 
   private renewExpiring (): void {
@@ -260,12 +276,7 @@
   /** Drops what was sent to a registrar and not answered, and that it has granted claims. */
   private forget (entryId: string): void {
     this.queues.delete(entryId)
-    for (const claim of this.claims.values()) {
-      const sent = claim.sent.get(entryId)
-      if (sent === undefined) continue
-      this.unanswered.delete(sent)
-      claim.sent.delete(entryId)
-    }
+    for (const claim of this.claims.values()) claim.sent.delete(entryId)
   }
 
   private scheduleCheck (): void {
@@ -277,21 +288,20 @@
       this.checkDueAtMs = undefined
       if (!isStalled || this.wasStalled) this.checkUnanswered()
       this.wasStalled = isStalled
-      if (this.unanswered.size > 0) this.scheduleCheck()
+      if ([...this.registrars.all].some(({ awaitedSinceMs }) => awaitedSinceMs.length > 0)) this.scheduleCheck()
     })
   }
 
   /** Finds registrars that are silent. Claims that wait for them are made at the next ones. */
   private checkUnanswered (): void {
     let hasChanged = false
-    for (const { registrar, sentAtMs } of this.unanswered) {
-      if (this.nowMs - sentAtMs < ANSWER_TIMEOUT_MS) break
-      if (registrar.silentSinceMs === undefined) {
-        registrar.silentSinceMs = sentAtMs
-        hasChanged = true
-        this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(this.nowMs - sentAtMs) })
-      }
-      if (this.nowMs - registrar.silentSinceMs > REOPEN_AFTER_MS) registrar.port?.reset()
+    for (const registrar of this.registrars.all) {
+      const silentMs = this.nowMs - (registrar.awaitedSinceMs[0] ?? this.nowMs)
+      if (silentMs > REOPEN_AFTER_MS) registrar.port?.reset()
+      if (silentMs < ANSWER_TIMEOUT_MS || registrar.isSilent) continue
+      this.registrars.setSilent(registrar, true)
+      this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(silentMs) })
+      hasChanged = true
     }
     if (hasChanged) this.advanceAll()
   }
--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -26,12 +26,16 @@
   port: RegistrarPort | undefined
   /** Monotonic time at which the process no longer counts as young, in milliseconds. */
   matureAtMs: number
-  /** Monotonic time of the oldest claim that it has not answered in time, in milliseconds; undefined while it answers. */
-  silentSinceMs: number | undefined
+  /** Monotonic times at which the messages with claims that it has not answered were sent, oldest first, in milliseconds. */
+  awaitedSinceMs: number[]
+  /** True while it does not answer in time. */
+  isSilent: boolean
 }
 
 /** Registry of registrars. */
 export class Registrars {
+  /** Changes whenever the registrars of jobs may. */
+  version = 0
   private readonly byId = new Map<string, Registrar>()
 
   constructor (private readonly timers: settings.Timers) {}
@@ -48,19 +52,27 @@
   add (entryId: string): Registrar {
     const known = this.byId.get(entryId)
     if (known !== undefined) return known
-    const added: Registrar = { entryId, state: LinkState.Absent, port: undefined, matureAtMs: 0, silentSinceMs: undefined }
+    const added: Registrar = { entryId, state: LinkState.Absent, port: undefined, matureAtMs: 0, awaitedSinceMs: [], isSilent: false }
     this.byId.set(entryId, added)
     return added
   }
 
+  /** Records whether a registrar answers in time. */
+  setSilent (registrar: Registrar, isSilent: boolean): void {
+    registrar.isSilent = isSilent
+    this.version++
+  }
+
   /** Records an open link to a process that has run for `upMs` milliseconds. */
   open (entryId: string, port: RegistrarPort, upMs: number): void {
-    Object.assign(this.add(entryId), { state: LinkState.Open, port, matureAtMs: this.timers.nowMs() + YOUNG_MS - upMs, silentSinceMs: undefined })
+    this.version++
+    Object.assign(this.add(entryId), { state: LinkState.Open, port, matureAtMs: this.timers.nowMs() + YOUNG_MS - upMs, awaitedSinceMs: [], isSilent: false })
   }
 
   /** Records that a link is closed. */
   close (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
-    Object.assign(this.add(entryId), { state, port: undefined, silentSinceMs: undefined })
+    this.version++
+    Object.assign(this.add(entryId), { state, port: undefined, awaitedSinceMs: [], isSilent: false })
   }
 
   /**
@@ -78,7 +90,7 @@
   private rank (jobId: string): Registrar[] {
     const weighted: Array<{ registrar: Registrar, weight: number }> = []
     for (const registrar of this.byId.values()) {
-      if (registrar.state === LinkState.Absent || registrar.silentSinceMs !== undefined) continue
+      if (registrar.state === LinkState.Absent || registrar.isSilent) continue
       weighted.push({ registrar, weight: protocol.hashText(`${registrar.entryId}/${jobId}`) })
     }
     return weighted.sort((left, right) => right.weight - left.weight).map(({ registrar }) => registrar)
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -4,6 +4,7 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { decodeRequests, encodeAnswer } from './claimMessages.ts'
+import { isUsableEntry } from './entryChoice.ts'
 import type { EntryIdentity } from './entryNode.ts'
 import { RegistrarLink } from './registrarLink.ts'
 
@@ -37,7 +38,7 @@
 
   /** Sets the registered entries. Links to entries that are no longer registered stay until they close. */
   setEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
-    const listed = new Map(entries.map(entry => [entry.entryId ?? '', entry.address ?? '']))
+    const listed = new Map(entries.filter(({ address, failureDomain }) => isUsableEntry({ address: address ?? '', failureDomain: failureDomain ?? '' })).map(entry => [entry.entryId ?? '', entry.address ?? '']))
     listed.delete(this.identity.entryId)
     for (const [entryId, link] of this.links) link.isListed = listed.get(entryId) === link.address
     for (const [entryId, address] of listed) {
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -29,7 +29,7 @@
   /** Answers the oldest claim, or all, that came in. */
   answer (verdict: claims.ClaimVerdict, count = this.unanswered.length): void {
     const answered = this.unanswered.splice(0, count)
-    this.owner().handleAnswers(this.entryId, answered.map(({ jobId }) => ({ jobId, verdict, holderId: verdict === ClaimVerdict.Granted ? '' : 'holder' })))
+    this.owner().handleAnswers(this.entryId, answered.map(({ jobId, sequence }) => ({ jobId, sequence, verdict, holderId: verdict === ClaimVerdict.Granted ? '' : 'holder' })))
   }
 
   get claimed (): string[] {
--- a/test/unit/claims/registrars.test.ts
+++ b/test/unit/claims/registrars.test.ts
@@ -71,9 +71,9 @@
     const registrars = createRegistrars(ENTRIES)
     for (const jobId of JOBS) {
       const [first, second] = choose(registrars, jobId)
-      registrars.get(first!)!.silentSinceMs = 0
+      registrars.setSilent(registrars.get(first!)!, true)
       expect(choose(registrars, jobId)).to.have.length(2).and.not.include(first)
-      registrars.get(first!)!.silentSinceMs = undefined
+      registrars.setSilent(registrars.get(first!)!, false)
       registrars.close(second!, claims.LinkState.Absent)
       expect(choose(registrars, jobId)).to.have.length(2).and.not.include(second)
       registrars.open(second!, PORT, 60_000)
