Claims: a released claim no longer counts as unanswered

Claims that were released or withdrawn before the answer stayed in the set of unanswered ones for ever: 75 ms later the registrar counted as silent although it had answered, and after 1.3 s its link was reset every 25 ms.

--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -26,8 +26,7 @@
 
 enum RequestState {
   Sent = 'sent',
-  Granted = 'granted',
-  Held = 'held'
+  Granted = 'granted'
 }
 
 /** A claim at one registrar. */
@@ -183,9 +182,9 @@
     }
   }
 
-  private withdraw (claim: OpenClaim, { registrar, state }: SentClaim, hasSucceeded: boolean): void {
-    if (state === RequestState.Held) return
-    const queue = this.queueOf(registrar)
+  private withdraw (claim: OpenClaim, sent: SentClaim, hasSucceeded: boolean): void {
+    this.unanswered.delete(sent)
+    const queue = this.queueOf(sent.registrar)
     const unsent = queue.claims.findIndex(({ jobId }) => jobId === claim.jobId)
     if (unsent >= 0) queue.claims.splice(unsent, 1)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
@@ -275,7 +274,7 @@
       this.checkDueAtMs = undefined
       // After a stall of this process the answers that have arrived are read first.
       if (lateMs < CHECK_PERIOD_MS) this.checkUnanswered()
-      if (this.unanswered.size > 0) this.scheduleCheck()
+      if (this.unanswered.size > 0 || this.registrars.hasSilent) this.scheduleCheck()
     })
   }
 
@@ -289,7 +288,9 @@
         hasChanged = true
         this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(this.nowMs - sentAtMs) })
       }
-      if (this.nowMs - registrar.silentSinceMs > REOPEN_AFTER_MS) registrar.port?.reset()
+    }
+    for (const { silentSinceMs, port } of this.registrars.all) {
+      if (silentSinceMs !== undefined && this.nowMs - silentSinceMs > REOPEN_AFTER_MS) port?.reset()
     }
     if (hasChanged) this.advanceAll()
   }
--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -40,6 +40,12 @@
     return this.byId.values()
   }
 
+  /** True while a registrar does not answer. */
+  get hasSilent (): boolean {
+    for (const { silentSinceMs } of this.byId.values()) if (silentSinceMs !== undefined) return true
+    return false
+  }
+
   get (entryId: string): Registrar | undefined {
     return this.byId.get(entryId)
   }
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -303,6 +303,42 @@
     for (const { claimed } of ranked) expect(claimed).to.deep.equal([])
   })
 
+  it('does not take a registrar for silent because of claims that were released before the answer', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    created.release('job', false)
+    for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted)
+    await passTime(timers, 2 * claims.REOPEN_AFTER_MS)
+    expect(ranked.map(({ resets }) => resets)).to.deep.equal([0, 0, 0])
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(ranked.map(({ claimed }) => claimed.length)).to.deep.equal([2, 2, 0])
+  })
+
+  it('does not take a registrar for silent because of claims that were withdrawn at it', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[0]!.answer(ClaimVerdict.Held)
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    for (let passedMs = 0; passedMs < 2_000; passedMs += 50) {
+      await passTime(timers, 50)
+      ranked[0]!.answer(ClaimVerdict.Held)
+    }
+    expect(ranked.map(({ claimed }) => claimed.length > 0)).to.deep.equal([true, true, false])
+    expect(ranked.map(({ resets }) => resets)).to.deep.equal([0, 0, 0])
+  })
+
+  it('reopens the link to a silent registrar also when no claim waits for it any more', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await passTime(timers, 200)
+    created.release('job', false)
+    await passTime(timers, claims.REOPEN_AFTER_MS)
+    expect(ranked[0]!.resets).to.be.above(0)
+  })
+
   it('ends a claim on a job that has succeeded elsewhere', async () => {
     const { claims: created, timers, ranked, told } = createBench()
     created.claim('job', VALID_MS)
