Claims: a release drops all unsent claims on its job

A release dropped only the first unsent claim of its job. With an extension and a claim in one turn of the event loop the second one was sent with the release, which takes effect first: the record stood until it expired.

--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -185,8 +185,7 @@
   private withdraw (claim: OpenClaim, sent: SentClaim, hasSucceeded: boolean): void {
     this.unanswered.delete(sent)
     const queue = this.queueOf(sent.registrar)
-    const unsent = queue.claims.findIndex(({ jobId }) => jobId === claim.jobId)
-    if (unsent >= 0) queue.claims.splice(unsent, 1)
+    queue.claims = queue.claims.filter(({ jobId }) => jobId !== claim.jobId)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
     this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => { this.flush() })
   }
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -339,6 +339,16 @@
     expect(ranked[0]!.resets).to.be.above(0)
   })
 
+  it('sends no extension of a claim that is released in the same turn of the event loop', async () => {
+    const { claims: created, timers, ranked } = await createGranted()
+    created.claim('job', VALID_MS)
+    created.claim('job', VALID_MS)
+    created.release('job', false)
+    await passTime(timers, 100)
+    expect(ranked[0]!.claimed).to.deep.equal(['job'])
+    expect(ranked[0]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+  })
+
   it('ends a claim on a job that has succeeded elsewhere', async () => {
     const { claims: created, timers, ranked, told } = createBench()
     created.claim('job', VALID_MS)
