Claims: an answer counts for the claim that it answers

A job that was released and claimed again at the same entry counted as granted by the answers to its first claim, which came before the release: another entry could get it at both registrars between the release and the second claim. Claims carry a sequence, which answers repeat.

--- a/packages/claims/src/claimTable.ts
+++ b/packages/claims/src/claimTable.ts
@@ -35,14 +35,14 @@
   }
 
   /** Grants or extends a claim, or names the entry that holds the job. */
-  claim (claimant: Claimant, { jobId, validForMs }: ClaimRequest): ClaimAnswer {
+  claim (claimant: Claimant, { jobId, validForMs, sequence }: ClaimRequest): ClaimAnswer {
     const record = this.records.get(jobId)
     if (record !== undefined && record.untilMs > this.timers.nowMs()) {
-      if (record.hasSucceeded) return { jobId, verdict: ClaimVerdict.Succeeded, holderId: record.claimant.entryId }
-      if (record.claimant.incarnation !== claimant.incarnation) return { jobId, verdict: ClaimVerdict.Held, holderId: record.claimant.entryId }
+      if (record.hasSucceeded) return { jobId, sequence, verdict: ClaimVerdict.Succeeded, holderId: record.claimant.entryId }
+      if (record.claimant.incarnation !== claimant.incarnation) return { jobId, sequence, verdict: ClaimVerdict.Held, holderId: record.claimant.entryId }
     }
     this.records.set(jobId, { claimant, untilMs: this.timers.nowMs() + validForMs * CLOCK_DRIFT, hasSucceeded: false })
-    return { jobId, verdict: ClaimVerdict.Granted, holderId: '' }
+    return { jobId, sequence, verdict: ClaimVerdict.Granted, holderId: '' }
   }
 
   /** Ends a claim. Ignored if another claimant holds the job. */
--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -25,3 +25,5 @@
 export const RENEWAL_MS = 1_500
 /** Largest ratio between the rates of the monotonic clocks of two VMs. */
 export const CLOCK_DRIFT = 1.03
+/** Number from which the sequences of claims begin again. They are 32 bits wide. */
+export const MAX_SEQUENCE = 2 ** 32
--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -1,7 +1,7 @@
 /** The claims of one entry on the jobs that it runs. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
 import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
@@ -32,8 +32,10 @@
 /** A claim at one registrar. */
 interface SentClaim {
   readonly registrar: Registrar
+  /** Sequence of the last claim that was sent. Answers to earlier ones may be older than a release. */
+  sequence: number
   state: RequestState
-  sentAtMs: number
+  readonly sentAtMs: number
 }
 
 interface OpenClaim {
@@ -61,6 +63,7 @@
   private readonly renewTimer: settings.TimerHandle
   private checkDueAtMs: number | undefined
   private isFlushScheduled = false
+  private lastSequence = 0
   private releaseTimer: settings.TimerHandle | undefined
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
@@ -125,10 +128,10 @@
     return this.services.timers.nowMs()
   }
 
-  private handleAnswer (entryId: string, { jobId, verdict, holderId }: ClaimAnswer): void {
+  private handleAnswer (entryId: string, { jobId, sequence, verdict, holderId }: ClaimAnswer): void {
     const claim = this.claims.get(jobId)
     const sent = claim?.sent.get(entryId)
-    if (claim === undefined || sent === undefined) return
+    if (claim === undefined || sent?.sequence !== sequence) return
     this.unanswered.delete(sent)
     switch (verdict) {
       case ClaimVerdict.Granted:
@@ -209,15 +212,17 @@
 
   private send (claim: OpenClaim, registrar: Registrar): void {
     if (registrar.port === undefined) return
-    const sent: SentClaim = { registrar, state: RequestState.Sent, sentAtMs: this.nowMs }
+    const sent: SentClaim = { registrar, sequence: 0, state: RequestState.Sent, sentAtMs: this.nowMs }
     claim.sent.set(registrar.entryId, sent)
     this.unanswered.add(sent)
-    this.queueClaim(claim, registrar)
+    this.queueClaim(claim, sent)
     this.scheduleCheck()
   }
 
-  private queueClaim (claim: OpenClaim, registrar: Registrar): void {
-    this.queueOf(registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+  private queueClaim (claim: OpenClaim, sent: SentClaim): void {
+    this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
+    sent.sequence = this.lastSequence
+    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs), sequence: sent.sequence })
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => {
@@ -251,7 +256,7 @@
   }
 
   private renew (claim: OpenClaim): void {
-    for (const { registrar } of claim.sent.values()) if (registrar.port !== undefined) this.queueClaim(claim, registrar)
+    for (const sent of claim.sent.values()) if (sent.registrar.port !== undefined) this.queueClaim(claim, sent)
   }
 
   /** Drops what was sent to a registrar and not answered, and that it has granted claims. */
--- a/packages/claims/src/model.ts
+++ b/packages/claims/src/model.ts
@@ -20,6 +20,8 @@
   jobId: string
   /** Time after which the claimant's runs of the job have certainly ended, in milliseconds. */
   validForMs: number
+  /** Identifies the claim in its answer. */
+  sequence: number
 }
 
 /** Ends a claim: no run of the job goes on at the claimant. */
@@ -30,6 +32,8 @@
 
 export interface ClaimAnswer {
   jobId: string
+  /** Sequence of the claim. */
+  sequence: number
   verdict: ClaimVerdict
   /** Entry that holds the job, or at which it has succeeded; empty if the claim was granted. */
   holderId: string
--- a/packages/fleet/src/claimMessages.ts
+++ b/packages/fleet/src/claimMessages.ts
@@ -8,7 +8,7 @@
 /** Decodes what a claimant sends. Claims and releases that can't be meant by one are left out. */
 export function decodeRequests (message: protocol.runs.IClaimRequests): claims.ClaimRequests {
   return {
-    claims: (message.claims ?? []).map(({ jobId, validForMs }) => ({ jobId: jobId ?? '', validForMs: validForMs ?? 0 })).filter(isUsable),
+    claims: (message.claims ?? []).map(({ jobId, validForMs, sequence }) => ({ jobId: jobId ?? '', validForMs: validForMs ?? 0, sequence: sequence ?? 0 })).filter(isUsable),
     releases: (message.releases ?? []).map(({ jobId, hasSucceeded }) => ({ jobId: jobId ?? '', hasSucceeded: hasSucceeded === true }))
   }
 }
@@ -17,13 +17,13 @@
   return jobId !== '' && jobId.length <= MAX_JOB_ID_CHARS && validForMs >= 0 && validForMs <= MAX_CLAIM_VALIDITY_MS
 }
 
-export function encodeAnswer ({ jobId, verdict, holderId }: claims.ClaimAnswer): protocol.runs.IClaimAnswer {
-  return { jobId, verdict: encodeVerdict(verdict), holderId }
+export function encodeAnswer ({ jobId, sequence, verdict, holderId }: claims.ClaimAnswer): protocol.runs.IClaimAnswer {
+  return { jobId, sequence, verdict: encodeVerdict(verdict), holderId }
 }
 
 /** Decodes an answer. An unknown verdict counts as held, which starts nothing. */
-export function decodeAnswer ({ jobId, verdict, holderId }: protocol.runs.IClaimAnswer): claims.ClaimAnswer {
-  return { jobId: jobId ?? '', verdict: decodeVerdict(verdict), holderId: holderId ?? '' }
+export function decodeAnswer ({ jobId, sequence, verdict, holderId }: protocol.runs.IClaimAnswer): claims.ClaimAnswer {
+  return { jobId: jobId ?? '', sequence: sequence ?? 0, verdict: decodeVerdict(verdict), holderId: holderId ?? '' }
 }
 
 function encodeVerdict (verdict: claims.ClaimVerdict): protocol.runs.ClaimVerdict {
--- a/test/unit/claims/claimTable.test.ts
+++ b/test/unit/claims/claimTable.test.ts
@@ -16,13 +16,13 @@
 function createBench (): Bench {
   const timers = new settings.FakeTimers()
   const table = new claims.ClaimTable(timers)
-  return { timers, table, claim: (claimant, jobId = 'job') => table.claim(claimant, { jobId, validForMs: VALID_MS }) }
+  return { timers, table, claim: (claimant, jobId = 'job') => table.claim(claimant, { jobId, validForMs: VALID_MS, sequence: 1 }) }
 }
 
 describe('record of claims', () => {
   it('grants a job to one entry at a time and names the holder to others', () => {
     const { claim } = createBench()
-    expect(claim(FIRST)).to.include({ jobId: 'job', verdict: claims.ClaimVerdict.Granted, holderId: '' })
+    expect(claim(FIRST)).to.include({ jobId: 'job', sequence: 1, verdict: claims.ClaimVerdict.Granted, holderId: '' })
     expect(claim(SECOND)).to.include({ verdict: claims.ClaimVerdict.Held, holderId: 'entry-1' })
     expect(claim(SECOND, 'other')).to.include({ verdict: claims.ClaimVerdict.Granted })
   })
@@ -82,19 +82,19 @@
   it('applies releases before claims of the same message', () => {
     const { table, claim } = createBench()
     claim(FIRST)
-    const answers = table.apply(FIRST, { claims: [{ jobId: 'job', validForMs: VALID_MS }], releases: [{ jobId: 'job', hasSucceeded: false }] })
+    const answers = table.apply(FIRST, { claims: [{ jobId: 'job', validForMs: VALID_MS, sequence: 1 }], releases: [{ jobId: 'job', hasSucceeded: false }] })
     expect(answers.map(({ verdict }) => verdict)).to.deep.equal([claims.ClaimVerdict.Granted])
     expect(claim(SECOND).verdict).to.equal(claims.ClaimVerdict.Held)
   })
 
   it('holds the jobs of an entry whose link has ended until its runs have ended', () => {
     const { timers, table } = createBench()
-    table.claim(FIRST, { jobId: 'job', validForMs: 60_000 })
+    table.claim(FIRST, { jobId: 'job', validForMs: 60_000, sequence: 1 })
     table.handleGone(FIRST)
     timers.advance(claims.CLAIMANT_GONE_MS * claims.CLOCK_DRIFT - 1)
-    expect(table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS }).verdict).to.equal(claims.ClaimVerdict.Held)
+    expect(table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS, sequence: 1 }).verdict).to.equal(claims.ClaimVerdict.Held)
     timers.advance(1)
-    expect(table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS }).verdict).to.equal(claims.ClaimVerdict.Granted)
+    expect(table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS, sequence: 1 }).verdict).to.equal(claims.ClaimVerdict.Granted)
   })
 
   it('does not extend a claim when its link ends', () => {
@@ -108,12 +108,12 @@
 
   it('keeps the jobs that an entry claims again after its link has ended', () => {
     const { timers, table } = createBench()
-    table.claim(FIRST, { jobId: 'job', validForMs: 60_000 })
+    table.claim(FIRST, { jobId: 'job', validForMs: 60_000, sequence: 1 })
     table.handleGone(FIRST)
     timers.advance(500)
-    table.claim(FIRST, { jobId: 'job', validForMs: 60_000 })
+    table.claim(FIRST, { jobId: 'job', validForMs: 60_000, sequence: 1 })
     timers.advance(10_000)
-    expect(table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS }).verdict).to.equal(claims.ClaimVerdict.Held)
+    expect(table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS, sequence: 1 }).verdict).to.equal(claims.ClaimVerdict.Held)
   })
 
   it('remembers success beyond the end of the link', () => {
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -29,7 +29,7 @@
   /** Answers the oldest claim, or all, that came in. */
   answer (verdict: claims.ClaimVerdict, count = this.unanswered.length): void {
     const answered = this.unanswered.splice(0, count)
-    this.owner().handleAnswers(this.entryId, answered.map(({ jobId }) => ({ jobId, verdict, holderId: verdict === ClaimVerdict.Granted ? '' : 'holder' })))
+    this.owner().handleAnswers(this.entryId, answered.map(({ jobId, sequence }) => ({ jobId, sequence, verdict, holderId: verdict === ClaimVerdict.Granted ? '' : 'holder' })))
   }
 
   get claimed (): string[] {
@@ -349,6 +349,20 @@
     expect(ranked[0]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
   })
 
+  it('does not take the answer to an earlier claim for one to the claim made after its release', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    created.release('job', false)
+    await passTime(timers, claims.RELEASE_DELAY_MS)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted, 1)
+    expect(told).to.deep.equal([])
+    for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
   it('ends a claim on a job that has succeeded elsewhere', async () => {
     const { claims: created, timers, ranked, told } = createBench()
     created.claim('job', VALID_MS)
