--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -1,7 +1,7 @@
 /** The claims of one entry on the jobs that it runs. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
 import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
@@ -26,20 +26,19 @@
 
 enum RequestState {
   Sent = 'sent',
-  Granted = 'granted',
-  Held = 'held'
+  Granted = 'granted'
 }
 
 /** A claim at one registrar. */
 interface SentClaim {
   readonly registrar: Registrar
+  /** Sequence of the last claim that was sent. Answers to earlier ones may be older than a release. */
+  sequence: number
   state: RequestState
 }
 
 interface OpenClaim {
   readonly jobId: string
-  /** Tells the answers to this claim from those to an earlier one on the same job. */
-  readonly sequence: number
   /** Monotonic time at which the runs of the job will certainly have ended, in milliseconds. */
   validUntilMs: number
   isGranted: boolean
@@ -61,10 +60,10 @@
   /** Messages that have not been sent, by registrar. */
   private readonly queues = new Map<string, ClaimRequests>()
   private readonly renewTimer: settings.TimerHandle
-  private lastSequence = 0
   private checkDueAtMs: number | undefined
   private wasStalled = false
   private isFlushScheduled = false
+  private lastSequence = 0
   private releaseTimer: settings.TimerHandle | undefined
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
@@ -90,7 +89,7 @@
       if (known.isGranted) this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, sequence: ++this.lastSequence, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
+    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
     return false
@@ -135,7 +134,7 @@
   private handleAnswer (entryId: string, { jobId, sequence, verdict, holderId }: ClaimAnswer): void {
     const claim = this.claims.get(jobId)
     const sent = claim?.sent.get(entryId)
-    if (claim?.sequence !== sequence || sent === undefined) return
+    if (claim === undefined || sent?.sequence !== sequence) return
     switch (verdict) {
       case ClaimVerdict.Granted:
         if (sent.state !== RequestState.Sent) return
@@ -188,11 +187,9 @@
     }
   }
 
-  private withdraw (claim: OpenClaim, { registrar, state }: SentClaim, hasSucceeded: boolean): void {
-    if (state === RequestState.Held) return
-    const queue = this.queueOf(registrar)
-    const unsent = queue.claims.findIndex(({ jobId }) => jobId === claim.jobId)
-    if (unsent >= 0) queue.claims.splice(unsent, 1)
+  private withdraw (claim: OpenClaim, sent: SentClaim, hasSucceeded: boolean): void {
+    const queue = this.queueOf(sent.registrar)
+    queue.claims = queue.claims.filter(({ jobId }) => jobId !== claim.jobId)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
     this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => { this.flush() })
   }
@@ -222,12 +219,15 @@
 
   private send (claim: OpenClaim, registrar: Registrar): void {
     if (registrar.port === undefined) return
-    claim.sent.set(registrar.entryId, { registrar, state: RequestState.Sent })
-    this.queueClaim(claim, registrar)
+    const sent: SentClaim = { registrar, sequence: 0, state: RequestState.Sent }
+    claim.sent.set(registrar.entryId, sent)
+    this.queueClaim(claim, sent)
   }
 
-  private queueClaim (claim: OpenClaim, registrar: Registrar): void {
-    this.queueOf(registrar).claims.push({ jobId: claim.jobId, sequence: claim.sequence, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+  private queueClaim (claim: OpenClaim, sent: SentClaim): void {
+    this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
+    sent.sequence = this.lastSequence
+    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs), sequence: sent.sequence })
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => {
@@ -270,7 +270,7 @@
   }
 
   private renew (claim: OpenClaim): void {
-    for (const { registrar } of claim.sent.values()) if (registrar.port !== undefined) this.queueClaim(claim, registrar)
+    for (const sent of claim.sent.values()) if (sent.registrar.port !== undefined) this.queueClaim(claim, sent)
   }
 
   /** Drops what was sent to a registrar and not answered, and that it has granted claims. */
@@ -288,7 +288,7 @@
       this.checkDueAtMs = undefined
       if (!isStalled || this.wasStalled) this.checkUnanswered()
       this.wasStalled = isStalled
-      if ([...this.registrars.all].some(({ awaitedSinceMs }) => awaitedSinceMs.length > 0)) this.scheduleCheck()
+      if (this.registrars.isAwaited) this.scheduleCheck()
     })
   }
 
--- a/packages/claims/src/model.ts
+++ b/packages/claims/src/model.ts
@@ -20,7 +20,7 @@
   jobId: string
   /** Time after which the claimant's runs of the job have certainly ended, in milliseconds. */
   validForMs: number
-  /** Number of the claim at the claimant, returned in the answer. */
+  /** Identifies the claim in its answer. */
   sequence: number
 }
 
@@ -32,6 +32,7 @@
 
 export interface ClaimAnswer {
   jobId: string
+  /** Sequence of the claim. */
   sequence: number
   verdict: ClaimVerdict
   /** Entry that holds the job, or at which it has succeeded; empty if the claim was granted. */
