Drop the poll before a job is accepted: the claim's round trip reads what came behind the request

The poll delayed each job by a turn of the event loop. Releases wait up to 250 ms for a claim that they can travel with.

--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -9,11 +9,11 @@
 /** Time without an answer after which the link to a silent registrar is opened anew, in milliseconds. */
 export const REOPEN_AFTER_MS = 1_300
 /** Period of the checks for registrars that have not answered, in milliseconds. */
-export const CHECK_PERIOD_MS = 25
+export const CHECK_PERIOD_MS = 40
 /** Time after which a claim on a job that another entry holds is repeated, in milliseconds. */
 export const HELD_RETRY_MS = 25
 /** Longest time for which releases wait for a claim that they can travel with, in milliseconds. */
-export const RELEASE_DELAY_MS = 20
+export const RELEASE_DELAY_MS = 250
 /** Time from the end of a claimant's link until its runs have certainly ended if its process has, in milliseconds: the owner lease of its agents and the stop of the runs. */
 export const CLAIMANT_GONE_MS = 1_250
 /** Time for which a registrar remembers that a job has succeeded, in milliseconds. */
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -9,7 +9,7 @@
 import type { AcceptDelay } from './acceptDelay.ts'
 import { formatAddress, parseAddress } from './addresses.ts'
 import { readBody } from './body.ts'
-import { type CutCounts, pollSockets, ServerConnections } from './connections.ts'
+import { type CutCounts, ServerConnections } from './connections.ts'
 import type { LinkTls } from './links.ts'
 import { TlsSource } from './tlsSource.ts'
 
@@ -24,8 +24,6 @@
   body: Buffer
   /** Aborts if the caller closes its connection, or its half of it, before the response has been written. */
   signal: AbortSignal
-  /** Resolves with false if the caller had closed its connection by now. The end of a connection is read after the request that came before it. */
-  isCallerPresent: () => Promise<boolean>
   /** Time for which the request waited for its connection to be accepted, in milliseconds; 0 for later requests of a connection. */
   waitedMs: number
 }
@@ -250,10 +248,6 @@
     get signal () {
       abort ??= createDisconnectSignal(request, response)
       return abort.signal
-    },
-    isCallerPresent: async () => {
-      await pollSockets()
-      return !hasCallerLeft(request, response)
     }
   }
 }
