Claims: lost jobs, silent registrars whose link is opened anew, claims before any registrar is known

- A job that was lost to another entry and came in again while its runs were being stopped was granted at once.
It is claimed like any other; what is left of the claim at other registrars stays and is extended until the runs have ended.
- A silent registrar became a choice again for 300 ms each time its link was opened anew, so that all jobs of its rank waited for it.
- A claim without any registrar is no longer granted.
- A refusal by a registrar that is no longer chosen withdrew the claims of all but the last one.

--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -12,9 +12,9 @@
   onGranted: (jobId: string) => void
   /** Another entry may still run the job. The claim is repeated until it is granted or released. */
   onHeld: (jobId: string, holderId: string) => void
-  /** The job has succeeded at another entry. The claim has ended. */
+  /** The job has succeeded at another entry. The claim has ended if it was never granted. */
   onSucceeded: (jobId: string, holderId: string) => void
-  /** Another entry has got a job that had been granted. The claim has ended as far as others are concerned; runs must be stopped. */
+  /** Another entry has got a job that had been granted. Runs must be stopped; what is left of the claim stands until it is released, and is granted again after the other entry has released the job. */
   onLost: (jobId: string, holderId: string) => void
 }
 
@@ -43,12 +43,14 @@
   /** Monotonic time at which the runs of the job will certainly have ended, in milliseconds. */
   validUntilMs: number
   isGranted: boolean
+  /** True from the first grant on: runs may go on until the claim is released, also if another entry has got the job. */
+  mayRun: boolean
   /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
   isContended: boolean
   readonly sent: Map<string, SentClaim>
 }
 
-/** Claims jobs at their registrars. A claim that is granted stands until it is released. */
+/** Claims jobs at their registrars. A claim that is granted stands until it is released, or until a registrar that has lost it grants the job to another entry. */
 export class JobClaims {
   /** Number of claims that were granted although no other entry could be asked. */
   unconfirmedCount = 0
@@ -86,13 +88,13 @@
     const known = this.claims.get(jobId)
     if (known !== undefined) {
       known.validUntilMs = Math.max(known.validUntilMs, this.nowMs + validForMs)
-      if (known.isGranted) this.renew(known)
+      this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map() }
+    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, mayRun: false, isContended: false, sent: new Map() }
     this.claims.set(jobId, claim)
     this.advance(claim)
-    return false
+    return claim.isGranted
   }
 
   /** Ends the claim on a job of which nothing runs here any more. */
@@ -151,18 +153,18 @@
 
   private handleHeld (claim: OpenClaim, sent: SentClaim, holderId: string): void {
     claim.sent.delete(sent.registrar.entryId)
-    if (claim.isGranted) {
+    const { isGranted, isContended } = claim
+    claim.isGranted = false
+    claim.isContended = true
+    if (!claim.mayRun) this.withdrawBelow(claim, sent.registrar)
+    if (isGranted) {
       this.services.log.event(events.ClaimLost, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
       this.observer.onLost(claim.jobId, holderId)
-      return
-    }
-    if (!claim.isContended) {
+    } else if (!isContended) {
       this.heldCount++
       this.services.log.event(events.JobHeld, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
       this.observer.onHeld(claim.jobId, holderId)
     }
-    claim.isContended = true
-    this.withdrawBelow(claim, sent.registrar)
     this.services.timers.after(HELD_RETRY_MS, () => { if (this.claims.get(claim.jobId) === claim) this.advance(claim) })
   }
 
@@ -170,14 +172,14 @@
     claim.sent.delete(entryId)
     if (claim.isGranted) return
     this.services.log.event(events.JobSucceededElsewhere, { jobId: claim.jobId, holder: holderId })
-    this.release(claim.jobId, false)
+    if (!claim.mayRun) this.release(claim.jobId, false)
     this.observer.onSucceeded(claim.jobId, holderId)
   }
 
   /** Withdraws the claim at the registrars that are asked after the one that has refused it. */
   private withdrawBelow (claim: OpenClaim, refusing: Registrar): void {
     const order = this.registrars.choose(claim.jobId)
-    const above = order.slice(0, order.indexOf(refusing))
+    const above = order.slice(0, Math.max(0, order.indexOf(refusing)))
     for (const each of [...claim.sent.values()]) {
       if (above.includes(each.registrar)) continue
       claim.sent.delete(each.registrar.entryId)
@@ -204,8 +206,9 @@
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
       if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
     }
-    if (claim.isGranted || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
+    if (claim.isGranted || chosen.length === 0 || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
     claim.isGranted = true
+    claim.mayRun = true
     if (chosen.every(({ entryId }) => entryId === this.ownId)) this.unconfirmedCount++
     this.observer.onGranted(claim.jobId)
   }
@@ -249,7 +252,7 @@
 
   private renewExpiring (): void {
     for (const claim of this.claims.values()) {
-      if (!claim.isGranted || claim.validUntilMs - this.nowMs > RENEW_BEFORE_MS) continue
+      if (!claim.mayRun || claim.validUntilMs - this.nowMs > RENEW_BEFORE_MS) continue
       claim.validUntilMs = this.nowMs + RENEWAL_MS
       this.renew(claim)
     }
--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -64,9 +64,11 @@
     Object.assign(this.add(entryId), { state: LinkState.Open, port, matureAtMs: this.timers.nowMs() + YOUNG_MS - upMs, silentSinceMs: undefined })
   }
 
-  /** Records that a link is closed. */
+  /** Records that a link is closed. Nobody waits for the link to a silent registrar to reopen, as others have taken its place. */
   close (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
-    Object.assign(this.add(entryId), { state, port: undefined, silentSinceMs: undefined })
+    const known = this.add(entryId)
+    const isSilent = known.silentSinceMs !== undefined
+    Object.assign(known, { state: isSilent ? LinkState.Absent : state, port: undefined, silentSinceMs: undefined })
   }
 
   /**
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -363,6 +363,62 @@
     expect(told).to.deep.equal(['granted job'])
   })
 
+  it('does not grant a job at once that was lost and comes in again before its runs have ended', async () => {
+    const { claims: created, timers, open, ranked, told } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    reopened.answer(ClaimVerdict.Held)
+    expect(created.claim('job', VALID_MS)).to.equal(false)
+    await passTime(timers, claims.HELD_RETRY_MS)
+    reopened.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['lost job holder', 'granted job'])
+  })
+
+  it('keeps the claims of a lost job at the other registrars until its runs have ended', async () => {
+    const { claims: created, timers, open, ranked } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    for (let passedMs = 0; passedMs < 2 * VALID_MS; passedMs += 50) {
+      reopened.answer(ClaimVerdict.Held)
+      await passTime(timers, 50)
+    }
+    expect(ranked[1]!.released).to.deep.equal([])
+    expect(ranked[1]!.claimed.length).to.be.above(1)
+    created.release('job', false)
+    await passTime(timers, claims.RELEASE_DELAY_MS)
+    expect(ranked[1]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+  })
+
+  it('does not wait for a silent registrar while its link is opened anew', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', 60_000)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    await passTime(timers, 110)
+    ranked[2]!.answer(ClaimVerdict.Granted)
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    created.release('job', false)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(ranked[2]!.claimed).to.have.length(2)
+  })
+
+  it('does not start a job before it knows another entry or itself as a registrar', async () => {
+    const { claims: created, timers, told, open } = createBench(0)
+    created.claim('job', VALID_MS)
+    await passTime(timers, 100)
+    expect(told).to.deep.equal([])
+    const only = new FakeRegistrar('entry-0', () => created)
+    open(only)
+    await flushEventLoop()
+    only.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
   it('ends a claim on a job that has succeeded elsewhere', async () => {
     const { claims: created, timers, ranked, told } = createBench()
     created.claim('job', VALID_MS)
