--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -32,10 +32,9 @@
 /** A claim at one registrar. */
 interface SentClaim {
   readonly registrar: Registrar
-  /** Sequence of the last claim that was sent. Answers to earlier ones may be older than a release. */
+  /** Sequence of the last message. Answers to earlier ones may be older than a release. */
   sequence: number
   state: RequestState
-  readonly sentAtMs: number
 }
 
 interface OpenClaim {
@@ -48,6 +47,8 @@
   /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
   isContended: boolean
   readonly sent: Map<string, SentClaim>
+  /** Registrars of the job, and the version of their registry that they were chosen from. */
+  chosen: { registrars: readonly Registrar[], version: number }
 }
 
 /** Claims jobs at their registrars. A claim that is granted stands until it is released, or until a registrar that has lost it grants the job to another entry. */
@@ -58,14 +59,13 @@
   heldCount = 0
   private readonly registrars: Registrars
   private readonly claims = new Map<string, OpenClaim>()
-  /** Claims without an answer, oldest first. */
-  private readonly unanswered = new Set<SentClaim>()
   /** Messages that have not been sent, by registrar. */
   private readonly queues = new Map<string, ClaimRequests>()
   private readonly renewTimer: settings.TimerHandle
+  private lastSequence = 0
   private checkDueAtMs: number | undefined
+  private wasStalled = false
   private isFlushScheduled = false
-  private lastSequence = 0
   private releaseTimer: settings.TimerHandle | undefined
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
@@ -91,7 +91,7 @@
       this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, mayRun: false, isContended: false, sent: new Map() }
+    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
     return claim.isGranted
@@ -122,8 +122,11 @@
   /** Applies the answers of a registrar. */
   handleAnswers (entryId: string, answers: readonly ClaimAnswer[]): void {
     const registrar = this.registrars.get(entryId)
-    if (registrar !== undefined) registrar.silentSinceMs = undefined
+    registrar?.awaitedSinceMs.shift()
     for (const answer of answers) this.handleAnswer(entryId, answer)
+    if (registrar?.isSilent !== true) return
+    this.registrars.setSilent(registrar, false)
+    this.advanceAll()
   }
 
   private get nowMs (): number {
@@ -134,7 +137,6 @@
     const claim = this.claims.get(jobId)
     const sent = claim?.sent.get(entryId)
     if (claim === undefined || sent?.sequence !== sequence) return
-    this.unanswered.delete(sent)
     switch (verdict) {
       case ClaimVerdict.Granted:
         if (sent.state !== RequestState.Sent) return
@@ -178,7 +180,7 @@
 
   /** Withdraws the claim at the registrars that are asked after the one that has refused it. */
   private withdrawBelow (claim: OpenClaim, refusing: Registrar): void {
-    const order = this.registrars.choose(claim.jobId)
+    const order = this.registrarsOf(claim)
     const above = order.slice(0, Math.max(0, order.indexOf(refusing)))
     for (const each of [...claim.sent.values()]) {
       if (above.includes(each.registrar)) continue
@@ -187,9 +189,8 @@
     }
   }
 
-  private withdraw (claim: OpenClaim, sent: SentClaim, hasSucceeded: boolean): void {
-    this.unanswered.delete(sent)
-    const queue = this.queueOf(sent.registrar)
+  private withdraw (claim: OpenClaim, { registrar }: SentClaim, hasSucceeded: boolean): void {
+    const queue = this.queueOf(registrar)
     queue.claims = queue.claims.filter(({ jobId }) => jobId !== claim.jobId)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
     this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => { this.flush() })
@@ -201,7 +202,7 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
-    const chosen = this.registrars.choose(claim.jobId)
+    const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
       if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
@@ -213,19 +214,23 @@
     this.observer.onGranted(claim.jobId)
   }
 
+  private registrarsOf (claim: OpenClaim): readonly Registrar[] {
+    const { version } = this.registrars
+    if (claim.chosen.version !== version) claim.chosen = { registrars: this.registrars.choose(claim.jobId), version }
+    return claim.chosen.registrars
+  }
+
   private send (claim: OpenClaim, registrar: Registrar): void {
     if (registrar.port === undefined) return
-    const sent: SentClaim = { registrar, sequence: 0, state: RequestState.Sent, sentAtMs: this.nowMs }
+    const sent: SentClaim = { registrar, sequence: 0, state: RequestState.Sent }
     claim.sent.set(registrar.entryId, sent)
-    this.unanswered.add(sent)
     this.queueClaim(claim, sent)
-    this.scheduleCheck()
   }
 
   private queueClaim (claim: OpenClaim, sent: SentClaim): void {
     this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
     sent.sequence = this.lastSequence
-    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs), sequence: sent.sequence })
+    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => {
@@ -247,7 +252,16 @@
     this.releaseTimer = undefined
     const queues = [...this.queues]
     this.queues.clear()
-    for (const [entryId, requests] of queues) this.registrars.get(entryId)?.port?.send(requests)
+    for (const [entryId, requests] of queues) this.sendRequests(this.registrars.get(entryId), requests)
+  }
+
+  private sendRequests (registrar: Registrar | undefined, requests: ClaimRequests): void {
+    if (registrar?.port === undefined || requests.claims.length + requests.releases.length === 0) return
+    if (requests.claims.length > 0) {
+      registrar.awaitedSinceMs.push(this.nowMs)
+      this.scheduleCheck()
+    }
+    registrar.port.send(requests)
   }
 
   private renewExpiring (): void {
@@ -265,39 +279,32 @@
   /** Drops what was sent to a registrar and not answered, and that it has granted claims. */
   private forget (entryId: string): void {
     this.queues.delete(entryId)
-    for (const claim of this.claims.values()) {
-      const sent = claim.sent.get(entryId)
-      if (sent === undefined) continue
-      this.unanswered.delete(sent)
-      claim.sent.delete(entryId)
-    }
+    for (const claim of this.claims.values()) claim.sent.delete(entryId)
   }
 
   private scheduleCheck (): void {
     if (this.checkDueAtMs !== undefined) return
     this.checkDueAtMs = this.nowMs + CHECK_PERIOD_MS
     this.services.timers.after(CHECK_PERIOD_MS, () => {
-      const lateMs = this.nowMs - this.checkDueAtMs!
-      this.checkDueAtMs = undefined
       // After a stall of this process the answers that have arrived are read first.
-      if (lateMs < CHECK_PERIOD_MS) this.checkUnanswered()
-      if (this.unanswered.size > 0 || this.registrars.hasSilent) this.scheduleCheck()
+      const isStalled = this.nowMs - this.checkDueAtMs! > CHECK_PERIOD_MS
+      this.checkDueAtMs = undefined
+      if (!isStalled || this.wasStalled) this.checkUnanswered()
+      this.wasStalled = isStalled
+      if ([...this.registrars.all].some(({ awaitedSinceMs }) => awaitedSinceMs.length > 0)) this.scheduleCheck()
     })
   }
 
   /** Finds registrars that are silent. Claims that wait for them are made at the next ones. */
   private checkUnanswered (): void {
     let hasChanged = false
-    for (const { registrar, sentAtMs } of this.unanswered) {
-      if (this.nowMs - sentAtMs < ANSWER_TIMEOUT_MS) break
-      if (registrar.silentSinceMs === undefined) {
-        registrar.silentSinceMs = sentAtMs
-        hasChanged = true
-        this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(this.nowMs - sentAtMs) })
-      }
-    }
-    for (const { silentSinceMs, port } of this.registrars.all) {
-      if (silentSinceMs !== undefined && this.nowMs - silentSinceMs > REOPEN_AFTER_MS) port?.reset()
+    for (const registrar of this.registrars.all) {
+      const silentMs = this.nowMs - (registrar.awaitedSinceMs[0] ?? this.nowMs)
+      if (silentMs > REOPEN_AFTER_MS) registrar.port?.reset()
+      if (silentMs < ANSWER_TIMEOUT_MS || registrar.isSilent) continue
+      this.registrars.setSilent(registrar, true)
+      this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(silentMs) })
+      hasChanged = true
     }
     if (hasChanged) this.advanceAll()
   }
