Claims wait for the list of entries; links superseded by newer ones; entries that link are linked back

Callers saw 8 tasks run twice in 1 of 4 runs of platform/test/pausedEntry.test.ts: entry-0 had not read the registration of entry-1 (the list is read every 2 s), was its only registrar, was paused, and granted itself what entry-1 had run meanwhile; entry-1 had linked to it 800 ms before the pause. - An entry whose link comes in is linked back at once: the greeting holds its address. - After the start claims wait for the list (2 s at most, for store outages) and for the first links to the listed entries (300 ms). - A registrar follows the newest link of a claimant.

--- a/packages/claims/src/claimTable.ts
+++ b/packages/claims/src/claimTable.ts
@@ -4,6 +4,7 @@
 import { type Claimant, type ClaimAnswer, type ClaimRelease, type ClaimRequest, type ClaimRequests, ClaimVerdict } from './model.ts'
 
 interface ClaimRecord {
+  /** Compared by identity: the link on which the job was last claimed. */
   readonly claimant: Claimant
   /** Monotonic time at which the record expires, in milliseconds. */
   untilMs: number
@@ -45,19 +46,19 @@
     return { jobId, sequence, verdict: ClaimVerdict.Granted, holderId: '' }
   }
 
-  /** Ends a claim. Ignored if another claimant holds the job. */
-  release ({ incarnation }: Claimant, { jobId, hasSucceeded }: ClaimRelease): void {
+  /** Ends a claim. Ignored if another claimant holds the job, or if the job was claimed again on another link. */
+  release (claimant: Claimant, { jobId, hasSucceeded }: ClaimRelease): void {
     const record = this.records.get(jobId)
-    if (record?.claimant.incarnation !== incarnation) return
+    if (record?.claimant !== claimant || record.hasSucceeded) return
     if (!hasSucceeded) this.records.delete(jobId)
     else this.records.set(jobId, { ...record, untilMs: this.timers.nowMs() + SUCCESS_RETENTION_MS, hasSucceeded })
   }
 
-  /** Records that the link of a claimant has ended. If its process has ended too, its runs end within `CLAIMANT_GONE_MS`; otherwise it claims its jobs again. */
-  handleGone ({ incarnation }: Claimant): void {
+  /** Records that the link of a claimant has ended. If its process has ended too, its runs end within `CLAIMANT_GONE_MS`; otherwise it claims its jobs again on another link. */
+  handleGone (claimant: Claimant): void {
     const goneMs = this.timers.nowMs() + CLAIMANT_GONE_MS * CLOCK_DRIFT
     for (const record of this.records.values()) {
-      if (record.claimant.incarnation === incarnation && !record.hasSucceeded) record.untilMs = Math.min(record.untilMs, goneMs)
+      if (record.claimant === claimant && !record.hasSucceeded) record.untilMs = Math.min(record.untilMs, goneMs)
     }
   }
 
--- a/packages/claims/src/model.ts
+++ b/packages/claims/src/model.ts
@@ -9,7 +9,7 @@
   Succeeded = 'succeeded'
 }
 
-/** An entry process that claims jobs. */
+/** An entry process that claims jobs. Each of its links has an object of its own. */
 export interface Claimant {
   entryId: string
   /** Changes when the process restarts. */
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -82,5 +82,7 @@
 export const CLAIM_LINK_OPEN_MS = 300
 /** Time after which a link to another entry that has not opened is dialled again, in milliseconds. */
 export const CLAIM_LINK_DIAL_TIMEOUT_MS = 2_000
+/** Time from the start of a process after which claims no longer wait for the list of entries, in milliseconds. */
+export const CLAIM_LIST_WAIT_MS = 2_000
 /** Longest validity of a claim that a registrar accepts, in milliseconds. */
 export const MAX_CLAIM_VALIDITY_MS = 3_600_000
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -4,6 +4,7 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { decodeRequests, encodeAnswer } from './claimMessages.ts'
+import { CLAIM_LIST_WAIT_MS } from './defaults.ts'
 import { isUsableEntry } from './entryChoice.ts'
 import type { EntryIdentity } from './entryNode.ts'
 import { RegistrarLink } from './registrarLink.ts'
@@ -19,16 +20,18 @@
   readonly jobs: claims.JobClaims
   private readonly table: claims.ClaimTable
   private readonly links = new Map<string, RegistrarLink>()
-  /** Number of open streams of each claimant, by its incarnation. */
-  private readonly streams = new Map<string, number>()
+  /** Newest link of each claimant, by its incarnation. */
+  private readonly newest = new Map<string, claims.Claimant>()
   private readonly startedAtMs: number
+  private readonly listWait: settings.TimerHandle
+  /** True once claims can be granted. Until then this process doesn't know which other entries to ask. */
+  private isStarted = false
 
-  constructor (private readonly identity: Pick<EntryIdentity, 'entryId' | 'life'>, private readonly services: EntryClaimsServices, observer: claims.ClaimObserver) {
+  constructor (private readonly identity: Pick<EntryIdentity, 'entryId' | 'life' | 'address'>, private readonly services: EntryClaimsServices, observer: claims.ClaimObserver) {
     this.startedAtMs = services.timers.nowMs()
     this.table = new claims.ClaimTable(services.timers)
     this.jobs = new claims.JobClaims(identity.entryId, services, observer)
-    const self = { entryId: identity.entryId, incarnation: identity.life }
-    this.jobs.handleOpened(identity.entryId, { send: requests => { this.jobs.handleAnswers(identity.entryId, this.table.apply(self, requests)) }, reset: () => {} }, 0)
+    this.listWait = services.timers.after(CLAIM_LIST_WAIT_MS, () => { this.start() })
   }
 
   /** Answers the claims of other entries on a server. Call before the server starts. */
@@ -40,28 +43,50 @@
   setEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
     const listed = new Map(entries.filter(({ address, failureDomain }) => isUsableEntry({ address: address ?? '', failureDomain: failureDomain ?? '' })).map(entry => [entry.entryId ?? '', entry.address ?? '']))
     listed.delete(this.identity.entryId)
+    if (!this.isStarted) for (const entryId of listed.keys()) this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
     for (const [entryId, link] of this.links) link.isListed = listed.get(entryId) === link.address
     for (const [entryId, address] of listed) {
       const known = this.links.get(entryId)
-      if (known?.address !== address || known.isClosed) this.dial(entryId, address, known)
+      if (known?.address !== address || known.isClosed) this.dial(entryId, address)
     }
+    this.start()
   }
 
   stop (): void {
+    this.listWait.cancel()
     for (const link of this.links.values()) link.close()
     this.jobs.stop()
     this.table.stop()
   }
 
-  private dial (entryId: string, address: string, earlier: RegistrarLink | undefined): void {
-    earlier?.close()
+  /** Makes this entry a registrar of its own jobs. */
+  private start (): void {
+    if (this.isStarted) return
+    this.isStarted = true
+    this.listWait.cancel()
+    const { entryId, life } = this.identity
+    const self = { entryId, incarnation: life }
+    this.jobs.handleOpened(entryId, { send: requests => { this.jobs.handleAnswers(entryId, this.table.apply(self, requests)) }, reset: () => {} }, this.upMs)
+  }
+
+  private get upMs (): number {
+    return this.services.timers.nowMs() - this.startedAtMs
+  }
+
+  private dial (entryId: string, address: string): void {
+    const earlier = this.links.get(entryId)
+    if (earlier !== undefined && !earlier.isClosed) {
+      earlier.close()
+      this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
+    }
     const link = new RegistrarLink(entryId, address, { ...this.services, claims: this.jobs, createGreeting: () => this.createGreeting() })
     this.links.set(entryId, link)
     link.run()
   }
 
   private createGreeting (): protocol.runs.IClaimGreeting {
-    return { entryId: this.identity.entryId, life: this.identity.life, upMs: this.services.timers.nowMs() - this.startedAtMs }
+    const { entryId, life, address } = this.identity
+    return { entryId, life, upMs: this.upMs, address }
   }
 
   private async serve (stream: runtime.LinkStream<protocol.runs.FromClaimant, protocol.runs.IFromRegistrar>): Promise<void> {
@@ -71,10 +96,9 @@
       for await (const message of stream) {
         if (claimant === undefined) {
           if (message.greeting == null) break
-          claimant = { entryId: message.greeting.entryId ?? '', incarnation: message.greeting.life ?? '' }
-          this.streams.set(claimant.incarnation, (this.streams.get(claimant.incarnation) ?? 0) + 1)
+          claimant = this.handleGreeting(message.greeting)
           outbox.send({ greeting: this.createGreeting() })
-        } else if (message.requests != null) {
+        } else if (message.requests != null && this.newest.get(claimant.incarnation) === claimant) {
           const answers = this.table.apply(claimant, decodeRequests(message.requests)).map(encodeAnswer)
           if (answers.length > 0) outbox.send({ answers: { answers } })
         }
@@ -83,16 +107,25 @@
       // The claimant logs the end of its link.
     }
     outbox.end()
-    if (claimant !== undefined) this.handleStreamEnded(claimant)
+    if (claimant !== undefined) this.handleEnded(claimant)
   }
 
-  private handleStreamEnded (claimant: claims.Claimant): void {
-    const left = (this.streams.get(claimant.incarnation) ?? 1) - 1
-    if (left > 0) {
-      this.streams.set(claimant.incarnation, left)
-      return
+  /** Records a new link of a claimant. What comes in on its earlier ones is outdated. An entry that isn't in the list yet is linked to at once. */
+  private handleGreeting ({ entryId, life, address }: protocol.runs.IClaimGreeting): claims.Claimant {
+    const claimant = { entryId: entryId ?? '', incarnation: life ?? '' }
+    const earlier = this.newest.get(claimant.incarnation)
+    if (earlier !== undefined) this.table.handleGone(earlier)
+    this.newest.set(claimant.incarnation, claimant)
+    const known = this.links.get(claimant.entryId)
+    if (claimant.entryId !== this.identity.entryId && (known === undefined || known.isClosed) && isUsableEntry({ address: address ?? '', failureDomain: '' })) {
+      this.dial(claimant.entryId, address!)
+      this.links.get(claimant.entryId)!.isListed = false
     }
-    this.streams.delete(claimant.incarnation)
+    return claimant
+  }
+
+  private handleEnded (claimant: claims.Claimant): void {
+    if (this.newest.get(claimant.incarnation) === claimant) this.newest.delete(claimant.incarnation)
     this.table.handleGone(claimant)
   }
 }
--- a/packages/fleet/src/registrarLink.ts
+++ b/packages/fleet/src/registrarLink.ts
@@ -54,7 +54,7 @@
     this.abort.signal.addEventListener('abort', stop, { once: true })
     const outbox = new runtime.Outbox<protocol.runs.IFromClaimant>(dialed.stream)
     const waits = [
-      timers.after(CLAIM_LINK_OPEN_MS, () => { if (!this.isOpen) this.services.claims.handleClosed(this.entryId, claims.LinkState.Absent) }),
+      timers.after(CLAIM_LINK_OPEN_MS, () => { if (!this.isOpen) this.reportClosed(claims.LinkState.Absent) }),
       timers.after(CLAIM_LINK_DIAL_TIMEOUT_MS, () => { if (!this.isOpen) stop() })
     ]
     outbox.send({ greeting: this.services.createGreeting() })
@@ -70,12 +70,18 @@
     stop()
     const wasOpen = this.isOpen
     this.isOpen = false
-    this.services.claims.handleClosed(this.entryId, wasOpen && this.isListed ? claims.LinkState.Reopening : claims.LinkState.Absent)
+    this.reportClosed(wasOpen && this.isListed ? claims.LinkState.Reopening : claims.LinkState.Absent)
     if (wasOpen) log.event(events.ClaimLinkClosed, { peer: this.entryId, step: 'claims.read', reason })
     return wasOpen
   }
 
+  /** Another link may have taken the place of one that was closed here. */
+  private reportClosed (state: claims.LinkState.Reopening | claims.LinkState.Absent): void {
+    if (!this.isClosed) this.services.claims.handleClosed(this.entryId, state)
+  }
+
   private receive (message: protocol.runs.FromRegistrar, outbox: runtime.Outbox<protocol.runs.IFromClaimant>, stop: () => void): void {
+    if (this.isClosed) return
     if (message.greeting != null) this.handleGreeting(message.greeting, outbox, stop)
     else if (message.answers != null) this.services.claims.handleAnswers(this.entryId, (message.answers.answers ?? []).map(decodeAnswer))
   }
--- /dev/null
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -0,0 +1,220 @@
+/** Links between entries for claims. */
+import { expect } from 'chai'
+import * as fleet from '@egretvalve/fleet'
+import * as protocol from '@egretvalve/protocol'
+import * as runtime from '@egretvalve/runtime'
+import * as settings from '@egretvalve/settings'
+import { flushEventLoop } from '../../support/simulatedTime.ts'
+
+const { CLAIM_VERDICT_GRANTED, CLAIM_VERDICT_HELD } = protocol.runs.ClaimVerdict
+const VALID_MS = 60_000
+const realTimers = new settings.TimerService()
+
+/** A stream whose messages the test writes, as the registrar sees it. */
+class FakeStream {
+  readonly written: protocol.runs.IFromRegistrar[] = []
+  private readonly unread: protocol.runs.IFromClaimant[] = []
+  private isEnded = false
+  private wake = (): void => {}
+
+  write (message: protocol.runs.IFromRegistrar): boolean {
+    this.written.push(message)
+    return true
+  }
+
+  receive (message: protocol.runs.IFromClaimant): void {
+    this.unread.push(message)
+    this.wake()
+  }
+
+  close (): void {
+    this.isEnded = true
+    this.wake()
+  }
+
+  once (): void {}
+  on (): void {}
+  end (): void {}
+  destroy (): void {}
+
+  async * [Symbol.asyncIterator] (): AsyncGenerator<protocol.runs.IFromClaimant> {
+    while (true) {
+      const next = this.unread.shift()
+      if (next !== undefined) yield next
+      else if (this.isEnded) return
+      else await new Promise<void>(resolve => { this.wake = resolve })
+    }
+  }
+
+  get verdicts (): Array<string | null | undefined> {
+    return this.written.flatMap(({ answers }) => answers?.answers ?? []).map(({ jobId, verdict }) => `${jobId} ${verdict}`)
+  }
+}
+
+interface RegistrarBench {
+  timers: settings.FakeTimers
+  /** Opens a stream of a claimant. */
+  open: (entryId: string, life: string) => FakeStream
+}
+
+function createRegistrar (): RegistrarBench {
+  const timers = new settings.FakeTimers()
+  const observer = { onGranted: () => {}, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} }
+  const created = new fleet.EntryClaims({ entryId: 'own', life: 'life', address: '127.0.0.1:1' }, { timers, log: settings.createSilentLog() }, observer)
+  let handler: runtime.LinkHandler<unknown, unknown> | undefined
+  created.accept({ accept: (_name: string, _method: unknown, accepted: runtime.LinkHandler<unknown, unknown>) => { handler = accepted } } as unknown as runtime.LinkServer)
+  return {
+    timers,
+    open: (entryId, life) => {
+      const stream = new FakeStream()
+      handler!(stream as unknown as runtime.LinkStream<unknown, unknown>, 'peer')
+      stream.receive({ greeting: { entryId, life, upMs: 60_000 } })
+      return stream
+    }
+  }
+}
+
+function createClaim (jobId: string): protocol.runs.IFromClaimant {
+  return { requests: { claims: [{ jobId, validForMs: VALID_MS, sequence: 1 }], releases: [] } }
+}
+
+describe('claims that a registrar receives', () => {
+  it('keeps a job that was claimed again on a newer link when the earlier one is read later, or ends', async () => {
+    const { timers, open } = createRegistrar()
+    const earlier = open('entry-1', 'life-1')
+    earlier.receive(createClaim('job'))
+    await flushEventLoop()
+    const newer = open('entry-1', 'life-1')
+    newer.receive(createClaim('job'))
+    await flushEventLoop()
+    earlier.receive({ requests: { claims: [], releases: [{ jobId: 'job', hasSucceeded: false }] } })
+    await flushEventLoop()
+    earlier.close()
+    await flushEventLoop()
+    timers.advance(10_000)
+    const other = open('entry-2', 'life-2')
+    other.receive(createClaim('job'))
+    await flushEventLoop()
+    expect(newer.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`])
+    expect(other.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_HELD}`])
+  })
+
+  it('does not grant what is read on a link after the claimant has opened another one', async () => {
+    const { open } = createRegistrar()
+    const earlier = open('entry-1', 'life-1')
+    await flushEventLoop()
+    open('entry-1', 'life-1')
+    await flushEventLoop()
+    earlier.receive(createClaim('job'))
+    const other = open('entry-2', 'life-2')
+    await flushEventLoop()
+    other.receive(createClaim('job'))
+    await flushEventLoop()
+    expect(other.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`])
+  })
+
+  it('lets a job go whose release was lost with its link, although the claimant has opened another one', async () => {
+    const { timers, open } = createRegistrar()
+    const earlier = open('entry-1', 'life-1')
+    earlier.receive(createClaim('job'))
+    await flushEventLoop()
+    open('entry-1', 'life-1')
+    await flushEventLoop()
+    timers.advance(1_400)
+    const other = open('entry-2', 'life-2')
+    other.receive(createClaim('job'))
+    await flushEventLoop()
+    expect(other.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`])
+  })
+})
+
+/** An entry that listens. */
+interface Entry {
+  identity: { entryId: string, life: string, address: string }
+  claims: fleet.EntryClaims
+  server: runtime.LinkServer
+  granted: string[]
+  held: string[]
+}
+
+describe('claims of entries that have just started', () => {
+  const entries: Entry[] = []
+
+  before(async () => { await protocol.loadHash() })
+
+  afterEach(() => {
+    for (const { claims, server } of entries.splice(0)) {
+      claims.stop()
+      server.stop()
+    }
+  })
+
+  async function startEntry (entryId: string): Promise<Entry> {
+    const identity = { entryId, life: `life of ${entryId}`, address: '' }
+    const granted: string[] = []
+    const held: string[] = []
+    const created = new fleet.EntryClaims(identity, { timers: realTimers, log: settings.createSilentLog() }, { onGranted: jobId => { granted.push(jobId) }, onHeld: jobId => { held.push(jobId) }, onSucceeded: () => {}, onLost: () => {} })
+    const server = new runtime.LinkServer('127.0.0.1:0')
+    created.accept(server)
+    identity.address = await server.start()
+    const entry = { identity, claims: created, server, granted, held }
+    entries.push(entry)
+    return entry
+  }
+
+  it('wait for the list of entries', async () => {
+    const first = await startEntry('entry-a')
+    first.claims.jobs.claim('job', VALID_MS)
+    await realTimers.sleep(200)
+    expect(first.granted).to.deep.equal([])
+    first.claims.setEntries([first.identity])
+    await flushEventLoop()
+    expect(first.granted).to.deep.equal(['job'])
+  })
+
+  // Guards against two entries that hold one job because the younger one has no link to the other one yet.
+  it('wait for the links to the listed entries', async () => {
+    const first = await startEntry('entry-a')
+    const second = await startEntry('entry-b')
+    first.claims.setEntries([first.identity])
+    first.claims.jobs.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(first.granted).to.deep.equal(['job'])
+    second.claims.setEntries([first.identity, second.identity])
+    second.claims.jobs.claim('job', VALID_MS)
+    await waitUntil(() => second.held.length > 0)
+    expect(second.granted).to.deep.equal([])
+  })
+
+  it('do not wait for listed entries that are gone', async () => {
+    const first = await startEntry('entry-a')
+    first.claims.setEntries([first.identity, { entryId: 'entry-b', address: '127.0.0.1:1', life: 'x' }])
+    first.claims.jobs.claim('job', VALID_MS)
+    await waitUntil(() => first.granted.length > 0)
+  })
+
+  // Guards against an entry that grants itself jobs alone because it has not read the registration of another one.
+  it('are made at an entry that is not in the list yet once it has linked to this one', async () => {
+    const first = await startEntry('entry-a')
+    const second = await startEntry('entry-b')
+    first.claims.setEntries([first.identity])
+    second.claims.setEntries([first.identity, second.identity])
+    second.claims.jobs.claim('job', VALID_MS)
+    await waitUntil(() => second.granted.length > 0)
+    await realTimers.sleep(200)
+    const { unconfirmedCount } = first.claims.jobs
+    first.claims.jobs.claim('other', VALID_MS)
+    await waitUntil(() => first.granted.includes('other'))
+    expect(first.claims.jobs.unconfirmedCount).to.equal(unconfirmedCount)
+    first.claims.jobs.claim('job', VALID_MS)
+    await waitUntil(() => first.held.includes('job'))
+  })
+})
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  const endsAtMs = realTimers.nowMs() + 5_000
+  while (!condition()) {
+    if (realTimers.nowMs() > endsAtMs) throw new Error('condition not met in 5000 ms')
+    await realTimers.sleep(5)
+  }
+}
