Scheduler: a claim is released with the outcome of the newest submission; unit tests of jobs and their claims

A job that succeeded while a run of an earlier, abandoned submission was still being stopped was released as not succeeded at the end of that run, so that a submission at another entry ran it again.

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -390,9 +390,11 @@
     this.applyTaskEnd(sent, agent, end)
   }
 
-  /** Releases the claim on an ended job once no run of it is left. */
-  private releaseClaim ({ id, outcome }: Job): void {
-    if (!this.open.has(id) && !this.runCounts.has(id)) this.services.claims?.release(id, outcome?.kind === 'succeeded')
+  /** Releases the claim on an ended job once no run of it is left, also of earlier submissions. */
+  private releaseClaim (job: Job): void {
+    if (this.open.has(job.id) || this.runCounts.has(job.id)) return
+    const { outcome } = this.ended.get(job.id) ?? job
+    this.services.claims?.release(job.id, outcome?.kind === 'succeeded')
   }
 
   private applyTaskEnd (sent: SentTask, agent: AgentRecord, end: ReportedEnd): void {
