--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -44,12 +44,6 @@
     return this.byId.values()
   }
 
-  /** True while an answer of a registrar is awaited. */
-  get isAwaited (): boolean {
-    for (const { awaitedSinceMs } of this.byId.values()) if (awaitedSinceMs.length > 0) return true
-    return false
-  }
-
   get (entryId: string): Registrar | undefined {
     return this.byId.get(entryId)
   }
@@ -75,10 +69,11 @@
     Object.assign(this.add(entryId), { state: LinkState.Open, port, matureAtMs: this.timers.nowMs() + YOUNG_MS - upMs, awaitedSinceMs: [], isSilent: false })
   }
 
-  /** Records that a link is closed. */
+  /** Records that a link is closed. Nobody waits for the link to a silent registrar to reopen, as others have taken its place. */
   close (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
     this.version++
-    Object.assign(this.add(entryId), { state, port: undefined, awaitedSinceMs: [], isSilent: false })
+    const known = this.add(entryId)
+    Object.assign(known, { state: known.isSilent ? LinkState.Absent : state, port: undefined, awaitedSinceMs: [], isSilent: false })
   }
 
   /**
