--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -1,7 +1,7 @@
 /** The claims of one entry on the jobs that it runs. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_CLAIM_VALIDITY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
 import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
@@ -85,13 +85,14 @@
 
   /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted already; else the observer is called. */
   claim (jobId: string, validForMs: number): boolean {
+    const validUntilMs = this.nowMs + Math.min(validForMs, MAX_CLAIM_VALIDITY_MS)
     const known = this.claims.get(jobId)
     if (known !== undefined) {
-      known.validUntilMs = Math.max(known.validUntilMs, this.nowMs + validForMs)
+      known.validUntilMs = Math.max(known.validUntilMs, validUntilMs)
       this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
+    const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
     return claim.isGranted
@@ -291,7 +292,7 @@
       this.checkDueAtMs = undefined
       if (!isStalled || this.wasStalled) this.checkUnanswered()
       this.wasStalled = isStalled
-      if ([...this.registrars.all].some(({ awaitedSinceMs }) => awaitedSinceMs.length > 0)) this.scheduleCheck()
+      if (this.registrars.isAwaited) this.scheduleCheck()
     })
   }
 
--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -44,6 +44,12 @@
     return this.byId.values()
   }
 
+  /** True while an answer of a registrar is awaited. */
+  get isAwaited (): boolean {
+    for (const { awaitedSinceMs } of this.byId.values()) if (awaitedSinceMs.length > 0) return true
+    return false
+  }
+
   get (entryId: string): Registrar | undefined {
     return this.byId.get(entryId)
   }
--- a/packages/fleet/src/claimMessages.ts
+++ b/packages/fleet/src/claimMessages.ts
@@ -1,20 +1,21 @@
 /** Messages about claims, as sent between entries. */
 import * as claims from '@egretvalve/claims'
 import * as protocol from '@egretvalve/protocol'
-import { MAX_CLAIM_VALIDITY_MS, MAX_JOB_ID_CHARS } from './defaults.ts'
+import { MAX_JOB_ID_CHARS } from './defaults.ts'
 
 const { runs } = protocol
 
-/** Decodes what a claimant sends. Claims and releases that can't be meant by one are left out. */
+/** Decodes what a claimant sends. */
 export function decodeRequests (message: protocol.runs.IClaimRequests): claims.ClaimRequests {
   return {
-    claims: (message.claims ?? []).map(({ jobId, validForMs, sequence }) => ({ jobId: jobId ?? '', validForMs: validForMs ?? 0, sequence: sequence ?? 0 })).filter(isUsable),
+    claims: (message.claims ?? []).map(({ jobId, validForMs, sequence }) => ({ jobId: jobId ?? '', validForMs: validForMs ?? 0, sequence: sequence ?? 0 })),
     releases: (message.releases ?? []).map(({ jobId, hasSucceeded }) => ({ jobId: jobId ?? '', hasSucceeded: hasSucceeded === true }))
   }
 }
 
-function isUsable ({ jobId, validForMs }: claims.ClaimRequest): boolean {
-  return jobId !== '' && jobId.length <= MAX_JOB_ID_CHARS && validForMs >= 0 && validForMs <= MAX_CLAIM_VALIDITY_MS
+/** Returns false for claims that no claimant means. */
+export function isUsable ({ jobId, validForMs }: claims.ClaimRequest): boolean {
+  return jobId !== '' && jobId.length <= MAX_JOB_ID_CHARS && validForMs >= 0 && validForMs <= claims.MAX_CLAIM_VALIDITY_MS
 }
 
 export function encodeAnswer ({ jobId, sequence, verdict, holderId }: claims.ClaimAnswer): protocol.runs.IClaimAnswer {
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -3,7 +3,7 @@
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
-import { decodeRequests, encodeAnswer } from './claimMessages.ts'
+import { decodeRequests, encodeAnswer, isUsable } from './claimMessages.ts'
 import { CLAIM_LIST_WAIT_MS } from './defaults.ts'
 import { isUsableEntry } from './entryChoice.ts'
 import type { EntryIdentity } from './entryNode.ts'
@@ -99,7 +99,7 @@
           claimant = this.handleGreeting(message.greeting)
           outbox.send({ greeting: this.createGreeting() })
         } else if (message.requests != null && this.newest.get(claimant.incarnation) === claimant) {
-          const answers = this.table.apply(claimant, decodeRequests(message.requests)).map(encodeAnswer)
+          const answers = this.answer(claimant, decodeRequests(message.requests)).map(encodeAnswer)
           if (answers.length > 0) outbox.send({ answers: { answers } })
         }
       }
@@ -110,6 +110,12 @@
     if (claimant !== undefined) this.handleEnded(claimant)
   }
 
+  /** Answers each claim, as claimants count the answers. Unusable claims are refused. */
+  private answer (claimant: claims.Claimant, { claims: asked, releases }: claims.ClaimRequests): claims.ClaimAnswer[] {
+    const refused = asked.filter(request => !isUsable(request)).map(({ jobId, sequence }) => ({ jobId, sequence, verdict: claims.ClaimVerdict.Held, holderId: '' }))
+    return [...this.table.apply(claimant, { claims: asked.filter(isUsable), releases }), ...refused]
+  }
+
   /** Records a new link of a claimant. What comes in on its earlier ones is outdated. An entry that isn't in the list yet is linked to at once. */
   private handleGreeting ({ entryId, life, address }: protocol.runs.IClaimGreeting): claims.Claimant {
     const claimant = { entryId: entryId ?? '', incarnation: life ?? '' }
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -274,6 +274,13 @@
     expect(ranked[0]!.messages.at(-1)!.claims.map(({ validForMs }) => validForMs)).to.deep.equal([VALID_MS - 1_000])
   })
 
+  it('claims a job of a very long deadline for the longest validity', async () => {
+    const { claims: created, ranked } = createBench()
+    created.claim('job', 10 * claims.MAX_CLAIM_VALIDITY_MS)
+    await flushEventLoop()
+    expect(ranked[0]!.messages[0]!.claims[0]!.validForMs).to.equal(claims.MAX_CLAIM_VALIDITY_MS)
+  })
+
   it('stops extending a claim that is released', async () => {
     const { claims: created, timers, ranked } = await createGranted()
     created.release('job', false)
--- a/test/unit/fleet/entryClaims.test.ts
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -113,6 +113,15 @@
     expect(other.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`])
   })
 
+  it('answers each claim, and refuses those that no claimant means', async () => {
+    const { open } = createRegistrar()
+    const stream = open('entry-1', 'life-1')
+    const long = 'x'.repeat(65)
+    stream.receive({ requests: { claims: [{ jobId: long, validForMs: VALID_MS, sequence: 1 }, { jobId: 'job', validForMs: 1e9, sequence: 2 }, { jobId: 'other', validForMs: -1, sequence: 3 }, { jobId: '', validForMs: 1, sequence: 4 }], releases: [] } })
+    await flushEventLoop()
+    expect(stream.verdicts).to.have.members([long, 'job', 'other', ''].map(jobId => `${jobId} ${CLAIM_VERDICT_HELD}`))
+  })
+
   it('lets a job go whose release was lost with its link, although the claimant has opened another one', async () => {
     const { timers, open } = createRegistrar()
     const earlier = open('entry-1', 'life-1')
