Claims: links that were open before the first list stay open; nothing is claimed before the start

An entry that another one had linked to before it read its first list took the link as closed from then on: it is not dialled again while it is open, so claims at that registrar waited for ever. Claims wait for a start of their own instead of for the first registrar, as a link that opens before the list would have granted them alone. New test failed (not granted in 5 s), passes now.

--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -66,6 +66,7 @@
   private checkDueAtMs: number | undefined
   private wasStalled = false
   private isFlushScheduled = false
+  private isStarted = false
   private releaseTimer: settings.TimerHandle | undefined
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
@@ -78,6 +79,12 @@
     return this.claims.size
   }
 
+  /** Starts to claim. Call once the other entries are known; until then claims wait. */
+  start (): void {
+    this.isStarted = true
+    this.advanceAll()
+  }
+
   stop (): void {
     this.renewTimer.cancel()
     this.releaseTimer?.cancel()
@@ -203,12 +210,13 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
+    if (!this.isStarted) return
     const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
       if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
     }
-    if (claim.isGranted || chosen.length === 0 || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
+    if (claim.isGranted || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
     claim.isGranted = true
     claim.mayRun = true
     if (chosen.every(({ entryId }) => entryId === this.ownId)) this.unconfirmedCount++
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -43,11 +43,12 @@
   setEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
     const listed = new Map(entries.filter(({ address, failureDomain }) => isUsableEntry({ address: address ?? '', failureDomain: failureDomain ?? '' })).map(entry => [entry.entryId ?? '', entry.address ?? '']))
     listed.delete(this.identity.entryId)
-    if (!this.isStarted) for (const entryId of listed.keys()) this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
     for (const [entryId, link] of this.links) link.isListed = listed.get(entryId) === link.address
     for (const [entryId, address] of listed) {
       const known = this.links.get(entryId)
-      if (known?.address !== address || known.isClosed) this.dial(entryId, address)
+      if (known?.address === address && !known.isClosed) continue
+      if (!this.isStarted) this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
+      this.dial(entryId, address)
     }
     this.start()
   }
@@ -59,7 +60,7 @@
     this.table.stop()
   }
 
-  /** Makes this entry a registrar of its own jobs. */
+  /** Makes this entry a registrar of its own jobs, and starts to claim. */
   private start (): void {
     if (this.isStarted) return
     this.isStarted = true
@@ -67,6 +68,7 @@
     const { entryId, life } = this.identity
     const self = { entryId, incarnation: life }
     this.jobs.handleOpened(entryId, { send: requests => { this.jobs.handleAnswers(entryId, this.table.apply(self, requests)) }, reset: () => {} }, this.upMs)
+    this.jobs.start()
   }
 
   private get upMs (): number {
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -64,6 +64,7 @@
   const registrars = Array.from({ length: count }, (_, number) => new FakeRegistrar(`entry-${number}`, () => created))
   const open = (registrar: FakeRegistrar, upMs = MATURE_MS): void => { created.handleOpened(registrar.entryId, registrar, upMs) }
   for (const registrar of registrars) open(registrar)
+  created.start()
   return { timers, claims: created, ranked: rank(registrars), open, told }
 }
 
@@ -414,16 +415,20 @@
     expect(ranked[2]!.claimed).to.have.length(2)
   })
 
-  it('does not start a job before it knows another entry or itself as a registrar', async () => {
-    const { claims: created, timers, told, open } = createBench(0)
+  it('claims nothing before the start, and all jobs that wait at the start', async () => {
+    const timers = new settings.FakeTimers()
+    const told: string[] = []
+    const created: claims.JobClaims = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, { onGranted: jobId => { told.push(jobId) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
+    const only = new FakeRegistrar('entry-0', () => created)
     created.claim('job', VALID_MS)
+    created.handleOpened(only.entryId, only, MATURE_MS)
     await passTime(timers, 100)
+    expect(only.messages).to.deep.equal([])
     expect(told).to.deep.equal([])
-    const only = new FakeRegistrar('entry-0', () => created)
-    open(only)
+    created.start()
     await flushEventLoop()
     only.answer(ClaimVerdict.Granted)
-    expect(told).to.deep.equal(['granted job'])
+    expect(told).to.deep.equal(['job'])
   })
 
   it('ends a claim on a job that has succeeded elsewhere', async () => {
@@ -454,6 +459,7 @@
     const table = new claims.ClaimTable(timers)
     const created: claims.JobClaims = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, { onGranted: jobId => { told.push(jobId) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
     created.handleOpened('own', { send: requests => { created.handleAnswers('own', table.apply({ entryId: 'own', incarnation: 'life' }, requests)) }, reset: () => {} }, MATURE_MS)
+    created.start()
     created.claim('job', VALID_MS)
     await flushEventLoop()
     expect(told).to.deep.equal(['job'])
@@ -477,6 +483,7 @@
           const pathMs = order[number] === index ? 1 : 12
           created.handleOpened(entryId, { send: requests => { timers.after(pathMs, () => { const answers = table.apply(claimant, requests); timers.after(pathMs, () => { created.handleAnswers(entryId, answers) }) }) }, reset: () => {} }, MATURE_MS)
         }
+        created.start()
         return created
       })
       for (const claimant of claimants) claimant.claim('job', VALID_MS)
--- a/test/unit/fleet/entryClaims.test.ts
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -195,6 +195,20 @@
     expect(second.granted).to.deep.equal([])
   })
 
+  // Guards against links that were open before the list was read, and count as closed for ever once it is.
+  it('use the links to entries that linked to this one before the list was read', async () => {
+    const first = await startEntry('entry-a')
+    const second = await startEntry('entry-b')
+    second.claims.setEntries([first.identity, second.identity])
+    await realTimers.sleep(200)
+    first.claims.jobs.claim('job', VALID_MS)
+    await realTimers.sleep(50)
+    expect(first.granted).to.deep.equal([])
+    first.claims.setEntries([first.identity, second.identity])
+    await waitUntil(() => first.granted.length > 0)
+    expect(first.claims.jobs.unconfirmedCount).to.equal(0)
+  })
+
   it('do not wait for listed entries that are gone', async () => {
     const first = await startEntry('entry-a')
     first.claims.setEntries([first.identity, { entryId: 'entry-b', address: '127.0.0.1:1', life: 'x' }])
