--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -23,6 +23,8 @@
 /** Remaining time at which a claim is extended while runs of its job go on, and the time by which it is extended, in milliseconds. */
 export const RENEW_BEFORE_MS = 500
 export const RENEWAL_MS = 1_500
+/** Longest validity of a claim, in milliseconds. Claims on longer jobs are extended. */
+export const MAX_CLAIM_VALIDITY_MS = 3_600_000
 /** Largest ratio between the rates of the monotonic clocks of two VMs. */
 export const CLOCK_DRIFT = 1.03
 /** Number from which the sequences of claims begin again. They are 32 bits wide. */
--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -1,7 +1,7 @@
 /** The claims of one entry on the jobs that it runs. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_CLAIM_VALIDITY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
 import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
@@ -67,6 +67,7 @@
   private wasStalled = false
   private isFlushScheduled = false
   private hasUrgentReleases = false
+  private isStarted = false
   private releaseTimer: settings.TimerHandle | undefined
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
@@ -79,6 +80,12 @@
     return this.claims.size
   }
 
+  /** Starts to claim. Call once the other entries are known; until then claims wait. */
+  start (): void {
+    this.isStarted = true
+    this.advanceAll()
+  }
+
   stop (): void {
     this.renewTimer.cancel()
     this.releaseTimer?.cancel()
@@ -86,13 +93,14 @@
 
   /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted already; else the observer is called. */
   claim (jobId: string, validForMs: number): boolean {
+    const validUntilMs = this.nowMs + Math.min(validForMs, MAX_CLAIM_VALIDITY_MS)
     const known = this.claims.get(jobId)
     if (known !== undefined) {
-      known.validUntilMs = Math.max(known.validUntilMs, this.nowMs + validForMs)
+      known.validUntilMs = Math.max(known.validUntilMs, validUntilMs)
       this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
+    const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
     return claim.isGranted
@@ -208,12 +216,13 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
+    if (!this.isStarted) return
     const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
       if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
     }
-    if (claim.isGranted || chosen.length === 0 || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
+    if (claim.isGranted || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
     claim.isGranted = true
     claim.mayRun = true
     if (chosen.every(({ entryId }) => entryId === this.ownId)) this.unconfirmedCount++
@@ -305,7 +314,7 @@
       this.checkDueAtMs = undefined
       if (!isStalled || this.wasStalled) this.checkUnanswered()
       this.wasStalled = isStalled
-      if ([...this.registrars.all].some(({ awaitedSinceMs }) => awaitedSinceMs.length > 0)) this.scheduleCheck()
+      if (this.registrars.isAwaited) this.scheduleCheck()
     })
   }
 
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -84,5 +84,3 @@
 export const CLAIM_LINK_DIAL_TIMEOUT_MS = 2_000
 /** Time from the start of a process after which claims no longer wait for the list of entries, in milliseconds. */
 export const CLAIM_LIST_WAIT_MS = 2_000
-/** Longest validity of a claim that a registrar accepts, in milliseconds. */
-export const MAX_CLAIM_VALIDITY_MS = 3_600_000
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -3,7 +3,7 @@
 import * as protocol from '@egretvalve/protocol'
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
-import { decodeRequests, encodeAnswer } from './claimMessages.ts'
+import { decodeRequests, encodeAnswer, isUsable } from './claimMessages.ts'
 import { CLAIM_LIST_WAIT_MS } from './defaults.ts'
 import { isUsableEntry } from './entryChoice.ts'
 import type { EntryIdentity } from './entryNode.ts'
@@ -43,11 +43,12 @@
   setEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
     const listed = new Map(entries.filter(({ address, failureDomain }) => isUsableEntry({ address: address ?? '', failureDomain: failureDomain ?? '' })).map(entry => [entry.entryId ?? '', entry.address ?? '']))
     listed.delete(this.identity.entryId)
-    if (!this.isStarted) for (const entryId of listed.keys()) this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
     for (const [entryId, link] of this.links) link.isListed = listed.get(entryId) === link.address
     for (const [entryId, address] of listed) {
       const known = this.links.get(entryId)
-      if (known?.address !== address || known.isClosed) this.dial(entryId, address)
+      if (known?.address === address && !known.isClosed) continue
+      if (!this.isStarted) this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
+      this.dial(entryId, address)
     }
     this.start()
   }
@@ -59,7 +60,7 @@
     this.table.stop()
   }
 
-  /** Makes this entry a registrar of its own jobs. */
+  /** Makes this entry a registrar of its own jobs, and starts to claim. */
   private start (): void {
     if (this.isStarted) return
     this.isStarted = true
@@ -67,6 +68,7 @@
     const { entryId, life } = this.identity
     const self = { entryId, incarnation: life }
     this.jobs.handleOpened(entryId, { send: requests => { this.jobs.handleAnswers(entryId, this.table.apply(self, requests)) }, reset: () => {} }, this.upMs)
+    this.jobs.start()
   }
 
   private get upMs (): number {
@@ -99,7 +101,7 @@
           claimant = this.handleGreeting(message.greeting)
           outbox.send({ greeting: this.createGreeting() })
         } else if (message.requests != null && this.newest.get(claimant.incarnation) === claimant) {
-          const answers = this.table.apply(claimant, decodeRequests(message.requests)).map(encodeAnswer)
+          const answers = this.answer(claimant, decodeRequests(message.requests)).map(encodeAnswer)
           if (answers.length > 0) outbox.send({ answers: { answers } })
         }
       }
@@ -110,6 +112,12 @@
     if (claimant !== undefined) this.handleEnded(claimant)
   }
 
+  /** Answers each claim, as claimants count the answers. Unusable claims are refused. */
+  private answer (claimant: claims.Claimant, { claims: asked, releases }: claims.ClaimRequests): claims.ClaimAnswer[] {
+    const refused = asked.filter(request => !isUsable(request)).map(({ jobId, sequence }) => ({ jobId, sequence, verdict: claims.ClaimVerdict.Held, holderId: '' }))
+    return [...this.table.apply(claimant, { claims: asked.filter(isUsable), releases }), ...refused]
+  }
+
   /** Records a new link of a claimant. What comes in on its earlier ones is outdated. An entry that isn't in the list yet is linked to at once. */
   private handleGreeting ({ entryId, life, address }: protocol.runs.IClaimGreeting): claims.Claimant {
     const claimant = { entryId: entryId ?? '', incarnation: life ?? '' }
--- a/test/unit/fleet/entryClaims.test.ts
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -113,6 +113,15 @@
     expect(other.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`])
   })
 
+  it('answers each claim, and refuses those that no claimant means', async () => {
+    const { open } = createRegistrar()
+    const stream = open('entry-1', 'life-1')
+    const long = 'x'.repeat(65)
+    stream.receive({ requests: { claims: [{ jobId: long, validForMs: VALID_MS, sequence: 1 }, { jobId: 'job', validForMs: 1e9, sequence: 2 }, { jobId: 'other', validForMs: -1, sequence: 3 }, { jobId: '', validForMs: 1, sequence: 4 }], releases: [] } })
+    await flushEventLoop()
+    expect(stream.verdicts).to.have.members([long, 'job', 'other', ''].map(jobId => `${jobId} ${CLAIM_VERDICT_HELD}`))
+  })
+
   it('lets a job go whose release was lost with its link, although the claimant has opened another one', async () => {
     const { timers, open } = createRegistrar()
     const earlier = open('entry-1', 'life-1')
@@ -186,6 +195,20 @@
     expect(second.granted).to.deep.equal([])
   })
 
+  // Guards against links that were open before the list was read, and count as closed for ever once it is.
+  it('use the links to entries that linked to this one before the list was read', async () => {
+    const first = await startEntry('entry-a')
+    const second = await startEntry('entry-b')
+    second.claims.setEntries([first.identity, second.identity])
+    await realTimers.sleep(200)
+    first.claims.jobs.claim('job', VALID_MS)
+    await realTimers.sleep(50)
+    expect(first.granted).to.deep.equal([])
+    first.claims.setEntries([first.identity, second.identity])
+    await waitUntil(() => first.granted.length > 0)
+    expect(first.claims.jobs.unconfirmedCount).to.equal(0)
+  })
+
   it('do not wait for listed entries that are gone', async () => {
     const first = await startEntry('entry-a')
     first.claims.setEntries([first.identity, { entryId: 'entry-b', address: '127.0.0.1:1', life: 'x' }])
