Query an idle worker before a start that could outlive its owner lease

A task ran for up to 0.17 s beside its next run.

Cause: a worker that has started again unnoticed takes the lease in a start, a time on its earlier clock, for the longest lease that it grants: 1 s on its clock, 1.02 s on one that is 2% slow. The owner lease of the order may be 0.75 s by then (1.15 s, less a heartbeat period of 0.4 s). An agent that freezes right after the start can't stop the run, and its entry places the task elsewhere 1.25 s after the agent's last message.

Change: a start with an owner lease below 1.03 s is sent only if this incarnation of the worker has answered a query sent in the last 150 ms. On a worker with runs the renewals show that; on an idle one, one query serves all starts that wait. A run whose start was never sent is returned as not started when its session ends; before it counted as lost 1.03 s later.

Evidence: unit/workers/unnoticedRestart failed before (4 of 4 tasks run on when the owner lease has ended), passes after. unit/workers, unit/fleet, unit/scheduler, workerDriver: 255 passed. Left: a worker that starts again within 150 ms of its last answer, whose connections the agent has not seen break.

--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -79,6 +79,9 @@
   private renewedAtMs = Number.NEGATIVE_INFINITY
   private wake: (() => void) | undefined
   private crashCount = 0
+  /** Time of the latest query that this incarnation of the worker has answered. */
+  private identifiedAtMs = Number.NEGATIVE_INFINITY
+  private identification: Promise<boolean> | undefined
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
     // One listener for each stop that is under way.
@@ -144,7 +147,10 @@
     this.state = SessionState.Ended
     this.abort.abort()
     this.wake?.()
-    for (const run of this.registry.all) this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run))
+    for (const run of this.registry.all) {
+      if (run.startProof === StartProof.None) this.settle(run, TaskEnd.NotStarted, reason)
+      else this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run))
+    }
   }
 
   /** Starts a task. Its end is reported exactly once, whatever happens. */
@@ -176,6 +182,7 @@
   private async sendStart (run: ActiveRun): Promise<void> {
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS && this.isActive(run); attempt++) {
       const isResponsive = run.order.checksWorker === true && await this.checkBeforeStart(run)
+      if (this.mayOutliveOwnerLease(run)) await this.identifyWorker(run)
       if (!this.isActive(run)) return
       if (run.phase === RunPhase.Stopping) return this.settle(run, TaskEnd.NotStarted, 'stopped before its start')
       run.startedAtMs = this.services.timers.nowMs()
@@ -208,6 +215,23 @@
     return wasAnswered && timers.nowMs() - sentAtMs <= MAX_CHECK_AGE_MS
   }
 
+  /**
+   * Returns true if a start sent now could run beyond its owner lease, should this process freeze right after: a worker that has started again
+   * unnoticed takes any lease on its earlier clock for the longest one.
+   */
+  private mayOutliveOwnerLease ({ order }: ActiveRun): boolean {
+    const { timers, options, ownerLeases } = this.services
+    if (timers.nowMs() - this.identifiedAtMs <= options.renewPeriodMs) return false
+    return ownerLeases.remainingMs(order.owner) < options.maxLeaseMs * options.clockDrift
+  }
+
+  /** Queries the worker for its incarnation before a start. One query serves all starts that wait for it. The run of a worker that did not answer is settled. */
+  private async identifyWorker (run: ActiveRun): Promise<void> {
+    this.identification ??= this.queryRuns(0, false).finally(() => { this.identification = undefined })
+    const wasAnswered = await this.identification
+    if (!wasAnswered && this.isActive(run)) this.settle(run, TaskEnd.NotStarted, ReturnReason.WorkerUnresponsive)
+  }
+
   private confirm (run: ActiveRun): void {
     run.startProof = StartProof.Confirmed
     run.confirmedAtMs = Math.min(run.confirmedAtMs, this.services.timers.nowMs())
@@ -301,6 +325,7 @@
       const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd: this.registry.acknowledgedEnd, waitMs: 0 })
       if (outcome.kind === 'answered' && outcome.runs.bornAtMs === this.worker.bornAtMs) {
         this.handleAnswer(outcome.runs)
+        this.identifiedAtMs = sentAtMs
         const last = outcome.runs.ended.at(-1)
         if (last !== undefined) this.registry.acknowledgedEnd = Math.max(this.registry.acknowledgedEnd, last.number)
         stopsEndByMs ??= this.mayHaveEarlierStops(outcome.runs.clockMs) ? this.services.timers.nowMs() + this.stopDurationMs : sentAtMs
@@ -409,6 +434,7 @@
       this.handleReplacement()
       return false
     }
+    this.identifiedAtMs = Math.max(this.identifiedAtMs, sentAtMs)
     if (acknowledgedEnd === this.registry.acknowledgedEnd) this.registry.hasUnacknowledged = false
     if (isRenewal) this.renewedAtMs = Math.max(this.renewedAtMs, sentAtMs)
     this.handleAnswer(outcome.runs)
--- /dev/null
+++ b/test/unit/workers/unnoticedRestart.test.ts
@@ -0,0 +1,87 @@
+/** Guards against runs that outlive their owner lease, or ends that are reported too early, because the worker has started again unnoticed. */
+import { expect } from 'chai'
+import * as settings from '@egretvalve/settings'
+import * as standin from '@egretvalve/standin'
+import * as workers from '@egretvalve/workers'
+import { passTime } from '../../support/simulatedTime.ts'
+
+const TASK_SIZE: workers.RunSize = { cpuMilli: 1_000, memoryMb: 1, accelerators: 0 }
+const TOTAL: workers.RunSize = { cpuMilli: 32_000, memoryMb: 1_024, accelerators: 0 }
+const WORK_MS = 5_000
+/** Time for which the first life of the worker has run, so that leases on its clock lie far ahead on the clock of the next one. */
+const LIFE_MS = 10_000
+/** Owner lease of an order that finds a link whose last heartbeat is 400 ms old, in milliseconds. */
+const OWNER_LEASE_MS = 750
+const TASKS = 4
+
+/** Driver of an agent that can freeze: its calls are then neither sent nor answered. */
+class FreezableDriver implements workers.WorkerDriver {
+  isFrozen = false
+  starts = 0
+  queries = 0
+
+  constructor (private readonly worker: standin.StandinWorker) {}
+
+  async start (call: workers.StartCall): Promise<workers.StartOutcome> {
+    this.starts++
+    return await this.call(async () => await this.worker.start(call))
+  }
+
+  async stop (scope: workers.CallScope, ref: workers.RunRef): Promise<boolean> {
+    return await this.call(async () => await this.worker.stop(scope, ref))
+  }
+
+  async renew (call: workers.RenewCall): Promise<workers.RenewOutcome> {
+    this.queries++
+    return await this.call(async () => await this.worker.renew(call))
+  }
+
+  async close (): Promise<void> {}
+
+  private async call<T> (perform: () => Promise<T>): Promise<T> {
+    if (this.isFrozen) return await new Promise<never>(() => {})
+    const outcome = await perform()
+    return this.isFrozen ? await new Promise<never>(() => {}) : outcome
+  }
+}
+
+interface Bench {
+  timers: settings.FakeTimers
+  worker: standin.StandinWorker
+  driver: FreezableDriver
+  executor: workers.RunExecutor
+  endings: workers.TaskEnding[]
+  /** Submits tasks whose owner lease starts now. */
+  submit: (jobId: string, count: number, ownerLeaseMs?: number) => void
+}
+
+async function createBench (): Promise<Bench> {
+  const timers = new settings.FakeTimers()
+  const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => WORK_MS, sizeOf: () => TASK_SIZE, clockRate: 0.98, pathDelayMs: () => 1, timers, runRecorder: new standin.RunRecorder() })
+  const driver = new FreezableDriver(worker)
+  const endings: workers.TaskEnding[] = []
+  let leaseEndsAtMs = Number.POSITIVE_INFINITY
+  const executor = new workers.RunExecutor({ timers, log: settings.createSilentLog(), driver, ownerLeases: { remainingMs: () => leaseEndsAtMs - timers.nowMs() } }, { onEnd: ending => { endings.push(ending) }, onLoad: () => {}, onCrash: () => {}, onCapacityReserved: () => {} })
+  await passTime(timers, LIFE_MS)
+  executor.applyReport(worker.report())
+  await passTime(timers, 400)
+  const submit = (jobId: string, count: number, ownerLeaseMs = OWNER_LEASE_MS): void => {
+    leaseEndsAtMs = timers.nowMs() + ownerLeaseMs
+    for (let index = 0; index < count; index++) executor.submit({ owner: 'entry-1', task: { jobId, step: 0, index }, attempt: 1, queue: 'queue', spec: '', size: TASK_SIZE, estimatedMs: 100, crashes: 0, observationMs: 0, age: new workers.Age(timers), expiresAfterMs: 10_000 })
+  }
+  return { timers, worker, driver, executor, endings, submit }
+}
+
+describe('a worker that has started again unnoticed', () => {
+  it('runs nothing beyond the owner lease when the agent freezes right after the start', async () => {
+    const { timers, worker, driver, submit } = await createBench()
+    worker.restart()
+    await passTime(timers, 100)
+    submit('job', TASKS)
+    // The start is carried out in this time if it is sent, and the agent reads no answer to it.
+    for (let step = 0; step < 20 && driver.starts === 0; step++) await passTime(timers, 5)
+    driver.isFrozen = true
+    await passTime(timers, OWNER_LEASE_MS)
+    expect(worker.runCount).to.equal(0)
+  })
+})
