Fence the next life of a worker when the agent first meets it, not with its first report

Cause: the token rises when a report opens the next session. An agent that was answered by another life before ended its session and made no further call; an idle agent did not query the worker at all.

Change: the agent that meets another life of its worker raises the token, queries once, which makes that life refuse starts with the old token, and stops what it lists.

Evidence: unit/workers/unnoticedRestart "refuses late starts of its earlier life [...]" plays 50 delays over the second between the new life and its first report. Left: a late start within the first 150 ms of the new life runs until the agent's next query and its stop, 210 ms at most.

--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -58,6 +58,8 @@
 const MAX_MISSED_ANSWERS = 3
 /** Longest time between the query before a start and the start for which the worker counts as responsive, in milliseconds. */
 const MAX_CHECK_AGE_MS = 50
+/** Time after a start without an answer for which it may be carried out, in milliseconds. The worker is queried in this time, so that its next incarnation soon refuses the start. */
+const MAX_LATE_START_MS = 15_000
 /** Delay before a stop or a query is retried, in milliseconds. */
 const RETRY_PAUSE_MS = 40
 
@@ -82,6 +84,8 @@
   /** Time of the latest query that this incarnation of the worker has answered. */
   private identifiedAtMs = Number.NEGATIVE_INFINITY
   private identification: Promise<boolean> | undefined
+  /** Time until which a start without an answer may be carried out. */
+  private lateStartsUntilMs = Number.NEGATIVE_INFINITY
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
     // One listener for each stop that is under way.
@@ -281,6 +285,7 @@
    */
   private async resolveUnanswered (run: ActiveRun, reason: string): Promise<void> {
     const { task } = run.order
+    this.lateStartsUntilMs = this.services.timers.nowMs() + MAX_LATE_START_MS
     this.services.log.event(events.RunUnanswered, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, reason })
     const wasAnswered = await this.queryRuns(0, false)
     if (!this.isActive(run)) return
@@ -334,8 +339,9 @@
           await Promise.all(outcome.runs.running.map(async each => await this.services.driver.stop(this.scope, each.ref)))
           stopsEndByMs = this.services.timers.nowMs() + this.stopDurationMs
         }
-      } else if (outcome.kind === 'answered') this.handleReplacement()
-      else this.handleFailedRenewal(outcome)
+      } else if (outcome.kind === 'answered') {
+        if (this.handleReplacement()) await this.fenceNextIncarnation()
+      } else this.handleFailedRenewal(outcome)
       await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
     }
   }
@@ -369,7 +375,7 @@
   /** Renews the lease while runs are active; lets it expire when the worker is unresponsive. */
   private maintainLease (): void {
     const { timers, options } = this.services
-    if (this.registry.count === 0 && this.state === SessionState.Ready) {
+    if (this.registry.count === 0 && this.state === SessionState.Ready && timers.nowMs() > this.lateStartsUntilMs) {
       this.lastAnswerAtMs = timers.nowMs()
       return
     }
@@ -431,7 +437,7 @@
       return false
     }
     if (outcome.runs.bornAtMs !== this.worker.bornAtMs) {
-      this.handleReplacement()
+      if (this.handleReplacement()) await this.fenceNextIncarnation()
       return false
     }
     this.identifiedAtMs = Math.max(this.identifiedAtMs, sentAtMs)
@@ -490,11 +496,26 @@
     }
   }
 
-  private handleReplacement (): void {
-    if (this.state === SessionState.Ended) return
+  /** Ends the session. Returns false if it had ended before. */
+  private handleReplacement (): boolean {
+    if (this.state === SessionState.Ended) return false
     this.services.log.event(events.WorkerReplaced, { workerId: this.worker.workerId, bornAtMs: this.worker.bornAtMs })
     this.endAsReplaced()
     this.handlers.onChange()
+    return true
+  }
+
+  /**
+   * Makes the next incarnation refuse starts that were meant for this one and may be carried out late, and stops those that it has carried out.
+   * Its own session begins with its first report, which may take more than a second.
+   */
+  private async fenceNextIncarnation (): Promise<void> {
+    const { driver, fencing } = this.services
+    fencing.advance()
+    const scope = this.scope
+    const outcome = await driver.renew({ ...scope, acknowledgedEnd: 0, waitMs: 0 })
+    if (outcome.kind !== 'answered' || outcome.runs.bornAtMs === this.worker.bornAtMs) return
+    await Promise.all(outcome.runs.running.map(async ({ ref }) => await driver.stop(scope, ref)))
   }
 
   private applyEnds (ended: readonly EndedRun[]): void {
--- a/test/unit/workers/unnoticedRestart.test.ts
+++ b/test/unit/workers/unnoticedRestart.test.ts
@@ -13,6 +13,13 @@
 /** Owner lease of an order that finds a link whose last heartbeat is 400 ms old, in milliseconds. */
 const OWNER_LEASE_MS = 750
 const TASKS = 4
+/** Time from an order to the crash, until the worker is back, and from then to its first report, in milliseconds. */
+const DOWN_AFTER_MS = 500
+const DOWN_MS = 600
+const REPORT_DELAY_MS = 1_000
+/** Period in which the agent queries a worker that is down, and the time of a stop with its calls, in milliseconds. */
+const POLL_MS = 150
+const STOP_MS = 60
 
 /** Driver of an agent that can freeze: its calls are then neither sent nor answered. */
 class FreezableDriver implements workers.WorkerDriver {
@@ -57,7 +64,7 @@
 
 async function createBench (): Promise<Bench> {
   const timers = new settings.FakeTimers()
-  const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => WORK_MS, sizeOf: () => TASK_SIZE, clockRate: 0.98, pathDelayMs: () => 1, timers, runRecorder: new standin.RunRecorder() })
+  const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => WORK_MS, sizeOf: () => TASK_SIZE, clockRate: 0.98, pathDelayMs: () => 1, stopDurationMs: () => 50, timers, runRecorder: new standin.RunRecorder() })
   const driver = new FreezableDriver(worker)
   const endings: workers.TaskEnding[] = []
   let leaseEndsAtMs = Number.POSITIVE_INFINITY
@@ -84,4 +91,26 @@
     await passTime(timers, OWNER_LEASE_MS)
     expect(worker.runCount).to.equal(0)
   })
+
+  // Guards against a late start that the next life of the worker carries out before its first report, beside the task's next run elsewhere.
+  it('refuses late starts of its earlier life, and ends those that it has carried out, before it reports itself', async () => {
+    const runsAfterMs: number[] = []
+    for (let lateByMs = 0; lateByMs < REPORT_DELAY_MS; lateByMs += 20) {
+      const { timers, worker, endings, submit } = await createBench()
+      worker.faults.delayedCalls.start = 1
+      worker.faults.callDelayMs = DOWN_AFTER_MS + DOWN_MS + lateByMs
+      worker.faults.lateCallsOutliveRestarts = true
+      submit('job', 1, Number.POSITIVE_INFINITY)
+      await passTime(timers, DOWN_AFTER_MS)
+      worker.crash(DOWN_MS)
+      await passTime(timers, DOWN_MS)
+      expect(endings.map(({ end }) => end)).to.deep.equal([workers.TaskEnd.Lost])
+      await passTime(timers, POLL_MS + STOP_MS)
+      for (let passedMs = POLL_MS + STOP_MS; passedMs < REPORT_DELAY_MS; passedMs += 5) {
+        if (worker.runCount > 0) runsAfterMs.push(lateByMs)
+        await passTime(timers, 5)
+      }
+    }
+    expect([...new Set(runsAfterMs)], 'delays of starts whose runs go on').to.deep.equal([])
+  })
 })
