Report the end of a run that was never listed only once the next life of its worker has been taken over

Cause, from the trace: one entry held the job. Its agent sent the start at 27.064 over a link to its worker that was 180 ms slow. The worker had started again unnoticed at 26.579; its report ended the session at 27.070, and the calls of the next session timed out on the slow link. At 27.245 the start reached the new life, which had seen no token, and was given a lease of 1 s. The agent held the end back for 1.03 s, but counted from the end of the session; at 28.108 it reported the run as lost, and run 2 started elsewhere at 28.223. Run 1 ended at 28.264.

Change: the end of a run that the worker has never listed is held back until the next life has been taken over, which then refuses the start and has ended what it lists; without a take-over, until no late start can arrive any more (15 s) and a lease from then.

Evidence: unit/workers/unnoticedRestart "is taken over before the end of a run is reported [...]" failed before, passes after. unit/workers, unit/fleet: 117 passed. Left: an agent whose worker has started again, does not report itself and answers no call counts the lease from when the start was sent.

--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -145,7 +145,10 @@
     this.end('another life of the worker')
   }
 
-  /** Ends the session. Its runs may continue until the next incarnation of the worker has been taken over or the lease has expired, so their ends are deferred until then. */
+  /**
+   * Ends the session. Its runs may continue until the next incarnation of the worker has been taken over or the lease has expired, so their ends
+   * are deferred until then. The lease of a run that was never listed counts from the arrival of its start at the next incarnation.
+   */
   end (reason: string): void {
     if (this.state === SessionState.Ended) return
     this.state = SessionState.Ended
@@ -153,7 +156,7 @@
     this.wake?.()
     for (const run of this.registry.all) {
       if (run.startProof === StartProof.None) this.settle(run, TaskEnd.NotStarted, reason)
-      else this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run))
+      else this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run) + (run.wasListed ? 0 : MAX_LATE_START_MS))
     }
   }
 
@@ -593,7 +596,7 @@
     this.registry.remove(run, nowMs, reason)
     const runMs = nowMs - run.startedAtMs
     if (end === TaskEnd.Done) this.runTimeRatio.recordFinished(task.jobId, runMs, run.order.estimatedMs)
-    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli, ...describeEvidence(run, end, nowMs) })
+    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli, deferredForMs: deferredForMs > 0 ? Math.round(deferredForMs) : undefined, ...describeEvidence(run, end, nowMs) })
     this.handlers.onEnd({ order: run.order, end, runMs, reason, deferredForMs })
   }
 }
--- a/test/unit/workers/unnoticedRestart.test.ts
+++ b/test/unit/workers/unnoticedRestart.test.ts
@@ -62,9 +62,9 @@
   submit: (jobId: string, count: number, ownerLeaseMs?: number) => void
 }
 
-async function createBench (): Promise<Bench> {
+async function createBench (delaysMs: Readonly<Record<standin.CallKind, number>> = { start: 1, stop: 1, renew: 1 }): Promise<Bench> {
   const timers = new settings.FakeTimers()
-  const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => WORK_MS, sizeOf: () => TASK_SIZE, clockRate: 0.98, pathDelayMs: () => 1, stopDurationMs: () => 50, timers, runRecorder: new standin.RunRecorder() })
+  const worker = new standin.StandinWorker({ workerId: 'w-1', total: TOTAL, workOf: () => WORK_MS, sizeOf: () => TASK_SIZE, clockRate: 0.98, pathDelayMs: (kind, leg) => leg === standin.PathLeg.Request ? delaysMs[kind] : 1, stopDurationMs: () => 50, timers, runRecorder: new standin.RunRecorder() })
   const driver = new FreezableDriver(worker)
   const endings: workers.TaskEnding[] = []
   let leaseEndsAtMs = Number.POSITIVE_INFINITY
@@ -113,4 +113,24 @@
     }
     expect([...new Set(runsAfterMs)], 'delays of starts whose runs go on').to.deep.equal([])
   })
+
+  // Soak seed 8023: the lease of a start that is under way for 180 ms to the next life counts from its arrival there.
+  it('is taken over before the end of a run is reported whose start was under way to it', async () => {
+    const delaysMs = { start: 1, stop: 1, renew: 1 }
+    const { timers, worker, executor, endings, submit } = await createBench(delaysMs)
+    worker.restart()
+    await passTime(timers, 500)
+    Object.assign(delaysMs, { start: 180, stop: 180, renew: 180 })
+    submit('job', 2, Number.POSITIVE_INFINITY)
+    await passTime(timers, 10)
+    executor.applyReport(worker.report())
+    for (let passedMs = 0; passedMs < 2_000; passedMs += 5) {
+      expect(worker.runCount === 0 || endings.length === 0, 'no end while a task runs').to.equal(true)
+      await passTime(timers, 5)
+    }
+    Object.assign(delaysMs, { start: 1, stop: 1, renew: 1 })
+    await passTime(timers, 1_000)
+    expect(endings.map(({ end }) => end)).to.deep.equal(Array(2).fill(workers.TaskEnd.Lost))
+    expect(worker.runCount).to.equal(0)
+  })
 })
