Run an order once that arrives again while it waits for the end of an earlier run

What callers saw: nothing yet. A task ran again after its attempt had ended, unknown to its entry, so that a further attempt elsewhere could run beside it.

Cause: an order that waits at its agent for the end of an earlier run is listed as held, with that run, when the link reopens. The entry takes the run's number for the held one and sends the order again; the agent ignored a repeated order only for an active run and queued the waiting one twice. The second one started when the first had ended.

Evidence: unit/workers/executor "runs an order once that arrives again [...]" failed before (attempt 2 done twice), passes after. unit/workers: all passed.

--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -161,11 +161,12 @@
     this.handleLoadChange()
   }
 
-  /** Accepts a task ordered by an entry. Its end is reported exactly once. A repeated order for a run that is active is ignored. */
+  /** Accepts a task ordered by an entry. Its end is reported exactly once. A repeated order for a task that waits or for a run that is active is ignored. */
   submit (order: TaskOrder): void {
     const key = taskKey(order.task)
     const existing = this.session?.find(key)
-    if (existing?.order.owner === order.owner && existing.order.attempt === order.attempt) return
+    if (existing !== undefined && isRepeated(order, existing.order)) return
+    if (this.waiting.some(other => isRepeated(order, other))) return
     if (existing !== undefined) this.stopRun(existing, 'task was ordered again')
     this.reservations.consumeReservation(order.owner, order.size)
     this.waiting.push(order)
@@ -398,6 +399,11 @@
   }
 }
 
+/** Returns true for two orders of the same attempt. */
+function isRepeated (order: TaskOrder, known: TaskOrder): boolean {
+  return order.attempt === known.attempt && order.owner === known.owner && taskKey(order.task) === taskKey(known.task)
+}
+
 /** Returns true for a report of an earlier incarnation of the worker, or one that arrived after a later report. */
 function isOlder (report: WorkerReport, known: WorkerReport): boolean {
   if (report.bornAtMs !== known.bornAtMs) return report.bornAtMs < known.bornAtMs
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -399,6 +399,20 @@
     expect([endings.length, worker.runCount]).to.deep.equal([1, 0])
   })
 
+  // Guards against a task that runs again beside its next run, since its entry sent the order again on a new link while it waited here.
+  it('runs an order once that arrives again while it waits for the end of an earlier run', async () => {
+    const { timers, worker, runRecorder, executor, endings, order } = await createBench()
+    executor.submit(order(0))
+    await passTime(timers, 50)
+    worker.faults.delayedCalls.stop = 1
+    worker.faults.callDelayMs = 60
+    executor.submit(order(0, { attempt: 2 }))
+    executor.submit(order(0, { attempt: 2 }))
+    await passTime(timers, 2_000)
+    expect(endings.map(({ order: { attempt }, end }) => [attempt, end])).to.deep.equal([[1, workers.TaskEnd.Lost], [2, workers.TaskEnd.Done]])
+    expect([...runRecorder.starts.values()]).to.deep.equal([2])
+  })
+
   // Guards against an order that was under way while the worker was replaced by one of another kind.
   it('returns a task that requires a label which the worker lacks, and starts it once a worker has the label', async () => {
     const { timers, worker, executor, endings, order } = await createBench()
