--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -90,14 +90,14 @@
     this.releaseTimer?.cancel()
   }
 
-  /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted already; else the observer is called. */
+  /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted at once; else the observer is called. */
   claim (jobId: string, validForMs: number): boolean {
     const validUntilMs = this.nowMs + Math.min(validForMs, MAX_CLAIM_VALIDITY_MS)
     const known = this.claims.get(jobId)
     if (known !== undefined) {
       known.validUntilMs = Math.max(known.validUntilMs, validUntilMs)
-      this.renew(known)
-      return known.isGranted
+      this.confirm(known)
+      return false
     }
     const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
@@ -281,6 +281,13 @@
     }
   }
 
+  /** Claims a job anew that comes in again while earlier runs go on. Its registrars may have let it go while this process stood still. */
+  private confirm (claim: OpenClaim): void {
+    claim.isGranted = false
+    for (const sent of claim.sent.values()) sent.state = RequestState.Sent
+    this.renew(claim)
+  }
+
   private renew (claim: OpenClaim): void {
     for (const sent of claim.sent.values()) if (sent.registrar.port !== undefined) this.queueClaim(claim, sent)
   }
