Drop a retained end when its attempt is ordered again

What callers saw: nothing yet. A task could be placed again while it runs.

Cause: a refused job is forgotten, and its resubmission at the same entry counts its attempts from 1 again. The agent retains ends for 3 s and sends them again on a link that reopens: the "not started" of the first attempt 1 then matches the running one, and the entry places the task elsewhere.

Change: the agent drops the retained end of an attempt that is ordered again. Links can be given to agents and entries by a test, over simulated processes.

Evidence: unit/fleet/retainedEnds failed before, passes after. unit/fleet, failure/runLinks: 65 passed.

--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -5,7 +5,7 @@
 import { ConfigCache, decodeCopy } from './configCopy.ts'
 import { CONFIG_COPY_DELAY_MS, LOAD_REPORT_BASE_LINKS, LOAD_REPORT_PERIOD_MS, LOW_LOAD_FREE_SHARE, LOW_LOAD_REPORT_PERIOD_MS, LOW_LOAD_REPORT_STEP_SHARE, SLOW_RUN_REPORT_PERIOD_MS } from './defaults.ts'
 import { isUsableEntry, type RegisteredEntry } from './entryChoice.ts'
-import { EntryConnection } from './entryConnection.ts'
+import { type ConnectionServices, EntryConnection } from './entryConnection.ts'
 import { EntryLinks } from './entryLinks.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
@@ -22,9 +22,7 @@
 }
 
 /** Dependencies of an agent. */
-export interface AgentServices {
-  timers: settings.Timers
-  log: settings.Log
+export interface AgentServices extends Omit<ConnectionServices, 'clock'> {
   driver: workers.WorkerDriver
   /** Cache of the newest configuration. Defaults to a private one. */
   configCache?: ConfigCache
@@ -177,6 +175,7 @@
     for (const message of orders) {
       for (const order of decodeOrder(message, connection.incarnation, age)) {
         connection.received++
+        this.owners.dropEnd(order)
         this.executor.submit(order)
       }
     }
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -27,6 +27,10 @@
   log: settings.Log
   /** Clock whose time the agent's messages carry. */
   clock: workers.ElapsedClock
+  /** Opens a stream to an entry. Defaults to one over gRPC. */
+  dialLink?: (address: string) => runtime.DialedLink<protocol.runs.FromEntry, protocol.runs.IFromAgent>
+  /** Returns a random number from 0 to 1, for the jitter of redials. */
+  random?: () => number
 }
 
 /** A connection to the address of one entry. */
@@ -108,7 +112,7 @@
   }
 
   private async exchange (): Promise<void> {
-    const dialed = runtime.dialLink(this.address, protocol.runLink.exchange)
+    const dialed = this.services.dialLink?.(this.address) ?? runtime.dialLink(this.address, protocol.runLink.exchange)
     const stop = (): void => { dialed.close() }
     this.abort.signal.addEventListener('abort', stop, { once: true })
     this.outbox = new runtime.Outbox(dialed.stream)
@@ -171,7 +175,7 @@
   }
 
   private nextRedialMs (): number {
-    const delayMs = this.redialMs * (0.5 + Math.random())
+    const delayMs = this.redialMs * (0.5 + (this.services.random ?? Math.random)())
     this.redialMs = Math.min(this.redialMs * 2, MAX_REDIAL_MS)
     return delayMs
   }
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -85,7 +85,8 @@
     for (const connection of this.connections.values()) connection.send({ entries: { entries: this.entries } })
   }
 
-  private async serve (stream: runtime.LinkStream<protocol.runs.FromAgent, protocol.runs.IFromEntry>, peer: string): Promise<void> {
+  /** Serves the stream of an agent until it ends. `peer` names it in the log. */
+  async serve (stream: runtime.LinkStream<protocol.runs.FromAgent, protocol.runs.IFromEntry>, peer: string): Promise<void> {
     const outbox = new runtime.Outbox<protocol.runs.IFromEntry>(stream)
     let connection: AgentConnection | undefined
     let reason = 'ended by the agent'
--- a/packages/fleet/src/owners.ts
+++ b/packages/fleet/src/owners.ts
@@ -1,6 +1,6 @@
 /** Owners of an agent's tasks, by entry incarnation: their leases, and recent ends that they may not have received. */
 import type * as settings from '@egretvalve/settings'
-import type * as workers from '@egretvalve/workers'
+import * as workers from '@egretvalve/workers'
 import { END_RETENTION_MS, OWNER_LEASE_MS, OWNER_LEASE_STOP_MARGIN_MS } from './defaults.ts'
 import { PeerActivity } from './liveness.ts'
 
@@ -52,6 +52,14 @@
     this.resolve(ending.order.owner).ends.push({ ending, atMs: this.timers.nowMs() })
   }
 
+  /** Drops the retained end of an attempt that its entry has ordered again, as it does with a refused job that is submitted again. */
+  dropEnd ({ owner, task, attempt }: workers.TaskOrder): void {
+    const ends = this.owners.get(owner)?.ends ?? []
+    const key = workers.taskKey(task)
+    const index = ends.findIndex(({ ending: { order } }) => order.attempt === attempt && workers.taskKey(order.task) === key)
+    if (index >= 0) ends.splice(index, 1)
+  }
+
   /** Returns the retained ends of an entry incarnation. */
   retainedEnds (incarnation: string): workers.TaskEnding[] {
     return this.owners.get(incarnation)?.ends.map(end => end.ending) ?? []
