A registrar that has restarted grants no job that waits for its holder before the entries have claimed their jobs again

Cause: the restarted registrar had lost the record, granted the job to the entry that waited, and refused the holder's claim made again. Change: a claim that was refused before says so; for 1.5 s from its start a registrar without a record answers it as held. New test in unit/claims/claimTable.

--- a/packages/claims/src/claimTable.ts
+++ b/packages/claims/src/claimTable.ts
@@ -1,6 +1,6 @@
 /** A registrar's record of the entries that hold jobs. */
 import type * as settings from '@egretvalve/settings'
-import { CLAIMANT_GONE_MS, CLOCK_DRIFT, SUCCESS_RETENTION_MS, SWEEP_PERIOD_MS } from './defaults.ts'
+import { CLAIMANT_GONE_MS, CLOCK_DRIFT, RECLAIM_MS, SUCCESS_RETENTION_MS, SWEEP_PERIOD_MS } from './defaults.ts'
 import { type Claimant, type ClaimAnswer, type ClaimRelease, type ClaimRequest, type ClaimRequests, ClaimVerdict } from './model.ts'
 
 interface ClaimRecord {
@@ -14,9 +14,11 @@
 /** Grants each job to one claimant at a time. */
 export class ClaimTable {
   private readonly records = new Map<string, ClaimRecord>()
+  private readonly startedAtMs: number
   private readonly sweepTimer: settings.TimerHandle
 
   constructor (private readonly timers: settings.Timers) {
+    this.startedAtMs = timers.nowMs()
     this.sweepTimer = timers.every(SWEEP_PERIOD_MS, () => { this.sweep() })
   }
 
@@ -36,11 +38,14 @@
   }
 
   /** Grants or extends a claim, or names the entry that holds the job. */
-  claim (claimant: Claimant, { jobId, validForMs, sequence }: ClaimRequest): ClaimAnswer {
+  claim (claimant: Claimant, { jobId, validForMs, sequence, wasRefused }: ClaimRequest): ClaimAnswer {
     const record = this.records.get(jobId)
     if (record !== undefined && record.untilMs > this.timers.nowMs()) {
       if (record.hasSucceeded) return { jobId, sequence, verdict: ClaimVerdict.Succeeded, holderId: record.claimant.entryId }
       if (record.claimant.incarnation !== claimant.incarnation) return { jobId, sequence, verdict: ClaimVerdict.Held, holderId: record.claimant.entryId }
+    } else if (wasRefused === true && this.timers.nowMs() - this.startedAtMs < RECLAIM_MS) {
+      // The holder may not have claimed the job again yet since this process has started.
+      return { jobId, sequence, verdict: ClaimVerdict.Held, holderId: '' }
     }
     this.records.set(jobId, { claimant, untilMs: this.timers.nowMs() + validForMs * CLOCK_DRIFT, hasSucceeded: false })
     return { jobId, sequence, verdict: ClaimVerdict.Granted, holderId: '' }
--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -16,6 +16,8 @@
 export const RELEASE_DELAY_MS = 100
 /** Time from the end of a claimant's link until its runs have certainly ended if its process has, in milliseconds: the owner lease of its agents and the stop of the runs. */
 export const CLAIMANT_GONE_MS = 1_250
+/** Time in which the entries claim their jobs again at a registrar that has restarted, in milliseconds. */
+export const RECLAIM_MS = 1_500
 /** Time for which a registrar remembers that a job has succeeded, in milliseconds. */
 export const SUCCESS_RETENTION_MS = 5_000
 /** Period in which a registrar removes expired claims, in milliseconds. */
--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -245,7 +245,7 @@
   private queueClaim (claim: OpenClaim, sent: SentClaim): void {
     this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
     sent.sequence = this.lastSequence
-    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, wasRefused: claim.isContended && !claim.mayRun, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
     this.scheduleFlush(false)
   }
 
--- a/packages/claims/src/model.ts
+++ b/packages/claims/src/model.ts
@@ -22,6 +22,8 @@
   validForMs: number
   /** Number of the claim at the claimant, returned in the answer. */
   sequence: number
+  /** True if a registrar has refused the claim before, as another entry held the job. */
+  wasRefused?: boolean
 }
 
 /** Ends a claim: no run of the job goes on at the claimant. */
--- a/packages/fleet/src/claimMessages.ts
+++ b/packages/fleet/src/claimMessages.ts
@@ -8,7 +8,7 @@
 /** Decodes what a claimant sends. */
 export function decodeRequests (message: protocol.runs.IClaimRequests): claims.ClaimRequests {
   return {
-    claims: (message.claims ?? []).map(({ jobId, validForMs, sequence }) => ({ jobId: jobId ?? '', validForMs: validForMs ?? 0, sequence: sequence ?? 0 })),
+    claims: (message.claims ?? []).map(({ jobId, validForMs, sequence, wasRefused }) => ({ jobId: jobId ?? '', validForMs: validForMs ?? 0, sequence: sequence ?? 0, wasRefused: wasRefused === true })),
     releases: (message.releases ?? []).map(({ jobId, hasSucceeded }) => ({ jobId: jobId ?? '', hasSucceeded: hasSucceeded === true }))
   }
 }
--- a/test/unit/claims/claimTable.test.ts
+++ b/test/unit/claims/claimTable.test.ts
@@ -143,4 +143,14 @@
     timers.advance(60_000)
     expect(table.size).to.equal(1)
   })
+
+  it('does not grant a job that waits for its holder while the entries claim their jobs again after a restart', () => {
+    const { timers, table, claim } = createBench()
+    const wait = (): claims.ClaimVerdict => table.claim(SECOND, { jobId: 'job', validForMs: VALID_MS, sequence: 1, wasRefused: true }).verdict
+    expect(wait()).to.equal(claims.ClaimVerdict.Held)
+    expect(claim(FIRST).verdict).to.equal(claims.ClaimVerdict.Granted)
+    table.release(FIRST, { jobId: 'job', hasSucceeded: false })
+    timers.advance(claims.RECLAIM_MS)
+    expect(wait()).to.equal(claims.ClaimVerdict.Granted)
+  })
 })
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -497,6 +497,7 @@
     it(`do not block each other, with messages in the order ${order.join(' ')}`, async () => {
       const timers = new settings.FakeTimers()
       const tables = ['entry-a', 'entry-b'].map(entryId => ({ entryId, table: new claims.ClaimTable(timers) }))
+      timers.advance(claims.RECLAIM_MS)
       const granted: number[] = []
       const claimants = [0, 1].map(number => {
         const claimant = { entryId: `claimant-${number}`, incarnation: `life-${number}` }
