Claims: a registrar follows the link that its claimant opened last, not the one whose greeting it read last

Greetings on two connections may be read in any order, as after a pause. The claims on the newer link then got no answer until it was reset after 1.3 s. The new test failed (no answer), passes now.

--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -20,8 +20,8 @@
   readonly jobs: claims.JobClaims
   private readonly table: claims.ClaimTable
   private readonly links = new Map<string, RegistrarLink>()
-  /** Newest link of each claimant, by its incarnation. */
-  private readonly newest = new Map<string, claims.Claimant>()
+  /** Newest link of each claimant, by its incarnation, and the time for which the claimant had run when it opened it. */
+  private readonly newest = new Map<string, { claimant: claims.Claimant, upMs: number }>()
   private readonly startedAtMs: number
   private readonly listWait: settings.TimerHandle
   /** True once claims can be granted. Until then this process doesn't know which other entries to ask. */
@@ -100,7 +100,7 @@
           if (message.greeting == null) break
           claimant = this.handleGreeting(message.greeting)
           outbox.send({ greeting: this.createGreeting() })
-        } else if (message.requests != null && this.newest.get(claimant.incarnation) === claimant) {
+        } else if (message.requests != null && this.newest.get(claimant.incarnation)?.claimant === claimant) {
           const answers = this.answer(claimant, decodeRequests(message.requests)).map(encodeAnswer)
           if (answers.length > 0) outbox.send({ answers: { answers } })
         }
@@ -119,11 +119,13 @@
   }
 
   /** Records a new link of a claimant. What comes in on its earlier ones is outdated. An entry that isn't in the list yet is linked to at once. */
-  private handleGreeting ({ entryId, life, address }: protocol.runs.IClaimGreeting): claims.Claimant {
+  private handleGreeting ({ entryId, life, upMs, address }: protocol.runs.IClaimGreeting): claims.Claimant {
     const claimant = { entryId: entryId ?? '', incarnation: life ?? '' }
     const earlier = this.newest.get(claimant.incarnation)
-    if (earlier !== undefined) this.table.handleGone(earlier)
-    this.newest.set(claimant.incarnation, claimant)
+    // Greetings on several connections may be read in any order.
+    if (earlier !== undefined && earlier.upMs > (upMs ?? 0)) return claimant
+    if (earlier !== undefined) this.table.handleGone(earlier.claimant)
+    this.newest.set(claimant.incarnation, { claimant, upMs: upMs ?? 0 })
     const known = this.links.get(claimant.entryId)
     if (claimant.entryId !== this.identity.entryId && (known === undefined || known.isClosed) && isUsableEntry({ address: address ?? '', failureDomain: '' })) {
       this.dial(claimant.entryId, address!)
@@ -133,7 +135,7 @@
   }
 
   private handleEnded (claimant: claims.Claimant): void {
-    if (this.newest.get(claimant.incarnation) === claimant) this.newest.delete(claimant.incarnation)
+    if (this.newest.get(claimant.incarnation)?.claimant === claimant) this.newest.delete(claimant.incarnation)
     this.table.handleGone(claimant)
   }
 }
--- a/test/unit/fleet/entryClaims.test.ts
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -54,21 +54,22 @@
 interface RegistrarBench {
   timers: settings.FakeTimers
   /** Opens a stream of a claimant. */
-  open: (entryId: string, life: string) => FakeStream
+  open: (entryId: string, life: string, upMs?: number) => FakeStream
 }
 
 function createRegistrar (): RegistrarBench {
   const timers = new settings.FakeTimers()
   const observer = { onGranted: () => {}, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} }
   const created = new fleet.EntryClaims({ entryId: 'own', life: 'life', address: '127.0.0.1:1' }, { timers, log: settings.createSilentLog() }, observer)
+  let claimantUpMs = 60_000
   let handler: runtime.LinkHandler<unknown, unknown> | undefined
   created.accept({ accept: (_name: string, _method: unknown, accepted: runtime.LinkHandler<unknown, unknown>) => { handler = accepted } } as unknown as runtime.LinkServer)
   return {
     timers,
-    open: (entryId, life) => {
+    open: (entryId, life, upMs = claimantUpMs += 100) => {
       const stream = new FakeStream()
       handler!(stream as unknown as runtime.LinkStream<unknown, unknown>, 'peer')
-      stream.receive({ greeting: { entryId, life, upMs: 60_000 } })
+      stream.receive({ greeting: { entryId, life, upMs } })
       return stream
     }
   }
@@ -122,6 +123,22 @@
     expect(stream.verdicts).to.have.members([long, 'job', 'other', ''].map(jobId => `${jobId} ${CLAIM_VERDICT_HELD}`))
   })
 
+  it('follows the newest link of a claimant, also if it reads the greeting of an earlier one later', async () => {
+    const { open } = createRegistrar()
+    const newer = open('entry-1', 'life-1', 5_000)
+    await flushEventLoop()
+    const earlier = open('entry-1', 'life-1', 4_000)
+    await flushEventLoop()
+    newer.receive(createClaim('job'))
+    await flushEventLoop()
+    expect(newer.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`])
+    earlier.close()
+    await flushEventLoop()
+    newer.receive(createClaim('other'))
+    await flushEventLoop()
+    expect(newer.verdicts).to.deep.equal([`job ${CLAIM_VERDICT_GRANTED}`, `other ${CLAIM_VERDICT_GRANTED}`])
+  })
+
   it('lets a job go whose release was lost with its link, although the claimant has opened another one', async () => {
     const { timers, open } = createRegistrar()
     const earlier = open('entry-1', 'life-1')
