Scheduler: no refusal as not run before a job's claim is answered

A job could be refused as not run, by a planned stop, at its deadline or by a check while it waited, in the time before its registrars had said whether another entry ran it. It ends as one that may have run then.

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -247,14 +247,14 @@
 
   /** Refuses the open jobs of which nothing has started, which tells the callers that nothing has run. */
   refuseUnstarted (reason: string): void {
-    for (const job of [...this.open.values()]) if (!job.mayHaveStarted) this.refuse(job, reason, 0)
+    for (const job of [...this.open.values()]) if (isKnownUnstarted(job)) this.refuse(job, reason, 0)
   }
 
   /** Ends all open jobs at the end of a planned stop. Jobs of which nothing has started are refused instead, which tells the caller that nothing has run. */
   abortAll (reason: string): void {
     for (const job of [...this.open.values()]) {
-      if (job.mayHaveStarted) this.end(job, { kind: 'expired', reason }, reason)
-      else this.refuse(job, reason, 0)
+      if (isKnownUnstarted(job)) this.refuse(job, reason, 0)
+      else this.end(job, { kind: 'expired', reason }, reason)
     }
   }
 
@@ -472,11 +472,11 @@
 
   private checkJob (job: Job): void {
     if (this.hasPassedDeadline(job)) {
-      if (job.mayHaveStarted) this.end(job, { kind: 'expired', reason: 'deadline passed' }, 'deadline passed')
-      else this.refuse(job, 'no room before the deadline', 0)
+      if (isKnownUnstarted(job)) this.refuse(job, 'no room before the deadline', 0)
+      else this.end(job, { kind: 'expired', reason: 'deadline passed' }, 'deadline passed')
       return
     }
-    if (job.mayHaveStarted) return
+    if (!isKnownUnstarted(job)) return
     const refusal = this.refusals.findWhileWaiting(job)
     if (refusal !== undefined) this.refuse(job, refusal.reason, refusal.waitMs)
   }
@@ -558,6 +558,11 @@
   }
 }
 
+/** Returns true if no task has started, here or at another entry, so that a refusal is true. */
+function isKnownUnstarted (job: Job): boolean {
+  return job.isClaimed && !job.mayHaveStarted
+}
+
 /** Returns true for a job that ended without a result for its caller, so that a resubmission runs it again. */
 function isRepeatable (job: Job): boolean {
   return job.outcome?.kind === 'abandoned' || job.outcome?.kind === 'expired'
--- a/test/unit/scheduler/claims.test.ts
+++ b/test/unit/scheduler/claims.test.ts
@@ -239,6 +239,26 @@
     expect(atStop.outcomes.map(({ kind }) => kind)).to.deep.equal(['expired'])
   })
 
+  it('is not refused as not run before the claim is answered', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    const atDeadline = submit(1, 500)
+    created.refuseUnstarted('stop')
+    expect(atDeadline.outcomes).to.deep.equal([])
+    await passTime(timers, 600)
+    expect(atDeadline.outcomes.map(({ kind }) => kind)).to.deep.equal(['expired'])
+    const atStop = submit(1)
+    created.abortAll('stop')
+    expect(atStop.outcomes.map(({ kind }) => kind)).to.deep.equal(['expired'])
+  })
+
+  it('lets a job be refused as not run once it is granted and nothing has started', () => {
+    const { scheduler: created, submit } = createBench()
+    const { outcomes } = submit(1)
+    created.handleClaimGranted('job')
+    created.refuseUnstarted('stop')
+    expect(outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+  })
+
   it('ends with success when the job has succeeded elsewhere, and starts nothing', async () => {
     const { timers, scheduler: created, port, submit } = createBench()
     const { outcomes } = submit(1)
