--- a/packages/claims/src/claimTable.ts
+++ b/packages/claims/src/claimTable.ts
@@ -59,7 +59,7 @@
     else this.records.set(jobId, { ...record, untilMs: this.timers.nowMs() + SUCCESS_RETENTION_MS, hasSucceeded })
   }
 
-  /** Records that the link of a claimant has ended. If its process has ended too, its runs end within `CLAIMANT_GONE_MS`; otherwise it claims its jobs again on another link. */
+  /** Records that the process of a claimant has ended, or that it has claimed its jobs again on another link. What it held on this link ends within `CLAIMANT_GONE_MS`. */
   handleGone (claimant: Claimant): void {
     const goneMs = this.timers.nowMs() + CLAIMANT_GONE_MS * CLOCK_DRIFT
     for (const record of this.records.values()) {
--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -14,7 +14,7 @@
 export const HELD_RETRY_MS = 25
 /** Longest time for which releases wait for a claim that they can travel with, in milliseconds. */
 export const RELEASE_DELAY_MS = 100
-/** Time from the end of a claimant's link until its runs have certainly ended if its process has, in milliseconds: the owner lease of its agents and the stop of the runs. */
+/** Time from the end of a claimant's process until its runs have certainly ended, in milliseconds: the owner lease of its agents and the stop of the runs. */
 export const CLAIMANT_GONE_MS = 1_250
 /** Time in which the entries claim their jobs again at a registrar that has restarted, in milliseconds. */
 export const RECLAIM_MS = 1_500
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -15,13 +15,21 @@
   log: settings.Log
 }
 
+/** The link that a claimant opened last. */
+interface ClaimantLink {
+  readonly claimant: claims.Claimant
+  /** Time for which the claimant had run when it opened the link, in milliseconds. */
+  readonly upMs: number
+  isOpen: boolean
+}
+
 /** The claims of an entry process, its record of those of the others, and the links between them. */
 export class EntryClaims {
   readonly jobs: claims.JobClaims
   private readonly table: claims.ClaimTable
   private readonly links = new Map<string, RegistrarLink>()
-  /** Newest link of each claimant, by its incarnation. */
-  private readonly newest = new Map<string, claims.Claimant>()
+  /** Newest link of each claimant, by its incarnation, and the time for which the claimant had run when it opened it. */
+  private readonly newest = new Map<string, ClaimantLink>()
   private readonly startedAtMs: number
   private readonly listWait: settings.TimerHandle
   /** True once claims can be granted. Until then this process doesn't know which other entries to ask. */
@@ -81,7 +89,7 @@
       earlier.close()
       this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
     }
-    const link = new RegistrarLink(entryId, address, { ...this.services, claims: this.jobs, createGreeting: () => this.createGreeting() })
+    const link = new RegistrarLink(entryId, address, { ...this.services, claims: this.jobs, onProcess: ended => { this.handleProcess(ended) }, createGreeting: () => this.createGreeting() })
     this.links.set(entryId, link)
     link.run()
   }
@@ -100,7 +108,7 @@
           if (message.greeting == null) break
           claimant = this.handleGreeting(message.greeting)
           outbox.send({ greeting: this.createGreeting() })
-        } else if (message.requests != null && this.newest.get(claimant.incarnation) === claimant) {
+        } else if (message.requests != null && this.newest.get(claimant.incarnation)?.claimant === claimant) {
           const answers = this.answer(claimant, decodeRequests(message.requests)).map(encodeAnswer)
           if (answers.length > 0) outbox.send({ answers: { answers } })
         }
@@ -119,11 +127,13 @@
   }
 
   /** Records a new link of a claimant. What comes in on its earlier ones is outdated. An entry that isn't in the list yet is linked to at once. */
-  private handleGreeting ({ entryId, life, address }: protocol.runs.IClaimGreeting): claims.Claimant {
+  private handleGreeting ({ entryId, life, upMs, address }: protocol.runs.IClaimGreeting): claims.Claimant {
     const claimant = { entryId: entryId ?? '', incarnation: life ?? '' }
     const earlier = this.newest.get(claimant.incarnation)
-    if (earlier !== undefined) this.table.handleGone(earlier)
-    this.newest.set(claimant.incarnation, claimant)
+    // Greetings on several connections may be read in any order.
+    if (earlier !== undefined && earlier.upMs > (upMs ?? 0)) return claimant
+    if (earlier !== undefined) this.table.handleGone(earlier.claimant)
+    this.newest.set(claimant.incarnation, { claimant, upMs: upMs ?? 0, isOpen: true })
     const known = this.links.get(claimant.entryId)
     if (claimant.entryId !== this.identity.entryId && (known === undefined || known.isClosed) && isUsableEntry({ address: address ?? '', failureDomain: '' })) {
       this.dial(claimant.entryId, address!)
@@ -132,8 +142,23 @@
     return claimant
   }
 
+  /** A link that ends says nothing about the runs of its claimant: they go on unless its process has ended. */
   private handleEnded (claimant: claims.Claimant): void {
-    if (this.newest.get(claimant.incarnation) === claimant) this.newest.delete(claimant.incarnation)
+    const newest = this.newest.get(claimant.incarnation)
+    if (newest?.claimant !== claimant) return
+    newest.isOpen = false
+    if (this.links.get(claimant.entryId)?.isRefused === true) this.handleProcessEnded(claimant)
+  }
+
+  /** Finds claimants without a link whose process no longer listens at its address, or has been replaced by another. */
+  private handleProcess ({ entryId, isRefused, incarnation }: RegistrarLink): void {
+    for (const { claimant, isOpen } of [...this.newest.values()]) {
+      if (claimant.entryId === entryId && !isOpen && (isRefused || claimant.incarnation !== incarnation)) this.handleProcessEnded(claimant)
+    }
+  }
+
+  private handleProcessEnded (claimant: claims.Claimant): void {
+    this.newest.delete(claimant.incarnation)
     this.table.handleGone(claimant)
   }
 }
--- a/packages/fleet/src/registrarLink.ts
+++ b/packages/fleet/src/registrarLink.ts
@@ -13,6 +13,8 @@
   timers: settings.Timers
   log: settings.Log
   claims: claims.JobClaims
+  /** Called when the address refuses connections, or when a process greets. */
+  onProcess: (link: RegistrarLink) => void
   createGreeting: () => protocol.runs.IClaimGreeting
 }
 
@@ -20,6 +22,10 @@
 export class RegistrarLink {
   /** False once the entry is no longer registered. The link is then not dialled again when it closes. */
   isListed = true
+  /** True if nothing listens at the address: the process that did has ended. */
+  isRefused = false
+  /** Incarnation of the process that greeted last; empty before. */
+  incarnation = ''
   private isOpen = false
   private redialMs = MIN_REDIAL_MS
   private readonly abort = new AbortController()
@@ -63,6 +69,7 @@
       for await (const message of dialed.stream) this.receive(message, outbox, stop)
     } catch (thrown) {
       reason = protocol.toStepError(thrown, 'claims.read', this.address).describe()
+      this.isRefused = reason.includes('ECONNREFUSED')
     }
     this.abort.signal.removeEventListener('abort', stop)
     for (const wait of waits) wait.cancel()
@@ -71,6 +78,7 @@
     const wasOpen = this.isOpen
     this.isOpen = false
     this.reportClosed(wasOpen && this.isListed ? claims.LinkState.Reopening : claims.LinkState.Absent)
+    if (this.isRefused) this.services.onProcess(this)
     if (wasOpen) log.event(events.ClaimLinkClosed, { peer: this.entryId, step: 'claims.read', reason })
     return wasOpen
   }
@@ -92,6 +100,9 @@
       return
     }
     this.isOpen = true
+    this.isRefused = false
+    this.incarnation = greeting.life ?? ''
+    this.services.onProcess(this)
     this.redialMs = MIN_REDIAL_MS
     this.services.log.event(events.ClaimLinkOpened, { peer: this.entryId, life: greeting.life ?? '' })
     this.services.claims.handleOpened(this.entryId, { send: requests => { outbox.send({ requests }) }, reset: stop }, greeting.upMs ?? 0)
