A holder keeps its job while one of its registrars still names it, and a refusal stands while the registrar is silent

Cause: a registrar that had been silent, or had restarted, granted the job to another claimant before it read the holder's claim; the holder gave the job up on this one answer, although the other registrar kept the other claimant from starting it. Change: the holder gives up only when none of its registrars names it. A claimant that was refused does not replace the registrar that refused it while that one is silent.

--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -46,6 +46,8 @@
   mayRun: boolean
   /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
   isContended: boolean
+  /** Registrar that has refused the claim last. */
+  refusedBy: Registrar | undefined
   readonly sent: Map<string, SentClaim>
   /** Registrars of the job, and the version of their registry that they were chosen from. */
   chosen: { registrars: readonly Registrar[], version: number }
@@ -99,7 +101,7 @@
       this.confirm(known)
       return false
     }
-    const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
+    const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, refusedBy: undefined, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
     return claim.isGranted
@@ -164,13 +166,15 @@
   private handleHeld (claim: OpenClaim, sent: SentClaim, holderId: string): void {
     claim.sent.delete(sent.registrar.entryId)
     const { isGranted, isContended } = claim
-    claim.isGranted = false
+    // Another claimant can't get the job from all of its registrars while one of them still names this entry.
+    claim.isGranted = isGranted && this.isConfirmed(claim)
     claim.isContended = true
+    claim.refusedBy = sent.registrar
     if (!claim.mayRun) this.withdrawBelow(claim, sent.registrar)
-    if (isGranted) {
+    if (isGranted && !claim.isGranted) {
       this.services.log.event(events.ClaimLost, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
       this.observer.onLost(claim.jobId, holderId)
-    } else if (!isContended) {
+    } else if (!isGranted && !isContended) {
       this.heldCount++
       this.services.log.event(events.JobHeld, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
       this.observer.onHeld(claim.jobId, holderId)
@@ -178,6 +182,11 @@
     this.services.timers.after(HELD_RETRY_MS, () => { if (this.claims.get(claim.jobId) === claim) this.advance(claim) })
   }
 
+  /** Returns true while a registrar names this entry as the holder. */
+  private isConfirmed (claim: OpenClaim): boolean {
+    return [...claim.sent.values()].some(({ state }) => state === RequestState.Granted)
+  }
+
   private handleSucceeded (claim: OpenClaim, entryId: string, holderId: string): void {
     claim.sent.delete(entryId)
     if (claim.isGranted) return
@@ -215,7 +224,8 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
-    if (!this.isStarted) return
+    // A refusal stands until the registrar answers again, or its link has ended.
+    if (!this.isStarted || (!claim.isGranted && claim.refusedBy?.isSilent === true)) return
     const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
