Count the attempts of a refused job on when it is submitted again

What callers saw: nothing yet. A task was placed again while it ran.

The property test no longer allows a number to be used again.

Evidence: unit/scheduler "counts the attempts of a refused job on [...]" failed before (attempts 1, 1, 2: placed again on a repeated end), passes after. unit/scheduler: 125 passed.

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -5,6 +5,7 @@
 import * as workers from '@egretvalve/workers'
 import { retryAfterMs } from './admission.ts'
 import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
+import { AttemptNumbers } from './attemptNumbers.ts'
 import { CancelledJobs } from './cancelledJobs.ts'
 import { Containment } from './containment.ts'
 import { CrashRecords } from './crashRecords.ts'
@@ -73,6 +74,7 @@
   /** Ended jobs by id, oldest end first, retained so that a resubmission gets their outcome. */
   private readonly ended = new Map<string, Job>()
   private readonly cancelledJobs: CancelledJobs
+  private readonly attemptNumbers: AttemptNumbers
   private readonly agents = new Agents()
   private readonly speeds = new SpeedEstimate()
   private readonly ejection: placement.Ejection
@@ -92,6 +94,7 @@
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.checkedAtMs = services.timers.nowMs()
     this.cancelledJobs = new CancelledJobs(services.timers, this.options.cancelRetentionMs)
+    this.attemptNumbers = new AttemptNumbers(services.timers)
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
     this.crashRecords = new CrashRecords(services.timers)
     this.unconfirmedStarts = new UnconfirmedStarts(services.timers)
@@ -164,7 +167,7 @@
       this.services.log.event(events.JobResubmitted, { jobId: spec.jobId, outcome: known.outcome?.kind ?? 'open' })
       return known
     }
-    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? 0, waitedMs)
+    const job = new Job(spec, terms, deadlineMs, this.nowMs, new workers.Age(this.services.timers), known?.lastAttempt ?? this.attemptNumbers.lastOf(spec.jobId), waitedMs)
     if (this.cancelledJobs.has(job.id)) {
       this.end(job, { kind: 'cancelled' }, 'cancelled by a caller before')
       return job
@@ -435,6 +438,7 @@
     const retryMs = retryAfterMs(waitMs, this.services.random(), this.options)
     this.services.log.event(events.JobRefused, { jobId: job.id, reason, retryAfterMs: retryMs, workers: this.workerCount, ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
     this.open.delete(job.id)
+    this.attemptNumbers.record(job)
     this.finish(job, { kind: 'refused', reason, retryAfterMs: retryMs })
   }
 
--- a/test/support/fleetWorld.ts
+++ b/test/support/fleetWorld.ts
@@ -217,7 +217,7 @@
     const entry = this.entries.find(each => each.address === address)!
     const { process, node, life } = entry
     const method = protocol.runLink.exchange
-    const link: Link = new SimulatedLink(agent.process, process, { ...method, requestSerialize: message => this.recordEnds(agentLife, life, message), responseSerialize: message => this.recordOrders(agentLife, life, message) }, this.timers, () => this.nextRandom() * MAX_MESSAGE_MS)
+    const link: Link = new SimulatedLink(agent.process, process, { ...method, requestSerialize: message => this.recordEnds(agentLife, life, message) }, this.timers, () => this.nextRandom() * MAX_MESSAGE_MS)
     const known = { link, entry, agent }
     this.links.add(known)
     this.timers.after(this.nextRandom() * MAX_MESSAGE_MS, () => {
@@ -233,14 +233,6 @@
     }
   }
 
-  /** Serializes a message of an entry. The attempts of a refused job that is submitted again are counted from 1 again. */
-  private recordOrders (agentLife: string, entryLife: string, message: protocol.runs.IFromEntry): Buffer {
-    for (const { jobId, step, tasks } of message.orders?.orders ?? []) {
-      for (const { index, attempt } of tasks ?? []) this.reportedEnds.delete(`${agentLife} ${entryLife} ${jobId}/${step}/${index}#${attempt}`)
-    }
-    return protocol.runLink.exchange.responseSerialize(message)
-  }
-
   /** Serializes a message of an agent. Reports of one end must agree. */
   private recordEnds (agentLife: string, entryLife: string, message: protocol.runs.IFromAgent): Buffer {
     for (const { jobId, step, index, attempt, kind } of message.report?.ends ?? []) {
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -87,6 +87,23 @@
     expect(outcomes).to.deep.equal([{ kind: 'succeeded' }])
   })
 
+  // Guards against a task that is placed again while it runs: on a new link an agent reports the ends of earlier attempts again.
+  it('counts the attempts of a refused job on when it is submitted again', async () => {
+    const { scheduler: created, submit } = createBench()
+    const port = new FakePort('agent-1')
+    created.connect(port, createLoad())
+    submit(createJob('job', 1))
+    await flushEventLoop()
+    const returned = createEnd(port.ordered[0]!, workers.TaskEnd.NotStarted, workers.ReturnReason.NoCapacity)
+    created.handleEnds(port, [returned])
+    created.refuseUnstarted('test')
+    submit(createJob('job', 1))
+    await flushEventLoop()
+    created.handleEnds(port, [returned])
+    await flushEventLoop()
+    expect(port.ordered.map(({ attempt }) => attempt)).to.deep.equal([1, 2])
+  })
+
   it('starts a step when all tasks of the steps before it are done', async () => {
     const { scheduler: created, submit } = createBench()
     const port = new FakePort('agent-1')
