--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -66,6 +66,7 @@
   private checkDueAtMs: number | undefined
   private wasStalled = false
   private isFlushScheduled = false
+  private hasUrgentReleases = false
   private isStarted = false
   private releaseTimer: settings.TimerHandle | undefined
 
@@ -195,13 +196,18 @@
       claim.sent.delete(each.registrar.entryId)
       this.withdraw(claim, each, false)
     }
+    // The other claimant waits for it.
+    this.scheduleFlush(true)
   }
 
   private withdraw (claim: OpenClaim, { registrar }: SentClaim, hasSucceeded: boolean): void {
     const queue = this.queueOf(registrar)
     queue.claims = queue.claims.filter(({ jobId }) => jobId !== claim.jobId)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
-    this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => { this.flush() })
+    this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => {
+      this.releaseTimer = undefined
+      this.flush([...this.queues.keys()])
+    })
   }
 
   private advanceAll (): void {
@@ -239,12 +245,20 @@
   private queueClaim (claim: OpenClaim, sent: SentClaim): void {
     this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
     sent.sequence = this.lastSequence
-    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, wasRefused: claim.isContended && !claim.mayRun, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+    this.scheduleFlush(false)
+  }
+
+  /** Sends the queued claims, and the releases that can travel with them or are urgent, at the end of this turn of the event loop. */
+  private scheduleFlush (hasUrgentReleases: boolean): void {
+    this.hasUrgentReleases ||= hasUrgentReleases
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => {
+      const sendsAll = this.hasUrgentReleases
       this.isFlushScheduled = false
-      this.flush()
+      this.hasUrgentReleases = false
+      this.flush([...this.queues].filter(([, { claims }]) => sendsAll || claims.length > 0).map(([entryId]) => entryId))
     })
   }
 
@@ -256,12 +270,12 @@
     return created
   }
 
-  private flush (): void {
-    this.releaseTimer?.cancel()
-    this.releaseTimer = undefined
-    const queues = [...this.queues]
-    this.queues.clear()
-    for (const [entryId, requests] of queues) this.sendRequests(this.registrars.get(entryId), requests)
+  private flush (entryIds: readonly string[]): void {
+    for (const entryId of entryIds) {
+      const requests = this.queues.get(entryId)
+      this.queues.delete(entryId)
+      if (requests !== undefined) this.sendRequests(this.registrars.get(entryId), requests)
+    }
   }
 
   private sendRequests (registrar: Registrar | undefined, requests: ClaimRequests): void {
--- a/packages/workers/src/session.ts
+++ b/packages/workers/src/session.ts
@@ -58,6 +58,8 @@
 const MAX_MISSED_ANSWERS = 3
 /** Longest time between the query before a start and the start for which the worker counts as responsive, in milliseconds. */
 const MAX_CHECK_AGE_MS = 50
+/** Time after a start without an answer for which it may be carried out, in milliseconds. The worker is queried in this time, so that its next incarnation soon refuses the start. */
+const MAX_LATE_START_MS = 15_000
 /** Delay before a stop or a query is retried, in milliseconds. */
 const RETRY_PAUSE_MS = 40
 
@@ -79,6 +81,11 @@
   private renewedAtMs = Number.NEGATIVE_INFINITY
   private wake: (() => void) | undefined
   private crashCount = 0
+  /** Time of the latest query that this incarnation of the worker has answered. */
+  private identifiedAtMs = Number.NEGATIVE_INFINITY
+  private identification: Promise<boolean> | undefined
+  /** Time until which a start without an answer may be carried out. */
+  private lateStartsUntilMs = Number.NEGATIVE_INFINITY
 
   constructor (readonly worker: WorkerReport, private readonly services: SessionServices, private readonly handlers: SessionHandlers) {
     // One listener for each stop that is under way.
@@ -138,13 +145,19 @@
     this.end('another life of the worker')
   }
 
-  /** Ends the session. Its runs may continue until the next incarnation of the worker has been taken over or the lease has expired, so their ends are deferred until then. */
+  /**
+   * Ends the session. Its runs may continue until the next incarnation of the worker has been taken over or the lease has expired, so their ends
+   * are deferred until then. The lease of a run that was never listed counts from the arrival of its start at the next incarnation.
+   */
   end (reason: string): void {
     if (this.state === SessionState.Ended) return
     this.state = SessionState.Ended
     this.abort.abort()
     this.wake?.()
-    for (const run of this.registry.all) this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run))
+    for (const run of this.registry.all) {
+      if (run.startProof === StartProof.None) this.settle(run, TaskEnd.NotStarted, reason)
+      else this.settle(run, TaskEnd.Lost, reason, this.longestLeaseMs(run) + (run.wasListed ? 0 : MAX_LATE_START_MS))
+    }
   }
 
   /** Starts a task. Its end is reported exactly once, whatever happens. */
@@ -176,6 +189,7 @@
   private async sendStart (run: ActiveRun): Promise<void> {
     for (let attempt = 0; attempt < MAX_START_ATTEMPTS && this.isActive(run); attempt++) {
       const isResponsive = run.order.checksWorker === true && await this.checkBeforeStart(run)
+      if (this.mayOutliveOwnerLease(run)) await this.identifyWorker(run)
       if (!this.isActive(run)) return
       if (run.phase === RunPhase.Stopping) return this.settle(run, TaskEnd.NotStarted, 'stopped before its start')
       run.startedAtMs = this.services.timers.nowMs()
@@ -208,6 +222,23 @@
     return wasAnswered && timers.nowMs() - sentAtMs <= MAX_CHECK_AGE_MS
   }
 
+  /**
+   * Returns true if a start sent now could run beyond its owner lease, should this process freeze right after: a worker that has started again
+   * unnoticed takes any lease on its earlier clock for the longest one.
+   */
+  private mayOutliveOwnerLease ({ order }: ActiveRun): boolean {
+    const { timers, options, ownerLeases } = this.services
+    if (timers.nowMs() - this.identifiedAtMs <= options.renewPeriodMs) return false
+    return ownerLeases.remainingMs(order.owner) < options.maxLeaseMs * options.clockDrift
+  }
+
+  /** Queries the worker for its incarnation before a start. One query serves all starts that wait for it. The run of a worker that did not answer is settled. */
+  private async identifyWorker (run: ActiveRun): Promise<void> {
+    this.identification ??= this.queryRuns(0, false).finally(() => { this.identification = undefined })
+    const wasAnswered = await this.identification
+    if (!wasAnswered && this.isActive(run)) this.settle(run, TaskEnd.NotStarted, ReturnReason.WorkerUnresponsive)
+  }
+
   private confirm (run: ActiveRun): void {
     run.startProof = StartProof.Confirmed
     run.confirmedAtMs = Math.min(run.confirmedAtMs, this.services.timers.nowMs())
@@ -257,6 +288,7 @@
    */
   private async resolveUnanswered (run: ActiveRun, reason: string): Promise<void> {
     const { task } = run.order
+    this.lateStartsUntilMs = this.services.timers.nowMs() + MAX_LATE_START_MS
     this.services.log.event(events.RunUnanswered, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, reason })
     const wasAnswered = await this.queryRuns(0, false)
     if (!this.isActive(run)) return
@@ -301,6 +333,7 @@
       const outcome = await this.services.driver.renew({ ...this.scope, acknowledgedEnd: this.registry.acknowledgedEnd, waitMs: 0 })
       if (outcome.kind === 'answered' && outcome.runs.bornAtMs === this.worker.bornAtMs) {
         this.handleAnswer(outcome.runs)
+        this.identifiedAtMs = sentAtMs
         const last = outcome.runs.ended.at(-1)
         if (last !== undefined) this.registry.acknowledgedEnd = Math.max(this.registry.acknowledgedEnd, last.number)
         stopsEndByMs ??= this.mayHaveEarlierStops(outcome.runs.clockMs) ? this.services.timers.nowMs() + this.stopDurationMs : sentAtMs
@@ -309,8 +342,9 @@
           await Promise.all(outcome.runs.running.map(async each => await this.services.driver.stop(this.scope, each.ref)))
           stopsEndByMs = this.services.timers.nowMs() + this.stopDurationMs
         }
-      } else if (outcome.kind === 'answered') this.handleReplacement()
-      else this.handleFailedRenewal(outcome)
+      } else if (outcome.kind === 'answered') {
+        if (this.handleReplacement()) await this.fenceNextIncarnation()
+      } else this.handleFailedRenewal(outcome)
       await this.services.timers.sleep(RETRY_PAUSE_MS, this.abort.signal)
     }
   }
@@ -344,7 +378,7 @@
   /** Renews the lease while runs are active; lets it expire when the worker is unresponsive. */
   private maintainLease (): void {
     const { timers, options } = this.services
-    if (this.registry.count === 0 && this.state === SessionState.Ready) {
+    if (this.registry.count === 0 && this.state === SessionState.Ready && timers.nowMs() > this.lateStartsUntilMs) {
       this.lastAnswerAtMs = timers.nowMs()
       return
     }
@@ -406,9 +440,10 @@
       return false
     }
     if (outcome.runs.bornAtMs !== this.worker.bornAtMs) {
-      this.handleReplacement()
+      if (this.handleReplacement()) await this.fenceNextIncarnation()
       return false
     }
+    this.identifiedAtMs = Math.max(this.identifiedAtMs, sentAtMs)
     if (acknowledgedEnd === this.registry.acknowledgedEnd) this.registry.hasUnacknowledged = false
     if (isRenewal) this.renewedAtMs = Math.max(this.renewedAtMs, sentAtMs)
     this.handleAnswer(outcome.runs)
@@ -464,11 +499,26 @@
     }
   }
 
-  private handleReplacement (): void {
-    if (this.state === SessionState.Ended) return
+  /** Ends the session. Returns false if it had ended before. */
+  private handleReplacement (): boolean {
+    if (this.state === SessionState.Ended) return false
     this.services.log.event(events.WorkerReplaced, { workerId: this.worker.workerId, bornAtMs: this.worker.bornAtMs })
     this.endAsReplaced()
     this.handlers.onChange()
+    return true
+  }
+
+  /**
+   * Makes the next incarnation refuse starts that were meant for this one and may be carried out late, and stops those that it has carried out.
+   * Its own session begins with its first report, which may take more than a second.
+   */
+  private async fenceNextIncarnation (): Promise<void> {
+    const { driver, fencing } = this.services
+    fencing.advance()
+    const scope = this.scope
+    const outcome = await driver.renew({ ...scope, acknowledgedEnd: 0, waitMs: 0 })
+    if (outcome.kind !== 'answered' || outcome.runs.bornAtMs === this.worker.bornAtMs) return
+    await Promise.all(outcome.runs.running.map(async ({ ref }) => await driver.stop(scope, ref)))
   }
 
   private applyEnds (ended: readonly EndedRun[]): void {
@@ -546,7 +596,7 @@
     this.registry.remove(run, nowMs, reason)
     const runMs = nowMs - run.startedAtMs
     if (end === TaskEnd.Done) this.runTimeRatio.recordFinished(task.jobId, runMs, run.order.estimatedMs)
-    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli, ...describeEvidence(run, end, nowMs) })
+    this.services.log.event(events.RunEnded, { jobId: task.jobId, step: task.step, index: task.index, run: run.ref.run, end, reason, waitedMs: Math.round(run.waitedMs), runMs: Math.round(runMs), estimatedMs: run.order.estimatedMs, cpuMilli: run.order.size.cpuMilli, deferredForMs: deferredForMs > 0 ? Math.round(deferredForMs) : undefined, ...describeEvidence(run, end, nowMs) })
     this.handlers.onEnd({ order: run.order, end, runMs, reason, deferredForMs })
   }
 }
