--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -63,8 +63,7 @@
   private readonly queues = new Map<string, ClaimRequests>()
   private readonly renewTimer: settings.TimerHandle
   private lastSequence = 0
-  private checkDueAtMs: number | undefined
-  private wasStalled = false
+  private isCheckScheduled = false
   private isFlushScheduled = false
   private hasUrgentReleases = false
   private isStarted = false
@@ -313,16 +312,17 @@
   }
 
   private scheduleCheck (): void {
-    if (this.checkDueAtMs !== undefined) return
-    this.checkDueAtMs = this.nowMs + CHECK_PERIOD_MS
-    this.services.timers.after(CHECK_PERIOD_MS, () => {
-      // After a stall of this process the answers that have arrived are read first.
-      const isStalled = this.nowMs - this.checkDueAtMs! > CHECK_PERIOD_MS
-      this.checkDueAtMs = undefined
-      if (!isStalled || this.wasStalled) this.checkUnanswered()
-      this.wasStalled = isStalled
-      if (this.registrars.isAwaited) this.scheduleCheck()
-    })
+    if (this.isCheckScheduled) return
+    this.isCheckScheduled = true
+    this.services.timers.after(CHECK_PERIOD_MS, () => { this.check() })
+  }
+
+  /** After a stall of this process, answers wait in its sockets. They are read in the turn of the event loop that passes before the check. */
+  private async check (): Promise<void> {
+    for (let turn = 0; turn < 2; turn++) await new Promise<void>(resolve => { setImmediate(resolve) })
+    this.isCheckScheduled = false
+    this.checkUnanswered()
+    if (this.registrars.isAwaited) this.scheduleCheck()
   }
 
   /** Finds registrars that are silent. Claims that wait for them are made at the next ones. */
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -15,13 +15,21 @@
   log: settings.Log
 }
 
+/** The link that a claimant opened last. */
+interface ClaimantLink {
+  readonly claimant: claims.Claimant
+  /** Time for which the claimant had run when it opened the link, in milliseconds. */
+  readonly upMs: number
+  isOpen: boolean
+}
+
 /** The claims of an entry process, its record of those of the others, and the links between them. */
 export class EntryClaims {
   readonly jobs: claims.JobClaims
   private readonly table: claims.ClaimTable
   private readonly links = new Map<string, RegistrarLink>()
   /** Newest link of each claimant, by its incarnation, and the time for which the claimant had run when it opened it. */
-  private readonly newest = new Map<string, { claimant: claims.Claimant, upMs: number }>()
+  private readonly newest = new Map<string, ClaimantLink>()
   private readonly startedAtMs: number
   private readonly listWait: settings.TimerHandle
   /** True once claims can be granted. Until then this process doesn't know which other entries to ask. */
@@ -81,7 +89,7 @@
       earlier.close()
       this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
     }
-    const link = new RegistrarLink(entryId, address, { ...this.services, claims: this.jobs, createGreeting: () => this.createGreeting() })
+    const link = new RegistrarLink(entryId, address, { ...this.services, claims: this.jobs, onProcess: ended => { this.handleProcess(ended) }, createGreeting: () => this.createGreeting() })
     this.links.set(entryId, link)
     link.run()
   }
@@ -125,7 +133,7 @@
     // Greetings on several connections may be read in any order.
     if (earlier !== undefined && earlier.upMs > (upMs ?? 0)) return claimant
     if (earlier !== undefined) this.table.handleGone(earlier.claimant)
-    this.newest.set(claimant.incarnation, { claimant, upMs: upMs ?? 0 })
+    this.newest.set(claimant.incarnation, { claimant, upMs: upMs ?? 0, isOpen: true })
     const known = this.links.get(claimant.entryId)
     if (claimant.entryId !== this.identity.entryId && (known === undefined || known.isClosed) && isUsableEntry({ address: address ?? '', failureDomain: '' })) {
       this.dial(claimant.entryId, address!)
@@ -134,8 +142,23 @@
     return claimant
   }
 
+  /** A link that ends says nothing about the runs of its claimant: they go on unless its process has ended. */
   private handleEnded (claimant: claims.Claimant): void {
-    if (this.newest.get(claimant.incarnation)?.claimant === claimant) this.newest.delete(claimant.incarnation)
+    const newest = this.newest.get(claimant.incarnation)
+    if (newest?.claimant !== claimant) return
+    newest.isOpen = false
+    if (this.links.get(claimant.entryId)?.isRefused === true) this.handleProcessEnded(claimant)
+  }
+
+  /** Finds claimants without a link whose process no longer listens at its address, or has been replaced by another. */
+  private handleProcess ({ entryId, isRefused, incarnation }: RegistrarLink): void {
+    for (const { claimant, isOpen } of [...this.newest.values()]) {
+      if (claimant.entryId === entryId && !isOpen && (isRefused || claimant.incarnation !== incarnation)) this.handleProcessEnded(claimant)
+    }
+  }
+
+  private handleProcessEnded (claimant: claims.Claimant): void {
+    this.newest.delete(claimant.incarnation)
     this.table.handleGone(claimant)
   }
 }
