--- a/packages/standin/src/network/faults.ts
+++ b/packages/standin/src/network/faults.ts
@@ -14,7 +14,9 @@
   /** Delays the bytes from target to client by `delayMs`; the opposite direction is not delayed. */
   DelayToClient = 'delay-to-client',
   /** Delivers half of the next bytes from target to client and buffers the rest; the opposite direction still works. */
-  CutToClientMidway = 'cut-to-client-midway'
+  CutToClientMidway = 'cut-to-client-midway',
+  /** Delivers the end of the client's stream `delayMs` after its last byte; the bytes are not delayed. */
+  DelayEndToTarget = 'delay-end-to-target'
 }
 
 /** A fault of one connection, or of all connections of a proxy. `delayMs` is in milliseconds. */
@@ -26,6 +28,7 @@
   | { kind: LinkFaultKind.Delay, delayMs: number }
   | { kind: LinkFaultKind.DelayToClient, delayMs: number }
   | { kind: LinkFaultKind.CutToClientMidway }
+  | { kind: LinkFaultKind.DelayEndToTarget, delayMs: number }
 
 /** Effect of a fault on one direction. */
 export interface DirectionFault {
@@ -34,6 +37,8 @@
   /** The first half of the next chunk is delivered in spite of the cut. */
   isMidway?: boolean
   delayMs: number
+  /** Time between the last byte and the end of the stream. */
+  endDelayMs?: number
 }
 
 /** Effect of a fault on both directions of a connection. */
@@ -58,6 +63,7 @@
     }
     case LinkFaultKind.DelayToClient: return { toTarget: NO_FAULT, toClient: { isCut: false, delayMs: fault.delayMs } }
     case LinkFaultKind.CutToClientMidway: return { toTarget: NO_FAULT, toClient: { ...CUT, isMidway: true } }
+    case LinkFaultKind.DelayEndToTarget: return { toTarget: { ...NO_FAULT, endDelayMs: fault.delayMs }, toClient: NO_FAULT }
     default: return protocol.assertNever(fault)
   }
 }
--- a/packages/standin/src/network/streamRelay.ts
+++ b/packages/standin/src/network/streamRelay.ts
@@ -44,7 +44,11 @@
     while (!this.destination.destroyed) {
       const { promise: change } = this.changed
       const next = this.held[0]
-      if (next === undefined && this.isEnded && !this.readFault().isCut) break
+      if (next === undefined && this.isEnded && !this.readFault().isCut) {
+        const { endDelayMs = 0 } = this.readFault()
+        if (endDelayMs > 0) await this.timers.sleep(endDelayMs)
+        break
+      }
       if (next !== undefined) this.deliverHalf(next)
       if (next === undefined || this.readFault().isCut) await change
       else await this.deliver(next)
--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -77,6 +77,7 @@
 
 interface StandinRun {
   ref: workers.RunRef
+  spec: string
   workMs: number
   /** Progress towards `workMs`. */
   doneMs: number
@@ -89,10 +90,10 @@
   workerId: string
   total: workers.RunSize
   /** Returns the run time of a task in milliseconds. */
-  workOf: (task: workers.TaskRef) => number
+  workOf: (task: workers.TaskRef, spec: string) => number
   sizeOf: (task: workers.TaskRef) => workers.RunSize
   /** Returns the time from the start of a task to the crash that it causes, in milliseconds, or 0 for a crash before the start is answered; undefined for a task that causes none. */
-  crashesAfterMs?: (task: workers.TaskRef) => number | undefined
+  crashesAfterMs?: (task: workers.TaskRef, spec: string) => number | undefined
   /** True for a worker that starts what it is told to, also beyond its capacity. */
   isUnguarded?: boolean
   /** Rate of the worker's clock relative to the timer service. Defaults to 1. */
@@ -257,9 +258,9 @@
       if (this.options.isUnguarded !== true) return refuse(workers.StartRefusal.NoCapacity)
       if (this.faults.countsOverloads) this.options.runRecorder.overloads++
     }
-    this.runs.add({ ref: call.ref, workMs: this.options.workOf(call.ref.task), doneMs: 0, startedAtMs: this.options.timers.nowMs(), isStopping: false })
+    this.runs.add({ ref: call.ref, spec: call.spec, workMs: this.options.workOf(call.ref.task, call.spec), doneMs: 0, startedAtMs: this.options.timers.nowMs(), isStopping: false })
     this.options.runRecorder.recordStart(key)
-    if (this.options.crashesAfterMs?.(call.ref.task) === 0) {
+    if (this.options.crashesAfterMs?.(call.ref.task, call.spec) === 0) {
       this.options.runRecorder.recordCrash(key)
       this.crash()
       return { kind: 'unanswered', reason: 'crash' }
@@ -331,7 +332,7 @@
 
   private step (): void {
     for (const run of [...this.runs]) {
-      const crashesAfterMs = this.options.crashesAfterMs?.(run.ref.task)
+      const crashesAfterMs = this.options.crashesAfterMs?.(run.ref.task, run.spec)
       if (crashesAfterMs !== undefined && this.options.timers.nowMs() - run.startedAtMs >= crashesAfterMs) {
         this.options.runRecorder.recordCrash(workers.taskKey(run.ref.task))
         this.crash()
