--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -35,6 +35,8 @@
 export class Job {
   /** Time at which the caller's request reached this VM. */
   readonly arrivedAtMs: number
+  /** Time at which this entry accepted the job. */
+  readonly acceptedAtMs: number
   /** Also counts the time for which the VM was suspended. */
   readonly age: workers.Age
   /** Time after which the job misses its latency objective. */
@@ -43,6 +45,10 @@
   readonly usefulUntilMs: number
   readonly deadlineAtMs: number
   readonly tasks: Task[][]
+  /** True once this entry is the one that may start tasks of the job. */
+  isClaimed = false
+  /** True if another entry may have started tasks of the job. */
+  mayRunElsewhere = false
   outcome: JobOutcome | undefined
   endedAtMs = 0
   /** Number of tasks sent to agents, without those returned unstarted. */
@@ -54,6 +60,7 @@
 
   constructor (readonly spec: JobSpec, readonly terms: JobTerms, readonly deadlineMs: number, nowMs: number, age: workers.Age, earlierAttempts = 0, waitedMs = 0) {
     this.arrivedAtMs = nowMs - waitedMs
+    this.acceptedAtMs = nowMs
     this.age = age
     const objectiveMs = terms.slackFactor * longestChainMs(spec.steps) + terms.targetLatencyMs
     this.dueAtMs = this.arrivedAtMs + objectiveMs
@@ -79,7 +86,7 @@
 
   /** True when a task may have started. The job must not be refused then, as a refusal states that nothing has started. */
   get mayHaveStarted (): boolean {
-    return this.possibleStarts > 0
+    return this.possibleStarts > 0 || this.mayRunElsewhere
   }
 
   recordSent (): void {
