--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -9,11 +9,11 @@
 /** Time without an answer after which the link to a silent registrar is opened anew, in milliseconds. */
 export const REOPEN_AFTER_MS = 1_300
 /** Period of the checks for registrars that have not answered, in milliseconds. */
-export const CHECK_PERIOD_MS = 25
+export const CHECK_PERIOD_MS = 40
 /** Time after which a claim on a job that another entry holds is repeated, in milliseconds. */
 export const HELD_RETRY_MS = 25
 /** Longest time for which releases wait for a claim that they can travel with, in milliseconds. */
-export const RELEASE_DELAY_MS = 20
+export const RELEASE_DELAY_MS = 100
 /** Time from the end of a claimant's link until its runs have certainly ended if its process has, in milliseconds: the owner lease of its agents and the stop of the runs. */
 export const CLAIMANT_GONE_MS = 1_250
 /** Time for which a registrar remembers that a job has succeeded, in milliseconds. */
@@ -23,6 +23,8 @@
 /** Remaining time at which a claim is extended while runs of its job go on, and the time by which it is extended, in milliseconds. */
 export const RENEW_BEFORE_MS = 500
 export const RENEWAL_MS = 1_500
+/** Longest validity of a claim, in milliseconds. Claims on longer jobs are extended. */
+export const MAX_CLAIM_VALIDITY_MS = 3_600_000
 /** Largest ratio between the rates of the monotonic clocks of two VMs. */
 export const CLOCK_DRIFT = 1.03
 /** Number from which the sequences of claims begin again. They are 32 bits wide. */
--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -1,7 +1,7 @@
 /** The claims of one entry on the jobs that it runs. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_CLAIM_VALIDITY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
 import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
@@ -12,9 +12,9 @@
   onGranted: (jobId: string) => void
   /** Another entry may still run the job. The claim is repeated until it is granted or released. */
   onHeld: (jobId: string, holderId: string) => void
-  /** The job has succeeded at another entry. The claim has ended. */
+  /** The job has succeeded at another entry. The claim has ended if it was never granted. */
   onSucceeded: (jobId: string, holderId: string) => void
-  /** Another entry has got a job that had been granted. The claim has ended as far as others are concerned; runs must be stopped. */
+  /** Another entry has got a job that had been granted. Runs must be stopped; what is left of the claim stands until it is released, and is granted again after the other entry has released the job. */
   onLost: (jobId: string, holderId: string) => void
 }
 
@@ -32,7 +32,7 @@
 /** A claim at one registrar. */
 interface SentClaim {
   readonly registrar: Registrar
-  /** Sequence of the last claim that was sent. Answers to earlier ones may be older than a release. */
+  /** Sequence of the last message. Answers to earlier ones may be older than a release. */
   sequence: number
   state: RequestState
 }
@@ -42,6 +42,8 @@
   /** Monotonic time at which the runs of the job will certainly have ended, in milliseconds. */
   validUntilMs: number
   isGranted: boolean
+  /** True from the first grant on: runs may go on until the claim is released, also if another entry has got the job. */
+  mayRun: boolean
   /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
   isContended: boolean
   readonly sent: Map<string, SentClaim>
@@ -49,7 +51,7 @@
   chosen: { registrars: readonly Registrar[], version: number }
 }
 
-/** Claims jobs at their registrars. A claim that is granted stands until it is released. */
+/** Claims jobs at their registrars. A claim that is granted stands until it is released, or until a registrar that has lost it grants the job to another entry. */
 export class JobClaims {
   /** Number of claims that were granted although no other entry could be asked. */
   unconfirmedCount = 0
@@ -60,10 +62,12 @@
   /** Messages that have not been sent, by registrar. */
   private readonly queues = new Map<string, ClaimRequests>()
   private readonly renewTimer: settings.TimerHandle
+  private lastSequence = 0
   private checkDueAtMs: number | undefined
   private wasStalled = false
   private isFlushScheduled = false
-  private lastSequence = 0
+  private hasUrgentReleases = false
+  private isStarted = false
   private releaseTimer: settings.TimerHandle | undefined
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
@@ -76,6 +80,12 @@
     return this.claims.size
   }
 
+  /** Starts to claim. Call once the other entries are known; until then claims wait. */
+  start (): void {
+    this.isStarted = true
+    this.advanceAll()
+  }
+
   stop (): void {
     this.renewTimer.cancel()
     this.releaseTimer?.cancel()
@@ -83,16 +93,17 @@
 
   /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted already; else the observer is called. */
   claim (jobId: string, validForMs: number): boolean {
+    const validUntilMs = this.nowMs + Math.min(validForMs, MAX_CLAIM_VALIDITY_MS)
     const known = this.claims.get(jobId)
     if (known !== undefined) {
-      known.validUntilMs = Math.max(known.validUntilMs, this.nowMs + validForMs)
-      if (known.isGranted) this.renew(known)
+      known.validUntilMs = Math.max(known.validUntilMs, validUntilMs)
+      this.renew(known)
       return known.isGranted
     }
-    const claim: OpenClaim = { jobId, validUntilMs: this.nowMs + validForMs, isGranted: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
+    const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
     this.advance(claim)
-    return false
+    return claim.isGranted
   }
 
   /** Ends the claim on a job of which nothing runs here any more. */
@@ -153,18 +164,18 @@
 
   private handleHeld (claim: OpenClaim, sent: SentClaim, holderId: string): void {
     claim.sent.delete(sent.registrar.entryId)
-    if (claim.isGranted) {
+    const { isGranted, isContended } = claim
+    claim.isGranted = false
+    claim.isContended = true
+    if (!claim.mayRun) this.withdrawBelow(claim, sent.registrar)
+    if (isGranted) {
       this.services.log.event(events.ClaimLost, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
       this.observer.onLost(claim.jobId, holderId)
-      return
-    }
-    if (!claim.isContended) {
+    } else if (!isContended) {
       this.heldCount++
       this.services.log.event(events.JobHeld, { jobId: claim.jobId, holder: holderId, registrar: sent.registrar.entryId })
       this.observer.onHeld(claim.jobId, holderId)
     }
-    claim.isContended = true
-    this.withdrawBelow(claim, sent.registrar)
     this.services.timers.after(HELD_RETRY_MS, () => { if (this.claims.get(claim.jobId) === claim) this.advance(claim) })
   }
 
@@ -172,26 +183,31 @@
     claim.sent.delete(entryId)
     if (claim.isGranted) return
     this.services.log.event(events.JobSucceededElsewhere, { jobId: claim.jobId, holder: holderId })
-    this.release(claim.jobId, false)
+    if (!claim.mayRun) this.release(claim.jobId, false)
     this.observer.onSucceeded(claim.jobId, holderId)
   }
 
   /** Withdraws the claim at the registrars that are asked after the one that has refused it. */
   private withdrawBelow (claim: OpenClaim, refusing: Registrar): void {
     const order = this.registrarsOf(claim)
-    const above = order.slice(0, order.indexOf(refusing))
+    const above = order.slice(0, Math.max(0, order.indexOf(refusing)))
     for (const each of [...claim.sent.values()]) {
       if (above.includes(each.registrar)) continue
       claim.sent.delete(each.registrar.entryId)
       this.withdraw(claim, each, false)
     }
+    // The other claimant waits for it.
+    this.scheduleFlush(true)
   }
 
-  private withdraw (claim: OpenClaim, sent: SentClaim, hasSucceeded: boolean): void {
-    const queue = this.queueOf(sent.registrar)
+  private withdraw (claim: OpenClaim, { registrar }: SentClaim, hasSucceeded: boolean): void {
+    const queue = this.queueOf(registrar)
     queue.claims = queue.claims.filter(({ jobId }) => jobId !== claim.jobId)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
-    this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => { this.flush() })
+    this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => {
+      this.releaseTimer = undefined
+      this.flush([...this.queues.keys()])
+    })
   }
 
   private advanceAll (): void {
@@ -200,6 +216,7 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
+    if (!this.isStarted) return
     const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
@@ -207,6 +224,7 @@
     }
     if (claim.isGranted || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
     claim.isGranted = true
+    claim.mayRun = true
     if (chosen.every(({ entryId }) => entryId === this.ownId)) this.unconfirmedCount++
     this.observer.onGranted(claim.jobId)
   }
@@ -227,12 +245,20 @@
   private queueClaim (claim: OpenClaim, sent: SentClaim): void {
     this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
     sent.sequence = this.lastSequence
-    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, validForMs: Math.max(0, claim.validUntilMs - this.nowMs), sequence: sent.sequence })
+    this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
+    this.scheduleFlush(false)
+  }
+
+  /** Sends the queued claims, and the releases that can travel with them or are urgent, at the end of this turn of the event loop. */
+  private scheduleFlush (hasUrgentReleases: boolean): void {
+    this.hasUrgentReleases ||= hasUrgentReleases
     if (this.isFlushScheduled) return
     this.isFlushScheduled = true
     setImmediate(() => {
+      const sendsAll = this.hasUrgentReleases
       this.isFlushScheduled = false
-      this.flush()
+      this.hasUrgentReleases = false
+      this.flush([...this.queues].filter(([, { claims }]) => sendsAll || claims.length > 0).map(([entryId]) => entryId))
     })
   }
 
@@ -244,12 +270,12 @@
     return created
   }
 
-  private flush (): void {
-    this.releaseTimer?.cancel()
-    this.releaseTimer = undefined
-    const queues = [...this.queues]
-    this.queues.clear()
-    for (const [entryId, requests] of queues) this.sendRequests(this.registrars.get(entryId), requests)
+  private flush (entryIds: readonly string[]): void {
+    for (const entryId of entryIds) {
+      const requests = this.queues.get(entryId)
+      this.queues.delete(entryId)
+      if (requests !== undefined) this.sendRequests(this.registrars.get(entryId), requests)
+    }
   }
 
   private sendRequests (registrar: Registrar | undefined, requests: ClaimRequests): void {
@@ -263,7 +289,7 @@
 
   private renewExpiring (): void {
     for (const claim of this.claims.values()) {
-      if (!claim.isGranted || claim.validUntilMs - this.nowMs > RENEW_BEFORE_MS) continue
+      if (!claim.mayRun || claim.validUntilMs - this.nowMs > RENEW_BEFORE_MS) continue
       claim.validUntilMs = this.nowMs + RENEWAL_MS
       this.renew(claim)
     }
