--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -303,6 +303,66 @@
     for (const { claimed } of ranked) expect(claimed).to.deep.equal([])
   })
 
+  it('does not take a registrar for silent because of claims that were released before the answer', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    created.release('job', false)
+    for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted)
+    await passTime(timers, 2 * claims.REOPEN_AFTER_MS)
+    expect(ranked.map(({ resets }) => resets)).to.deep.equal([0, 0, 0])
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(ranked.map(({ claimed }) => claimed.length)).to.deep.equal([2, 2, 0])
+  })
+
+  it('does not take a registrar for silent because of claims that were withdrawn at it', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[0]!.answer(ClaimVerdict.Held)
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    for (let passedMs = 0; passedMs < 2_000; passedMs += 50) {
+      await passTime(timers, 50)
+      ranked[0]!.answer(ClaimVerdict.Held)
+    }
+    expect(ranked.map(({ claimed }) => claimed.length > 0)).to.deep.equal([true, true, false])
+    expect(ranked.map(({ resets }) => resets)).to.deep.equal([0, 0, 0])
+  })
+
+  it('reopens the link to a silent registrar also when no claim waits for it any more', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', VALID_MS)
+    await passTime(timers, 200)
+    created.release('job', false)
+    await passTime(timers, claims.REOPEN_AFTER_MS)
+    expect(ranked[0]!.resets).to.be.above(0)
+  })
+
+  it('sends no extension of a claim that is released in the same turn of the event loop', async () => {
+    const { claims: created, timers, ranked } = await createGranted()
+    created.claim('job', VALID_MS)
+    created.claim('job', VALID_MS)
+    created.release('job', false)
+    await passTime(timers, 100)
+    expect(ranked[0]!.claimed).to.deep.equal(['job'])
+    expect(ranked[0]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+  })
+
+  it('does not take the answer to an earlier claim for one to the claim made after its release', async () => {
+    const { claims: created, timers, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    created.release('job', false)
+    await passTime(timers, claims.RELEASE_DELAY_MS)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted, 1)
+    expect(told).to.deep.equal([])
+    for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
   it('ends a claim on a job that has succeeded elsewhere', async () => {
     const { claims: created, timers, ranked, told } = createBench()
     created.claim('job', VALID_MS)
