--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -75,10 +75,11 @@
     Object.assign(this.add(entryId), { state: LinkState.Open, port, matureAtMs: this.timers.nowMs() + YOUNG_MS - upMs, awaitedSinceMs: [], isSilent: false })
   }
 
-  /** Records that a link is closed. */
+  /** Records that a link is closed. Nobody waits for the link to a silent registrar to reopen, as others have taken its place. */
   close (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
     this.version++
-    Object.assign(this.add(entryId), { state, port: undefined, awaitedSinceMs: [], isSilent: false })
+    const known = this.add(entryId)
+    Object.assign(known, { state: known.isSilent ? LinkState.Absent : state, port: undefined, awaitedSinceMs: [], isSilent: false })
   }
 
   /**
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -64,6 +64,7 @@
   const registrars = Array.from({ length: count }, (_, number) => new FakeRegistrar(`entry-${number}`, () => created))
   const open = (registrar: FakeRegistrar, upMs = MATURE_MS): void => { created.handleOpened(registrar.entryId, registrar, upMs) }
   for (const registrar of registrars) open(registrar)
+  created.start()
   return { timers, claims: created, ranked: rank(registrars), open, told }
 }
 
@@ -274,6 +275,13 @@
     expect(ranked[0]!.messages.at(-1)!.claims.map(({ validForMs }) => validForMs)).to.deep.equal([VALID_MS - 1_000])
   })
 
+  it('claims a job of a very long deadline for the longest validity', async () => {
+    const { claims: created, ranked } = createBench()
+    created.claim('job', 10 * claims.MAX_CLAIM_VALIDITY_MS)
+    await flushEventLoop()
+    expect(ranked[0]!.messages[0]!.claims[0]!.validForMs).to.equal(claims.MAX_CLAIM_VALIDITY_MS)
+  })
+
   it('stops extending a claim that is released', async () => {
     const { claims: created, timers, ranked } = await createGranted()
     created.release('job', false)
@@ -354,7 +362,7 @@
     created.claim('job', VALID_MS)
     await flushEventLoop()
     created.release('job', false)
-    await passTime(timers, claims.RELEASE_DELAY_MS)
+    await passTime(timers, 20)
     created.claim('job', VALID_MS)
     await flushEventLoop()
     for (const registrar of ranked.slice(0, 2)) registrar.answer(ClaimVerdict.Granted, 1)
@@ -363,6 +371,66 @@
     expect(told).to.deep.equal(['granted job'])
   })
 
+  it('does not grant a job at once that was lost and comes in again before its runs have ended', async () => {
+    const { claims: created, timers, open, ranked, told } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    reopened.answer(ClaimVerdict.Held)
+    expect(created.claim('job', VALID_MS)).to.equal(false)
+    await passTime(timers, claims.HELD_RETRY_MS)
+    reopened.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['lost job holder', 'granted job'])
+  })
+
+  it('keeps the claims of a lost job at the other registrars until its runs have ended', async () => {
+    const { claims: created, timers, open, ranked } = await createGranted()
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    for (let passedMs = 0; passedMs < 2 * VALID_MS; passedMs += 50) {
+      reopened.answer(ClaimVerdict.Held)
+      await passTime(timers, 50)
+    }
+    expect(ranked[1]!.released).to.deep.equal([])
+    expect(ranked[1]!.claimed.length).to.be.above(1)
+    created.release('job', false)
+    await passTime(timers, claims.RELEASE_DELAY_MS)
+    expect(ranked[1]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
+  })
+
+  it('does not wait for a silent registrar while its link is opened anew', async () => {
+    const { claims: created, timers, ranked } = createBench()
+    created.claim('job', 60_000)
+    await flushEventLoop()
+    ranked[1]!.answer(ClaimVerdict.Granted)
+    await passTime(timers, 110)
+    ranked[2]!.answer(ClaimVerdict.Granted)
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    created.release('job', false)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    expect(ranked[2]!.claimed).to.have.length(2)
+  })
+
+  it('claims nothing before the start, and all jobs that wait at the start', async () => {
+    const timers = new settings.FakeTimers()
+    const told: string[] = []
+    const created: claims.JobClaims = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, { onGranted: jobId => { told.push(jobId) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
+    const only = new FakeRegistrar('entry-0', () => created)
+    created.claim('job', VALID_MS)
+    created.handleOpened(only.entryId, only, MATURE_MS)
+    await passTime(timers, 100)
+    expect(only.messages).to.deep.equal([])
+    expect(told).to.deep.equal([])
+    created.start()
+    await flushEventLoop()
+    only.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['job'])
+  })
+
   it('ends a claim on a job that has succeeded elsewhere', async () => {
     const { claims: created, timers, ranked, told } = createBench()
     created.claim('job', VALID_MS)
@@ -391,6 +459,7 @@
     const table = new claims.ClaimTable(timers)
     const created: claims.JobClaims = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, { onGranted: jobId => { told.push(jobId) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
     created.handleOpened('own', { send: requests => { created.handleAnswers('own', table.apply({ entryId: 'own', incarnation: 'life' }, requests)) }, reset: () => {} }, MATURE_MS)
+    created.start()
     created.claim('job', VALID_MS)
     await flushEventLoop()
     expect(told).to.deep.equal(['job'])
@@ -414,6 +483,7 @@
           const pathMs = order[number] === index ? 1 : 12
           created.handleOpened(entryId, { send: requests => { timers.after(pathMs, () => { const answers = table.apply(claimant, requests); timers.after(pathMs, () => { created.handleAnswers(entryId, answers) }) }) }, reset: () => {} }, MATURE_MS)
         }
+        created.start()
         return created
       })
       for (const claimant of claimants) claimant.claim('job', VALID_MS)
