--- a/packages/claims/src/claimTable.ts
+++ b/packages/claims/src/claimTable.ts
@@ -60,7 +60,7 @@
   }
 
   /** Records that the process of a claimant has ended, or that it has claimed its jobs again on another link. What it held on this link ends within `CLAIMANT_GONE_MS`. */
-  handleGone (claimant: Claimant): void {
+  expireClaims (claimant: Claimant): void {
     const goneMs = this.timers.nowMs() + CLAIMANT_GONE_MS * CLOCK_DRIFT
     for (const record of this.records.values()) {
       if (record.claimant === claimant && !record.hasSucceeded) record.untilMs = Math.min(record.untilMs, goneMs)
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -132,7 +132,7 @@
     const earlier = this.newest.get(claimant.incarnation)
     // Greetings on several connections may be read in any order.
     if (earlier !== undefined && earlier.upMs > (upMs ?? 0)) return claimant
-    if (earlier !== undefined) this.table.handleGone(earlier.claimant)
+    if (earlier !== undefined) this.table.expireClaims(earlier.claimant)
     this.newest.set(claimant.incarnation, { claimant, upMs: upMs ?? 0, isOpen: true })
     const known = this.links.get(claimant.entryId)
     if (claimant.entryId !== this.identity.entryId && (known === undefined || known.isClosed) && isUsableEntry({ address: address ?? '', failureDomain: '' })) {
@@ -159,6 +159,6 @@
 
   private handleProcessEnded (claimant: claims.Claimant): void {
     this.newest.delete(claimant.incarnation)
-    this.table.handleGone(claimant)
+    this.table.expireClaims(claimant)
   }
 }
--- a/packages/runtime/src/connections.ts
+++ b/packages/runtime/src/connections.ts
@@ -172,12 +172,6 @@
   handle?.listen(0)
 }
 
-/** Resolves after a whole turn of the event loop, which reads all sockets that had bytes at the time of the call. */
-export async function pollSockets (): Promise<void> {
-  await waitForCheckPhase()
-  await waitForCheckPhase()
-}
-
 /** Resolves after the sockets have been polled. */
 async function waitForCheckPhase (): Promise<void> {
   await new Promise<void>(resolve => { setImmediate(resolve) })
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -45,8 +45,8 @@
   readonly usefulUntilMs: number
   readonly deadlineAtMs: number
   readonly tasks: Task[][]
-  /** True once this entry is the one that may start tasks of the job. */
-  isClaimed = false
+  /** True once this entry holds the claim on the job, and may start its tasks. */
+  hasClaim = false
   /** True if another entry may have started tasks of the job. */
   mayRunElsewhere = false
   outcome: JobOutcome | undefined
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -203,7 +203,7 @@
     this.counts.accepted++
     job.advance()
     this.services.log.event(events.JobAccepted, { jobId: job.id, service: terms.service, priority: terms.priority, tasks: spec.steps.reduce((sum, step) => sum + step.count, 0), estimatedMs: job.remainingEstimateMs(), dueInMs: Math.round(job.dueAtMs - this.nowMs), deadlineMs, open: this.openCount, workers: this.workerCount, targetLatencyMs: terms.targetLatencyMs, lagMs: Math.round(this.services.lagMs?.() ?? 0), waitedMs: Math.round(waitedMs) })
-    job.isClaimed = this.services.claims?.claim(job.id, deadlineMs - waitedMs + this.options.lostAfterMs) ?? true
+    job.hasClaim = this.services.claims?.claim(job.id, deadlineMs - waitedMs + this.options.lostAfterMs) ?? true
     this.scheduleDispatch()
     return job
   }
@@ -212,7 +212,7 @@
   handleClaimGranted (jobId: string): void {
     const job = this.open.get(jobId)
     if (job === undefined) return
-    job.isClaimed = true
+    job.hasClaim = true
     this.scheduleDispatch()
   }
 
@@ -540,7 +540,7 @@
     const { nowMs } = this
     const queue: QueuedJob[] = []
     for (const job of this.open.values()) {
-      if (!job.isClaimed || !job.hasWaitingTask) continue
+      if (!job.hasClaim || !job.hasWaitingTask) continue
       queue.push({ job, priority: job.terms.priority, dueAtMs: job.dueAtMs, usefulUntilMs: job.usefulUntilMs, remainingMs: this.speeds.expectedMs(job.remainingEstimateMs()), hasStarted: job.mayHaveStarted })
     }
     queue.sort((left, right) => compareJobs(left, right, nowMs))
@@ -564,7 +564,7 @@
 
 /** Returns true if no task has started, here or at another entry, so that a refusal is true. */
 function isKnownUnstarted (job: Job): boolean {
-  return job.isClaimed && !job.mayHaveStarted
+  return job.hasClaim && !job.mayHaveStarted
 }
 
 /** Returns true for a job that ended without a result for its caller, so that a resubmission runs it again. */
--- a/test/support/claimWorld.ts
+++ b/test/support/claimWorld.ts
@@ -326,7 +326,7 @@
   private accept (link: Link, claimant: claims.Claimant, onOpened: (upMs: number) => void): void {
     link.registrar = { entry: this, process: this.process, claimant }
     const earlier = this.newest.get(claimant.incarnation)
-    if (earlier !== undefined) this.table.handleGone(earlier)
+    if (earlier !== undefined) this.table.expireClaims(earlier)
     this.newest.set(claimant.incarnation, claimant)
     if (!this.dialed.has(claimant.entryId)) this.dial(claimant.entryId, false)
     const { upMs } = this
@@ -345,7 +345,7 @@
   /** Handles the end of a claimant's link, as the registrar. */
   handleLinkEnded (claimant: claims.Claimant): void {
     if (this.newest.get(claimant.incarnation) === claimant) this.newest.delete(claimant.incarnation)
-    this.table.handleGone(claimant)
+    this.table.expireClaims(claimant)
   }
 
   resetLinks (): void {
