A refusal of a claim stands until the registrar that gave it grants the claim

Cause: entry-0 was refused by entry-2, as entry-1 held the job. Then entry-0's links to both were silent and reset. The end of the link dropped the refusal, and 94 ms later entry-0, the only registrar that it could ask, granted itself. Change: a refused claimant waits while the registrar that refused it can't be asked, until its caller leaves or its deadline passes.

--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -46,7 +46,7 @@
   mayRun: boolean
   /** True once a registrar has refused the claim. The others are then asked one after the other, so that two claimants do not block each other. */
   isContended: boolean
-  /** Registrar that has refused the claim last. */
+  /** Registrar that has refused the claim last. Its refusal stands until it grants the claim. */
   refusedBy: Registrar | undefined
   readonly sent: Map<string, SentClaim>
   /** Registrars of the job, and the version of their registry that they were chosen from. */
@@ -150,6 +150,7 @@
     switch (verdict) {
       case ClaimVerdict.Granted:
         if (sent.state !== RequestState.Sent) return
+        if (claim.refusedBy === sent.registrar) claim.refusedBy = undefined
         sent.state = RequestState.Granted
         this.advance(claim)
         return
@@ -224,8 +225,7 @@
 
   /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
   private advance (claim: OpenClaim): void {
-    // A refusal stands until the registrar answers again, or its link has ended.
-    if (!this.isStarted || (!claim.isGranted && claim.refusedBy?.isSilent === true)) return
+    if (!this.isStarted || (!claim.isGranted && isUnreachable(claim.refusedBy))) return
     const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
@@ -349,3 +349,8 @@
     if (hasChanged) this.advanceAll()
   }
 }
+
+/** Returns true for a registrar that can't be asked now. */
+function isUnreachable (registrar: Registrar | undefined): boolean {
+  return registrar !== undefined && (registrar.isSilent || registrar.port === undefined)
+}
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -474,6 +474,27 @@
     expect(ranked[1]!.released).to.deep.equal([{ jobId: 'job', hasSucceeded: false }])
   })
 
+  it('does not grant a refused claim while the registrar that refused it is unreachable', async () => {
+    const { claims: created, timers, open, ranked, told } = createBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    ranked[0]!.answer(ClaimVerdict.Held)
+    created.handleClosed(ranked[0]!.entryId, LinkState.Reopening)
+    created.handleClosed(ranked[0]!.entryId, LinkState.Absent)
+    for (let round = 0; round < 3; round++) {
+      await passTime(timers, claims.HELD_RETRY_MS)
+      for (const registrar of ranked.slice(1)) registrar.answer(ClaimVerdict.Granted)
+    }
+    expect(told).to.deep.equal(['held job holder'])
+    const reopened = new FakeRegistrar(ranked[0]!.entryId, () => created)
+    open(reopened)
+    await flushEventLoop()
+    reopened.answer(ClaimVerdict.Granted)
+    await flushEventLoop()
+    for (const registrar of ranked.slice(1)) registrar.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['held job holder', 'granted job'])
+  })
+
   it('tells that a granted job was lost when the last of its registrars names another holder, and not before', async () => {
     const bench = await createGranted()
     const { told } = bench
