--- a/packages/fleet/src/registrarLink.ts
+++ b/packages/fleet/src/registrarLink.ts
@@ -27,6 +27,8 @@
   /** Incarnation of the process that greeted last; empty before. */
   incarnation = ''
   private isOpen = false
+  /** Monotonic time at which the link closed last, in milliseconds. */
+  private lastOpenAtMs = Number.NEGATIVE_INFINITY
   private redialMs = MIN_REDIAL_MS
   private readonly abort = new AbortController()
 
@@ -77,12 +79,18 @@
     stop()
     const wasOpen = this.isOpen
     this.isOpen = false
-    this.reportClosed(wasOpen && this.isListed ? claims.LinkState.Reopening : claims.LinkState.Absent)
+    if (wasOpen) this.lastOpenAtMs = timers.nowMs()
+    this.reportClosed(this.isReopening ? claims.LinkState.Reopening : claims.LinkState.Absent)
     if (this.isRefused) this.services.onProcess(this)
     if (wasOpen) log.event(events.ClaimLinkClosed, { peer: this.entryId, step: 'claims.read', reason })
     return wasOpen
   }
 
+  /** True shortly after the link has closed, also if further attempts to open it fail, unless nothing listens there any more. */
+  private get isReopening (): boolean {
+    return this.isListed && !this.isRefused && this.services.timers.nowMs() - this.lastOpenAtMs < CLAIM_LINK_OPEN_MS
+  }
+
   /** Another link may have taken the place of one that was closed here. */
   private reportClosed (state: claims.LinkState.Reopening | claims.LinkState.Absent): void {
     if (!this.isClosed) this.services.claims.handleClosed(this.entryId, state)
