--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -168,6 +168,8 @@
     if (state === undefined) return
     connection.evacuationRevision = Math.max(connection.evacuationRevision, state.revision)
     this.evacuations.offer(state, `entry ${connection.address}`)
+    // A peer whose state is older may have learned it after this node's state was last sent.
+    this.sendEvacuations(connection)
   }
 
   /** Applies a change of the evacuations, and passes it on to the entries that do not have it, as some may not reach the store. */
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -134,7 +134,7 @@
     if (message.report != null) this.handleReport(connection, message.report)
     else if (message.held != null) this.handleHeld(connection, message.held)
     else if (message.config != null) this.handleConfig(connection, message.config)
-    else if (message.evacuations != null) this.handleEvacuations(connection, message.evacuations)
+    else if (message.evacuations != null) this.receiveEvacuations(connection, message.evacuations)
     else if (message.beat != null) this.handleHeartbeat(connection, message.beat)
   }
 
@@ -174,16 +174,25 @@
     this.evacuations.offer(state, `agent ${connection.agentId}`)
   }
 
+  private receiveEvacuations (connection: AgentConnection, message: protocol.runs.IEvacuations): void {
+    this.handleEvacuations(connection, message)
+    // A peer whose state is older may have learned it after this node's state was last sent.
+    this.sendEvacuations(connection)
+  }
+
+  private sendEvacuations (connection: AgentConnection): void {
+    const { revision, message } = this.evacuations
+    if (connection.evacuationRevision >= revision) return
+    connection.evacuationRevision = revision
+    connection.send({ evacuations: message })
+  }
+
   /** Applies a change of the evacuations, and sends it to the agents that do not have it. */
   private handleEvacuationsChanged (source: EvacuationSource): void {
-    const { revision, failureDomains, message } = this.evacuations
+    const { revision, failureDomains } = this.evacuations
     this.services.log.event(events.EvacuationsChanged, { failureDomains: failureDomains.join(), revision, source })
     this.services.scheduler.setEvacuatedDomains(failureDomains)
-    for (const connection of this.connections.values()) {
-      if (connection.evacuationRevision >= revision) continue
-      connection.evacuationRevision = revision
-      connection.send({ evacuations: message })
-    }
+    for (const connection of this.connections.values()) this.sendEvacuations(connection)
   }
 
   private recordConfigVersion (connection: AgentConnection, version: number): void {
