--- a/packages/fleet/src/evacuations.ts
+++ b/packages/fleet/src/evacuations.ts
@@ -39,7 +39,7 @@
   offer ({ revision, failureDomains }: EvacuationState, source: EvacuationSource): void {
     if (revision <= this.revision) return
     const sorted = [...new Set(failureDomains)].sort()
-    const hasChanged = sorted.join() !== this.failureDomains.join()
+    const hasChanged = sorted.length !== this.failureDomains.length || sorted.some((domain, index) => domain !== this.failureDomains[index])
     this.state = { revision, failureDomains: sorted }
     if (hasChanged) for (const listener of this.listeners) listener(source)
   }
--- a/test/unit/fleet/evacuations.test.ts
+++ b/test/unit/fleet/evacuations.test.ts
@@ -16,6 +16,16 @@
     expect(told).to.deep.equal(['store: a,b', 'entry e: '])
   })
 
+  // Guards against an evacuation that is recorded but never applied.
+  it('tell listeners of a change between names that contain commas', () => {
+    const evacuations = new fleet.Evacuations()
+    const told: string[][] = []
+    evacuations.subscribe(() => { told.push([...evacuations.failureDomains]) })
+    evacuations.offer({ revision: 1, failureDomains: ['a,b'] }, 'store')
+    evacuations.offer({ revision: 2, failureDomains: ['a', 'b'] }, 'store')
+    expect(told).to.deep.equal([['a,b'], ['a', 'b']])
+  })
+
   // Guards against one corrupt message whose revision hides every later change, or whose list fills the memory.
   it('are not taken from messages that no store can have produced', () => {
     const refused = [undefined, {}, { revision: Number.MAX_VALUE }, { revision: 1.5 }, { revision: -1 }, { revision: 3, failureDomains: ['x'.repeat(201)] }, { revision: 3, failureDomains: Array(65).fill('a') }]
