Containment: the cell of a queue leaves out workers in evacuated failure domains

With the first worker of the cell in an evacuated domain, suspects of contained queues had no worker; with the whole cell there, all their jobs were refused as if the workers were down. unit/scheduler/containment: failed before, passes.

--- a/packages/scheduler/src/containment.ts
+++ b/packages/scheduler/src/containment.ts
@@ -105,9 +105,9 @@
     return ({ agentId }) => isSuspect ? agentId === quarantine : rest.includes(agentId)
   }
 
-  /** Returns the cell of a service. Every entry orders the workers alike, so that their cells agree as far as they know the same workers. */
+  /** Returns the cell of a service, without workers in evacuated failure domains. Every entry orders the workers alike, so that their cells agree as far as they know the same workers. */
   private cellOf (service: string): string[] {
-    const ids = [...this.agents.all].filter(({ view }) => view.service === service).map(({ agentId }) => agentId)
+    const ids = [...this.agents.usable].filter(({ view }) => view.service === service).map(({ agentId }) => agentId)
     ids.sort((left, right) => this.rankOf(left) - this.rankOf(right))
     return ids.slice(0, Math.floor(ids.length * CELL_SHARE))
   }
--- a/test/unit/scheduler/containment.test.ts
+++ b/test/unit/scheduler/containment.test.ts
@@ -14,12 +14,11 @@
   count: (queue: string, isSuspect?: boolean) => number
 }
 
-function createBench (workerCount = WORKERS): Bench {
+function createBench (workerCount = WORKERS, agents = new scheduler.Agents()): Bench {
   const timers = new settings.FakeTimers()
-  const agents = new scheduler.Agents()
   const total = { cpuMilli: 32_000, memoryMb: 1_024, accelerators: 0 }
   for (let number = 0; number < workerCount; number++) {
-    agents.connect({ agentId: `agent-${number}`, incarnation: 'life', failureDomain: 'a', sinceLastMessageMs: () => 0, sendTask: () => {}, stop: () => {}, sendDemand: () => {} }, { isPresent: true, isDraining: false, service: SERVICE, total, free: total, labels: [], waiting: 0, hasSuspect: false, runTimeRatio: 0, received: 0 })
+    agents.connect({ agentId: `agent-${number}`, incarnation: 'life', failureDomain: number < workerCount / 2 ? 'a' : 'b', sinceLastMessageMs: () => 0, sendTask: () => {}, stop: () => {}, sendDemand: () => {} }, { isPresent: true, isDraining: false, service: SERVICE, total, free: total, labels: [], waiting: 0, hasSuspect: false, runTimeRatio: 0, received: 0 })
   }
   const changes: Array<[string, boolean]> = []
   const containment = new scheduler.Containment(timers, agents, (queue, isContained) => { changes.push([queue, isContained]) })
@@ -38,6 +37,19 @@
     expect(changes).to.deep.equal([['crashing', true]])
   })
 
+  // Guards against a cell in an evacuated failure domain, where none of its jobs could run.
+  it('keeps a queue to workers outside of evacuated failure domains', () => {
+    const agents = new scheduler.Agents()
+    const { containment } = createBench(WORKERS, agents)
+    for (const job of ['job-1', 'job-2']) containment.recordVerdict('crashing', job)
+    for (const evacuated of ['a', 'b']) {
+      agents.setEvacuatedDomains([evacuated])
+      const usable = [...agents.usable]
+      const counts = [['crashing', false], ['crashing', true], ['first', false]].map(([queue, isSuspect]) => usable.filter(containment.filterFor(queue as string, SERVICE, isSuspect as boolean)).length)
+      expect(counts, evacuated).to.deep.equal([1, 1, 3])
+    }
+  })
+
   it('does not begin for verdicts that are far apart', () => {
     const { timers, containment, count } = createBench()
     for (let verdict = 0; verdict < 3; verdict++) {
