Refusals: a waiting job is refused at once also when all workers are in evacuated failure domains

The check was skipped while no worker took runs, which is the case then too, so that the job waited for the end of its useful time. It is now skipped only in the first 1.5 s of an entry, while its first workers connect. unit/scheduler: failed before, passes.

--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -36,9 +36,11 @@
 export class Refusals {
   /** Time at which a worker was last seen to accept runs; initially the start of the process. */
   private workerSeenAtMs: number
+  private readonly startedAtMs: number
 
   constructor (private readonly context: RefusalContext) {
-    this.workerSeenAtMs = context.timers.nowMs()
+    this.startedAtMs = context.timers.nowMs()
+    this.workerSeenAtMs = this.startedAtMs
   }
 
   /** Records whether a worker accepts runs now. */
@@ -70,7 +72,8 @@
     const { agents } = this.context
     const contained = this.findContained(job)
     if (contained !== undefined) return contained
-    if (agents.hasEvacuatedDomain && this.context.workerCount() > 0 && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
+    const mayFindWorkers = this.context.workerCount() === 0 && this.nowMs - this.startedAtMs < NO_WORKER_WAIT_MS
+    if (agents.hasEvacuatedDomain && !mayFindWorkers && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
     if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: 'can not end before the deadline', waitMs: this.expectedWaitFor(job) }
     if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: 'no room in useful time', waitMs: this.expectedWaitFor(job) }
     return undefined
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -363,6 +363,22 @@
     expect([...waiting.outcomes, ...arriving.outcomes].map(({ kind }) => kind)).to.deep.equal(['refused', 'refused'])
   })
 
+  // Guards against jobs that wait for their deadline because the check of placement is skipped without any worker.
+  it('refuses a waiting job at once when all workers are in evacuated failure domains, but not while the first workers of a new entry connect', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    created.setEvacuatedDomains(['a'])
+    const early = submit(createJob('early', 1), {}, 9_000)
+    created.connect(new FakePort('agent-1', 'life-1', 'a'), createLoad())
+    await passTime(timers, 100)
+    expect(early.outcomes).to.deep.equal([])
+    created.connect(new FakePort('agent-2', 'life-1', 'b'), createLoad({ free: workers.NO_SIZE }))
+    await passTime(timers, 1_500)
+    const late = submit(createJob('late', 1), {}, 9_000)
+    created.setEvacuatedDomains(['a', 'b'])
+    await passTime(timers, 60)
+    expect(late.outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+  })
+
   it('fails a job when one task has used up its attempts, each on another worker', async () => {
     const { scheduler: created, submit } = createBench()
     const ports = [new FakePort('agent-1'), new FakePort('agent-2')]
