--- a/packages/bench/src/jobs/modelFleet.ts
+++ b/packages/bench/src/jobs/modelFleet.ts
@@ -19,6 +19,8 @@
   linksPerAgent?: number
   /** One-way delay of messages between entries and agents, in milliseconds. */
   linkDelayMs: number
+  /** Relative rates at which callers reach the entries; repeated for further entries. Defaults to equal rates. */
+  entryWeights?: readonly number[]
   seed: number
   /** Returns the time from the start of a task to the crash of its worker, in milliseconds; undefined for a task that crashes none. */
   crashesAfterMs?: (task: workers.TaskRef) => number | undefined
@@ -50,6 +52,8 @@
 const REPORT_CHECK_MS = 50
 /** Delay that batches load reports to entries whose tasks did not change. */
 const LOAD_PERIOD_MS = 40
+/** Steps of an entry's weight of 1. */
+const WEIGHT_STEPS = 20
 
 /** An agent with its worker and its links to entries. */
 class ModelAgent {
@@ -212,11 +216,14 @@
   await advanceTime(timers, 100)
   const startMs = timers.nowMs()
   const answers: JobAnswer[] = []
+  const { entryWeights = [1] } = options
+  const callers = entries.flatMap((entry, number) => Array.from({ length: Math.round(entryWeights[number % entryWeights.length]! * WEIGHT_STEPS) }, () => entry))
+  const chooseEntry = (): scheduler.Scheduler => callers[random.whole(0, callers.length - 1)]!
   const endMs = (load.at(-1)?.atMs ?? 0) + DRAIN_LIMIT_MS
   for (let next = 0; timers.nowMs() - startMs < endMs && (next < load.length || entries.some(entry => entry.openCount > 0));) {
     const nowMs = timers.nowMs() - startMs
     options.onStep?.(nowMs, standins)
-    for (; next < load.length && load[next]!.atMs <= nowMs; next++) answers.push(submit(entries[random.whole(0, entries.length - 1)]!, load[next]!, timers))
+    for (; next < load.length && load[next]!.atMs <= nowMs; next++) answers.push(submit(chooseEntry(), load[next]!, timers))
     await advanceTime(timers, STEP_MS)
   }
   for (const entry of entries) entry.stop()
--- a/scripts/modelJobs.ts
+++ b/scripts/modelJobs.ts
@@ -17,7 +17,9 @@
     'fleet-factor': { type: 'string', default: '1' },
     links: { type: 'string', default: '6' },
     /** Uses workers of different speeds. */
-    uneven: { type: 'boolean', default: false }
+    uneven: { type: 'boolean', default: false },
+    /** Relative rates at which callers reach the entries, in turn; equal by default. */
+    weights: { type: 'string', default: '1' }
   }
 })
 
@@ -45,7 +47,7 @@
     // The load follows half a sine period, so it peaks at `level` in the middle of the run.
     const shape: bench.LoadShape = { durationMs: DURATION_MS, level: level * cores / bench.meanCores(bench.PEAK_JOB_KINDS) / (1 + SWING_SHARE), swing: SWING_SHARE, periodMs: 2 * DURATION_MS }
     const load = bench.createJobLoad(bench.PEAK_JOB_KINDS, shape, seed)
-    const outcome = await bench.runJobLoad(load, { entries: entries!, workerCores, slowness, linksPerAgent, linkDelayMs: linkDelayMs!, seed })
+    const outcome = await bench.runJobLoad(load, { entries: entries!, workerCores, slowness, linksPerAgent, linkDelayMs: linkDelayMs!, entryWeights: readNumbers('weights', values.weights), seed })
     answers.push(...outcome.answers)
     starts += outcome.startCount
     returnedTasks += outcome.returnCount
