Move EntryIdentity to a file of its own

entryClaims imported the type from entryNode, which imports EntryClaims: a circular import. Both now import entryIdentity.ts.

--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -6,7 +6,7 @@
 import { decodeRequests, encodeAnswer, isUsable } from './claimMessages.ts'
 import { CLAIM_LIST_WAIT_MS } from './defaults.ts'
 import { isUsableEntry } from './entryChoice.ts'
-import type { EntryIdentity } from './entryNode.ts'
+import type { EntryIdentity } from './entryIdentity.ts'
 import { RegistrarLink } from './registrarLink.ts'
 
 /** Dependencies of the claims. */
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -6,20 +6,12 @@
 import { AgentConnection } from './agentConnection.ts'
 import { type ConfigCache, decodeCopy } from './configCopy.ts'
 import type { EntryClaims } from './entryClaims.ts'
+import type { EntryIdentity } from './entryIdentity.ts'
 import { decodeEvacuations, Evacuations, type EvacuationSource } from './evacuations.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
 import { decodeCrash, decodeEnd, decodeHeld, decodeLoad, decodeSlow } from './messages.ts'
 
-/** Identity of an entry process. Stored as JSON under its key in the store, with these field names. */
-export interface EntryIdentity {
-  entryId: string
-  life: string
-  /** IP address and port on which the entry accepts agents. */
-  address: string
-  failureDomain: string
-}
-
 /** Dependencies of the entry's side. */
 export interface EntryNodeServices {
   timers: settings.Timers
