Grant a claim without another entry only when all others have ended

An entry whose links were all away granted its jobs to itself, so two entries ran one job. Registrars now tell entries that can't be reached (absent) from those that have ended, and a claim waits while one of the former is left. canConfirm tells whether claims could be confirmed within the last second.

A job is not expected to be granted while each other entry is paused or cut off.

--- a/packages/claims/src/defaults.ts
+++ b/packages/claims/src/defaults.ts
@@ -14,6 +14,10 @@
 export const HELD_RETRY_MS = 25
 /** Longest time for which releases wait for a claim that they can travel with, in milliseconds. */
 export const RELEASE_DELAY_MS = 100
+/** The same for releases of jobs that have succeeded: their callers have been answered, and few submit them again. */
+export const SUCCESS_RELEASE_DELAY_MS = 300
+/** Time without another entry that answers after which claims count as not confirmable, in milliseconds. A link that was reset reopens sooner. */
+export const UNCONFIRMED_LIMIT_MS = 1_000
 /** Time from the end of a claimant's process until its runs have certainly ended, in milliseconds: the owner lease of its agents and the stop of the runs. */
 export const CLAIMANT_GONE_MS = 1_250
 /** Time in which the entries claim their jobs again at a registrar that has restarted, in milliseconds. */
--- a/packages/claims/src/jobClaims.ts
+++ b/packages/claims/src/jobClaims.ts
@@ -1,10 +1,10 @@
 /** The claims of one entry on the jobs that it runs. */
 import * as protocol from '@egretvalve/protocol'
 import type * as settings from '@egretvalve/settings'
-import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_CLAIM_VALIDITY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS } from './defaults.ts'
+import { ANSWER_TIMEOUT_MS, CHECK_PERIOD_MS, HELD_RETRY_MS, MAX_CLAIM_VALIDITY_MS, MAX_SEQUENCE, RELEASE_DELAY_MS, RENEW_BEFORE_MS, RENEWAL_MS, REOPEN_AFTER_MS, SUCCESS_RELEASE_DELAY_MS, UNCONFIRMED_LIMIT_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { type ClaimAnswer, type ClaimRequests, ClaimVerdict } from './model.ts'
-import { LinkState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
+import { type ClosedState, type Registrar, type RegistrarPort, Registrars } from './registrars.ts'
 
 /** Receives the results of claims. */
 export interface ClaimObserver {
@@ -37,6 +37,12 @@
   state: RequestState
 }
 
+/** A message that has not been sent. */
+interface Queue extends ClaimRequests {
+  /** Monotonic time at which its releases are sent without a claim, in milliseconds. */
+  releasesDueAtMs: number
+}
+
 interface OpenClaim {
   readonly jobId: string
   /** Monotonic time at which the runs of the job will certainly have ended, in milliseconds. */
@@ -55,25 +61,32 @@
 
 /** Claims jobs at their registrars. A claim that is granted stands until it is released, or until a registrar that has lost it grants the job to another entry. */
 export class JobClaims {
-  /** Number of claims that were granted although no other entry could be asked. */
+  /** Number of claims that were granted without another entry, as none is known to be alive. */
   unconfirmedCount = 0
   /** Number of jobs that waited for another entry. */
   heldCount = 0
   private readonly registrars: Registrars
   private readonly claims = new Map<string, OpenClaim>()
   /** Messages that have not been sent, by registrar. */
-  private readonly queues = new Map<string, ClaimRequests>()
+  private readonly queues = new Map<string, Queue>()
   private readonly renewTimer: settings.TimerHandle
   private lastSequence = 0
   private isCheckScheduled = false
   private isFlushScheduled = false
   private hasUrgentReleases = false
   private isStarted = false
-  private releaseTimer: settings.TimerHandle | undefined
+  /** Sends releases that have found no claim to travel with. */
+  private releaseTimer: { handle: settings.TimerHandle, dueAtMs: number } | undefined
+  /** Monotonic time since which claims can't be confirmed, in milliseconds. */
+  private unconfirmedSinceMs: number | undefined
+  private isUnconfirmedLogged = false
 
   constructor (private readonly ownId: string, private readonly services: JobClaimsServices, private readonly observer: ClaimObserver) {
-    this.registrars = new Registrars(services.timers)
-    this.renewTimer = services.timers.every(RENEW_BEFORE_MS / 2, () => { this.renewExpiring() })
+    this.registrars = new Registrars(services.timers, ownId)
+    this.renewTimer = services.timers.every(RENEW_BEFORE_MS / 2, () => {
+      this.renewExpiring()
+      this.logUnconfirmed()
+    })
   }
 
   /** Number of jobs that are claimed. */
@@ -81,25 +94,30 @@
     return this.claims.size
   }
 
+  /** False once no other entry has been able to confirm claims for `UNCONFIRMED_LIMIT_MS`, although some are not known to have ended. */
+  get canConfirm (): boolean {
+    return this.unconfirmedSinceMs === undefined || this.nowMs - this.unconfirmedSinceMs < UNCONFIRMED_LIMIT_MS
+  }
+
   /** Starts to claim. Call once the other entries are known; until then claims wait. */
   start (): void {
     this.isStarted = true
-    this.advanceAll()
+    this.handleRegistrarsChanged()
   }
 
   stop (): void {
     this.renewTimer.cancel()
-    this.releaseTimer?.cancel()
+    this.releaseTimer?.handle.cancel()
   }
 
-  /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted at once; else the observer is called. */
+  /** Claims a job whose runs will have ended in `validForMs` milliseconds. Returns true if it is granted at once; the observer is called then too, or later. */
   claim (jobId: string, validForMs: number): boolean {
     const validUntilMs = this.nowMs + Math.min(validForMs, MAX_CLAIM_VALIDITY_MS)
     const known = this.claims.get(jobId)
     if (known !== undefined) {
       known.validUntilMs = Math.max(known.validUntilMs, validUntilMs)
       this.confirm(known)
-      return false
+      return known.isGranted
     }
     const claim: OpenClaim = { jobId, validUntilMs, isGranted: false, mayRun: false, isContended: false, refusedBy: undefined, sent: new Map(), chosen: { registrars: [], version: -1 } }
     this.claims.set(jobId, claim)
@@ -119,14 +137,14 @@
   handleOpened (entryId: string, port: RegistrarPort, upMs: number): void {
     this.forget(entryId)
     this.registrars.open(entryId, port, upMs)
-    this.advanceAll()
+    this.handleRegistrarsChanged()
   }
 
   /** Records that a link has closed, or could not be opened. Claims at that registrar are made at the next one. */
-  handleClosed (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
+  handleClosed (entryId: string, state: ClosedState): void {
     this.forget(entryId)
     this.registrars.close(entryId, state)
-    this.advanceAll()
+    this.handleRegistrarsChanged()
   }
 
   /** Applies the answers of a registrar. */
@@ -136,7 +154,7 @@
     for (const answer of answers) this.handleAnswer(entryId, answer)
     if (registrar?.isSilent !== true) return
     this.registrars.setSilent(registrar, false)
-    this.advanceAll()
+    this.handleRegistrarsChanged()
   }
 
   private get nowMs (): number {
@@ -213,28 +231,61 @@
     const queue = this.queueOf(registrar)
     queue.claims = queue.claims.filter(({ jobId }) => jobId !== claim.jobId)
     queue.releases.push({ jobId: claim.jobId, hasSucceeded })
-    this.releaseTimer ??= this.services.timers.after(RELEASE_DELAY_MS, () => {
-      this.releaseTimer = undefined
-      this.flush([...this.queues.keys()])
-    })
+    if (registrar.entryId === this.ownId) {
+      this.flush([this.ownId])
+      return
+    }
+    queue.releasesDueAtMs = Math.min(queue.releasesDueAtMs, this.nowMs + (hasSucceeded ? SUCCESS_RELEASE_DELAY_MS : RELEASE_DELAY_MS))
+    this.scheduleReleases(queue.releasesDueAtMs)
+  }
+
+  private scheduleReleases (dueAtMs: number): void {
+    if (this.releaseTimer !== undefined && this.releaseTimer.dueAtMs <= dueAtMs) return
+    this.releaseTimer?.handle.cancel()
+    const handle = this.services.timers.after(Math.max(0, dueAtMs - this.nowMs), () => { this.sendDueReleases() })
+    this.releaseTimer = { handle, dueAtMs }
+  }
+
+  private sendDueReleases (): void {
+    this.releaseTimer = undefined
+    this.flush([...this.queues].filter(([, { releasesDueAtMs }]) => releasesDueAtMs <= this.nowMs).map(([entryId]) => entryId))
+    const nextAtMs = Math.min(...[...this.queues.values()].map(({ releasesDueAtMs }) => releasesDueAtMs))
+    if (nextAtMs !== Number.POSITIVE_INFINITY) this.scheduleReleases(nextAtMs)
+  }
+
+  private handleRegistrarsChanged (): void {
+    if (!this.isStarted || this.registrars.hasReachableOther || !this.registrars.hasOther) this.unconfirmedSinceMs = undefined
+    else this.unconfirmedSinceMs ??= this.nowMs
+    this.advanceAll()
+  }
+
+  private logUnconfirmed (): void {
+    if (this.canConfirm === !this.isUnconfirmedLogged) return
+    this.isUnconfirmedLogged = !this.canConfirm
+    if (this.isUnconfirmedLogged) this.services.log.event(events.ClaimsUnconfirmed, { claims: this.claims.size })
+    else this.services.log.event(events.ClaimsConfirmed, { claims: this.claims.size })
   }
 
   private advanceAll (): void {
     for (const claim of [...this.claims.values()]) this.advance(claim)
   }
 
-  /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it. */
+  /** Claims the job at those of its registrars that have not been asked, and grants it once all of them have granted it, one of which is another entry unless all others have ended. */
   private advance (claim: OpenClaim): void {
     if (!this.isStarted || (!claim.isGranted && isUnreachable(claim.refusedBy))) return
     const chosen = this.registrarsOf(claim)
     for (const registrar of chosen) {
       if (!claim.sent.has(registrar.entryId)) this.send(claim, registrar)
+      // This entry's own answer may have ended the claim.
+      if (this.claims.get(claim.jobId) !== claim) return
       if (claim.isContended && claim.sent.get(registrar.entryId)?.state !== RequestState.Granted) return
     }
     if (claim.isGranted || !chosen.every(({ entryId }) => claim.sent.get(entryId)?.state === RequestState.Granted)) return
+    const isUnconfirmed = chosen.every(({ entryId }) => entryId === this.ownId)
+    if (isUnconfirmed && this.registrars.hasOther) return
     claim.isGranted = true
     claim.mayRun = true
-    if (chosen.every(({ entryId }) => entryId === this.ownId)) this.unconfirmedCount++
+    if (isUnconfirmed) this.unconfirmedCount++
     this.observer.onGranted(claim.jobId)
   }
 
@@ -255,7 +306,9 @@
     this.lastSequence = (this.lastSequence + 1) % MAX_SEQUENCE
     sent.sequence = this.lastSequence
     this.queueOf(sent.registrar).claims.push({ jobId: claim.jobId, sequence: sent.sequence, wasRefused: claim.isContended && !claim.mayRun, validForMs: Math.max(0, claim.validUntilMs - this.nowMs) })
-    this.scheduleFlush(false)
+    // The answer of this entry needs no message.
+    if (sent.registrar.entryId === this.ownId) this.flush([this.ownId])
+    else this.scheduleFlush(false)
   }
 
   /** Sends the queued claims, and the releases that can travel with them or are urgent, at the end of this turn of the event loop. */
@@ -271,10 +324,10 @@
     })
   }
 
-  private queueOf ({ entryId }: Registrar): ClaimRequests {
+  private queueOf ({ entryId }: Registrar): Queue {
     const known = this.queues.get(entryId)
     if (known !== undefined) return known
-    const created: ClaimRequests = { claims: [], releases: [] }
+    const created: Queue = { claims: [], releases: [], releasesDueAtMs: Number.POSITIVE_INFINITY }
     this.queues.set(entryId, created)
     return created
   }
@@ -283,13 +336,13 @@
     for (const entryId of entryIds) {
       const requests = this.queues.get(entryId)
       this.queues.delete(entryId)
-      if (requests !== undefined) this.sendRequests(this.registrars.get(entryId), requests)
+      if (requests !== undefined) this.sendRequests(this.registrars.get(entryId), { claims: requests.claims, releases: requests.releases })
     }
   }
 
   private sendRequests (registrar: Registrar | undefined, requests: ClaimRequests): void {
     if (registrar?.port === undefined || requests.claims.length + requests.releases.length === 0) return
-    if (requests.claims.length > 0) {
+    if (requests.claims.length > 0 && registrar.entryId !== this.ownId) {
       registrar.awaitedSinceMs.push(this.nowMs)
       this.scheduleCheck()
     }
@@ -312,7 +365,7 @@
   }
 
   private renew (claim: OpenClaim): void {
-    for (const sent of claim.sent.values()) if (sent.registrar.port !== undefined) this.queueClaim(claim, sent)
+    for (const sent of [...claim.sent.values()]) if (sent.registrar.port !== undefined) this.queueClaim(claim, sent)
   }
 
   /** Drops what was sent to a registrar and not answered, and that it has granted claims. */
@@ -346,7 +399,7 @@
       this.services.log.event(events.RegistrarSilent, { registrar: registrar.entryId, silentMs: Math.round(silentMs) })
       hasChanged = true
     }
-    if (hasChanged) this.advanceAll()
+    if (hasChanged) this.handleRegistrarsChanged()
   }
 }
 
--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -9,9 +9,15 @@
   Open = 'open',
   /** Closed a moment ago and being redialled. Claims wait for the result. */
   Reopening = 'reopening',
-  Absent = 'absent'
+  /** Can't be reached, but its process may go on. */
+  Absent = 'absent',
+  /** Its process has ended, or it has left the deployment. */
+  Ended = 'ended'
 }
 
+/** States of a link that isn't open. */
+export type ClosedState = Exclude<LinkState, LinkState.Open>
+
 /** Open link to a registrar. */
 export interface RegistrarPort {
   send: (requests: ClaimRequests) => void
@@ -38,7 +44,20 @@
   version = 0
   private readonly byId = new Map<string, Registrar>()
 
-  constructor (private readonly timers: settings.Timers) {}
+  /** `ownId` is the claimant's own entry. */
+  constructor (private readonly timers: settings.Timers, private readonly ownId = '') {}
+
+  /** True if another entry is not known to have ended. */
+  get hasOther (): boolean {
+    for (const { entryId, state } of this.byId.values()) if (entryId !== this.ownId && state !== LinkState.Ended) return true
+    return false
+  }
+
+  /** True if another entry can be asked now, as far as is known. */
+  get hasReachableOther (): boolean {
+    for (const { entryId, state, isSilent } of this.byId.values()) if (entryId !== this.ownId && state === LinkState.Open && !isSilent) return true
+    return false
+  }
 
   get all (): Iterable<Registrar> {
     return this.byId.values()
@@ -76,10 +95,10 @@
   }
 
   /** Records that a link is closed. Nobody waits for the link to a silent registrar to reopen, as others have taken its place. */
-  close (entryId: string, state: LinkState.Reopening | LinkState.Absent): void {
+  close (entryId: string, state: ClosedState): void {
     this.version++
     const known = this.add(entryId)
-    Object.assign(known, { state: known.isSilent ? LinkState.Absent : state, port: undefined, awaitedSinceMs: [], isSilent: false })
+    Object.assign(known, { state: known.isSilent && state === LinkState.Reopening ? LinkState.Absent : state, port: undefined, awaitedSinceMs: [], isSilent: false })
   }
 
   /**
@@ -97,7 +116,7 @@
   private rank (jobId: string): Registrar[] {
     const weighted: Array<{ registrar: Registrar, weight: number }> = []
     for (const registrar of this.byId.values()) {
-      if (registrar.state === LinkState.Absent || registrar.isSilent) continue
+      if (registrar.state === LinkState.Absent || registrar.state === LinkState.Ended || registrar.isSilent) continue
       weighted.push({ registrar, weight: protocol.hashText(`${registrar.entryId}/${jobId}`) })
     }
     return weighted.sort((left, right) => right.weight - left.weight).map(({ registrar }) => registrar)
--- a/test/support/claimWorld.ts
+++ b/test/support/claimWorld.ts
@@ -21,6 +21,8 @@
 const DIAL_TIMEOUT_MS = 2_000
 const MIN_REDIAL_MS = 50
 const MAX_REDIAL_MS = 1_000
+/** Time after which an entry that is not in the list counts as gone if its link does not open again. */
+const UNLISTED_RETENTION_MS = 2_000
 const REGISTRATION_LEASE_MS = 6_000
 /** Longest time from the start of a process until it is registered. */
 const REGISTRATION_MS = 300
@@ -30,6 +32,8 @@
 /** Longest time from the last submission until all runs have ended and all records have expired. */
 const SETTLE_MS = 10_000
 const STEP_MS = 1
+/** Longest time from the end of a pause or cut until the links are open again. */
+const MAX_REOPEN_MS = 2_000
 /** Bound for the grant to a single claimant: another registrar's silence, a link that reopens, and messages. */
 const GRANT_BOUND_MS = claims.ANSWER_TIMEOUT_MS + 3 * claims.CHECK_PERIOD_MS + LINK_OPEN_MS
 
@@ -74,10 +78,19 @@
   readonly toClaimant: Channel
   registrar: RegistrarSide | undefined
   isClosed: boolean
+  /** True if no process accepted the connection. */
+  isRefused: boolean
   /** Called at the claimant, once. */
   onClosed: () => void
 }
 
+/** An entry that another one links to. */
+interface Dialed {
+  link: Link | undefined
+  isListed: boolean
+  lastOpenAtMs: number
+}
+
 interface World {
   network: Network
   random: () => number
@@ -88,6 +101,8 @@
   registered: Map<string, number>
   runs: Map<string, Set<Run>>
   incarnations: number
+  /** Times in which two entries were cut off from each other. */
+  cuts: Array<{ entryIds: readonly string[], fromMs: number, toMs: number }>
 }
 
 /** An entry, over the incarnations of its process. */
@@ -97,11 +112,12 @@
   jobClaims!: claims.JobClaims
   incarnation = ''
   startedAtMs = 0
+  firstStartedAtMs = Number.POSITIVE_INFINITY
   /** Times for which the process was paused, and at which it was killed. */
   readonly disturbances: Array<{ fromMs: number, toMs: number }> = []
   isPresent = false
   readonly grants = new Map<string, number>()
-  private readonly dialed = new Map<string, { link: Link | undefined, isListed: boolean }>()
+  private readonly dialed = new Map<string, Dialed>()
   private readonly newest = new Map<string, claims.Claimant>()
   private readonly jobs = new Map<string, LocalJob>()
   private isStarted = false
@@ -113,6 +129,7 @@
     this.incarnation = `${this.entryId} ${this.world.incarnations++}`
     this.process = new SimulatedProcess(clock, 0.99 + 0.02 * this.world.random())
     this.startedAtMs = clock.nowMs()
+    this.firstStartedAtMs = Math.min(this.firstStartedAtMs, this.startedAtMs)
     this.isPresent = true
     this.isStarted = false
     for (const known of [this.dialed, this.newest, this.jobs, this.grants]) known.clear()
@@ -275,16 +292,16 @@
   }
 
   private dial (entryId: string, isListed: boolean): void {
-    const entry = { link: undefined, isListed }
+    const entry: Dialed = { link: undefined, isListed, lastOpenAtMs: Number.NEGATIVE_INFINITY }
     this.dialed.set(entryId, entry)
     this.connect(entryId, entry, MIN_REDIAL_MS)
   }
 
-  private connect (entryId: string, dialed: { link: Link | undefined, isListed: boolean }, redialMs: number): void {
+  private connect (entryId: string, dialed: Dialed, redialMs: number): void {
     const { process, jobClaims } = this
     const { network, links, random } = this.world
     let isOpen = false
-    const link: Link = { claimantProcess: process, registrarId: entryId, toRegistrar: new Channel(network, `${this.entryId}>${entryId}`), toClaimant: new Channel(network, `${entryId}>${this.entryId}`), registrar: undefined, isClosed: false, onClosed: () => {} }
+    const link: Link = { claimantProcess: process, registrarId: entryId, toRegistrar: new Channel(network, `${this.entryId}>${entryId}`), toClaimant: new Channel(network, `${entryId}>${this.entryId}`), registrar: undefined, isClosed: false, isRefused: false, onClosed: () => {} }
     links.add(link)
     dialed.link = link
     const waits = [
@@ -293,8 +310,11 @@
     ]
     link.onClosed = () => {
       for (const wait of waits) wait.cancel()
-      jobClaims.handleClosed(entryId, isOpen && dialed.isListed ? claims.LinkState.Reopening : claims.LinkState.Absent)
-      if (!dialed.isListed) this.dialed.delete(entryId)
+      if (isOpen) dialed.lastOpenAtMs = process.nowMs()
+      const hasLeft = !dialed.isListed && (link.isRefused || process.nowMs() - dialed.lastOpenAtMs > UNLISTED_RETENTION_MS)
+      const state = isOpen ? claims.LinkState.Reopening : claims.LinkState.Absent
+      jobClaims.handleClosed(entryId, link.isRefused || hasLeft ? claims.LinkState.Ended : state)
+      if (hasLeft) this.dialed.delete(entryId)
       else if (isOpen) this.connect(entryId, dialed, MIN_REDIAL_MS)
       else process.after(redialMs * (0.5 + random()), () => { this.connect(entryId, dialed, Math.min(2 * redialMs, MAX_REDIAL_MS)) })
     }
@@ -302,7 +322,10 @@
     link.toRegistrar.send(() => {
       const registrar = this.world.entries.get(entryId)!
       if (registrar.isPresent) registrar.process.receive(() => { registrar.accept(link, { entryId: ownId, incarnation }, upMs => { isOpen = true; jobClaims.handleOpened(entryId, this.createPort(link), upMs) }) })
-      else link.toClaimant.send(() => { closeAtClaimant(this.world, link) })
+      else {
+        link.isRefused = true
+        link.toClaimant.send(() => { closeAtClaimant(this.world, link) })
+      }
     })
   }
 
@@ -376,13 +399,20 @@
   })
 }
 
+/** Returns true if each other entry was paused, killed, or cut off from this one within the time, so that claims wait for one of them. */
+function isAlone ({ entries, cuts }: World, entry: WorldEntry, fromMs: number, toMs: number): boolean {
+  const overlaps = (each: { fromMs: number, toMs: number }): boolean => each.fromMs < toMs && each.toMs > fromMs - MAX_REOPEN_MS
+  const others = [...entries.values()].filter(other => other !== entry && other.firstStartedAtMs < toMs && (other.isPresent || other.disturbances.some(overlaps)))
+  return others.length > 0 && others.every(other => other.disturbances.some(overlaps) || cuts.some(cut => cut.entryIds.includes(entry.entryId) && cut.entryIds.includes(other.entryId) && overlaps(cut)))
+}
+
 /** Plays one seed. Returns descriptions of violated guarantees. */
 export async function playClaims (options: ClaimWorldOptions): Promise<string[]> {
   const generator = prand.xoroshiro128plus(options.seed)
   const random = (): number => prand.unsafeUniformIntDistribution(0, 1_000_000, generator) / 1_000_001
   const clock = new settings.FakeTimers()
   const network: Network = { clock, drawPathMs: () => 0.5 + random() * (random() < 0.1 ? options.maxPathMs : options.maxPathMs / 4), cut: new Set(), channels: new Set() }
-  const world: World = { network, random, violations: [], entries: new Map(), links: new Set(), registered: new Map(), runs: new Map(), incarnations: 0 }
+  const world: World = { network, random, violations: [], entries: new Map(), links: new Set(), registered: new Map(), runs: new Map(), incarnations: 0, cuts: [] }
   await protocol.loadHash()
   for (let number = 0; number < options.entries; number++) world.entries.set(`entry-${number}`, new WorldEntry(`entry-${number}`, world))
   for (const entry of world.entries.values()) entry.start()
@@ -432,12 +462,12 @@
         return durationMs + CALM_MS
       }
       case 'cut': {
-        // With two entries a cut is one from all entries, which grant new jobs alone then.
-        if (entries.length < 3) return 0
+        if (entries.length < 2) return 0
         const other = pick(entries.filter(each => each !== entry))
         const directions = pick([[`${entry.entryId}>${other.entryId}`], [`${entry.entryId}>${other.entryId}`, `${other.entryId}>${entry.entryId}`]])
         const durationMs = 20 + random() * (random() < 0.5 ? 400 : 5_000)
         for (const each of directions) network.cut.add(each)
+        world.cuts.push({ entryIds: [entry.entryId, other.entryId], fromMs: clock.nowMs(), toMs: clock.nowMs() + durationMs + 200 })
         clock.after(durationMs, () => { network.cut.clear() })
         clock.after(durationMs + random() * 200, () => { for (const channel of network.channels) channel.pump() })
         return durationMs + CALM_MS
@@ -489,6 +519,7 @@
   for (const { jobId, entry, incarnation, atMs, patienceMs } of single) {
     // Only of claimants that were not paused, killed or started around the time, and whose callers wait for long enough.
     const isHealthy = entry.incarnation === incarnation && entry.startedAtMs + LIST_WAIT_MS < atMs && entry.disturbances.every(({ fromMs, toMs }) => toMs < atMs - CALM_MS || fromMs > atMs + boundMs)
+    if (isAlone(world, entry, atMs, atMs + boundMs)) continue
     const waitedMs = (entry.grants.get(jobId) ?? Infinity) - atMs
     if (isHealthy && patienceMs > boundMs && waitedMs > boundMs) world.violations.push(`job ${jobId} at ${entry.entryId} at ${Math.round(atMs)} was granted after ${Math.round(waitedMs)} ms`)
   }
--- a/test/unit/claims/jobClaims.test.ts
+++ b/test/unit/claims/jobClaims.test.ts
@@ -80,7 +80,6 @@
   return ranked
 }
 
-/** A job that both registrars have granted. */
 /** Replaces the links to both registrars of the job. */
 async function reopenAll ({ claims: created, ranked, open }: Bench): Promise<FakeRegistrar[]> {
   const reopened = ranked.slice(0, 2).map(({ entryId }) => new FakeRegistrar(entryId, () => created))
@@ -90,6 +89,7 @@
   return reopened
 }
 
+/** A job that both registrars have granted. */
 async function createGranted (count = 3): Promise<Bench> {
   const bench = createBench(count)
   bench.claims.claim('job', VALID_MS)
@@ -145,15 +145,27 @@
     expect(ranked[0]!.claimed).to.have.length(50)
   })
 
-  it('lets releases wait for a claim that they can travel with, for a bounded time', async () => {
+  for (const { hasSucceeded, delayMs } of [{ hasSucceeded: false, delayMs: claims.RELEASE_DELAY_MS }, { hasSucceeded: true, delayMs: claims.SUCCESS_RELEASE_DELAY_MS }]) {
+    it(`lets releases wait for a claim that they can travel with, for a bounded time, ${hasSucceeded ? 'with' : 'without'} success`, async () => {
+      const { claims: created, timers, ranked } = await createGranted()
+      created.release('job', hasSucceeded)
+      await passTime(timers, delayMs - 10)
+      expect(ranked[0]!.released).to.deep.equal([])
+      await passTime(timers, 10)
+      for (const registrar of ranked.slice(0, 2)) expect(registrar.released).to.deep.equal([{ jobId: 'job', hasSucceeded }])
+      expect(ranked[2]!.messages).to.deep.equal([])
+      expect(created.size).to.equal(0)
+    })
+  }
+
+  it('sends a release without success in time although one with success waits', async () => {
     const { claims: created, timers, ranked } = await createGranted()
-    created.release('job', true)
+    created.claim('job-2', VALID_MS)
     await flushEventLoop()
-    expect(ranked[0]!.released).to.deep.equal([])
+    created.release('job', true)
+    created.release('job-2', false)
     await passTime(timers, claims.RELEASE_DELAY_MS)
-    for (const registrar of ranked.slice(0, 2)) expect(registrar.released).to.deep.equal([{ jobId: 'job', hasSucceeded: true }])
-    expect(ranked[2]!.messages).to.deep.equal([])
-    expect(created.size).to.equal(0)
+    expect(ranked.filter(({ released }) => released.some(({ jobId }) => jobId === 'job-2'))).to.have.length(2)
   })
 
   it('repeats a claim that another entry holds until it is granted, and tells once', async () => {
@@ -521,6 +533,96 @@
   })
 })
 
+interface OwnBench {
+  timers: settings.FakeTimers
+  claims: claims.JobClaims
+  other: FakeRegistrar
+  told: string[]
+}
+
+/** Claims of an entry that is a registrar itself, beside one other entry. */
+function createOwnBench (): OwnBench {
+  const timers = new settings.FakeTimers()
+  const told: string[] = []
+  const table = new claims.ClaimTable(timers)
+  const created: claims.JobClaims = new claims.JobClaims('own', { timers, log: settings.createSilentLog() }, { onGranted: jobId => { told.push(`granted ${jobId}`) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
+  const other = new FakeRegistrar('entry-0', () => created)
+  created.handleOpened('own', { send: requests => { created.handleAnswers('own', table.apply({ entryId: 'own', incarnation: 'life' }, requests)) }, reset: () => {} }, MATURE_MS)
+  created.handleOpened(other.entryId, other, MATURE_MS)
+  created.start()
+  return { timers, claims: created, other, told }
+}
+
+describe('claims that no other entry has confirmed', () => {
+  before(async () => { await protocol.loadHash() })
+
+  // Guards against two entries that each grant themselves a job while the links between them are away.
+  it('wait while the link to the only other entry is away, and are granted on the next one', async () => {
+    const { claims: created, timers, other, told } = createOwnBench()
+    created.handleClosed(other.entryId, LinkState.Absent)
+    created.claim('job', VALID_MS)
+    await passTime(timers, 10_000)
+    expect(told).to.deep.equal([])
+    created.handleOpened(other.entryId, other, MATURE_MS)
+    await flushEventLoop()
+    other.answer(ClaimVerdict.Granted)
+    expect(told).to.deep.equal(['granted job'])
+    expect(created.unconfirmedCount).to.equal(0)
+  })
+
+  it('wait while the only other entry is silent', async () => {
+    const { claims: created, timers, other, told } = createOwnBench()
+    created.claim('job', VALID_MS)
+    await passTime(timers, 5_000)
+    expect(told).to.deep.equal([])
+    other.answer(ClaimVerdict.Granted)
+    await flushEventLoop()
+    expect(told).to.deep.equal(['granted job'])
+  })
+
+  it('wait when a granted job comes in again after the link to the only other entry was lost', async () => {
+    const { claims: created, timers, other, told } = createOwnBench()
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    other.answer(ClaimVerdict.Granted)
+    created.handleClosed(other.entryId, LinkState.Absent)
+    created.claim('job', VALID_MS)
+    await passTime(timers, 1_000)
+    expect(told).to.deep.equal(['granted job'])
+  })
+
+  // Guards against an entry that serves nobody because the others have ended.
+  it('are granted, and counted, once the only other entry is known to have ended', async () => {
+    const { claims: created, other, told } = createOwnBench()
+    created.handleClosed(other.entryId, LinkState.Absent)
+    created.claim('job', VALID_MS)
+    await flushEventLoop()
+    created.handleClosed(other.entryId, LinkState.Ended)
+    await flushEventLoop()
+    expect(told).to.deep.equal(['granted job'])
+    expect(created.unconfirmedCount).to.equal(1)
+  })
+
+  it('count as not confirmable after a second without an entry that answers, until one does', async () => {
+    const { claims: created, timers, other } = createOwnBench()
+    created.handleClosed(other.entryId, LinkState.Reopening)
+    await passTime(timers, claims.UNCONFIRMED_LIMIT_MS - 10)
+    expect(created.canConfirm).to.equal(true)
+    await passTime(timers, 20)
+    expect(created.canConfirm).to.equal(false)
+    created.handleOpened(other.entryId, other, MATURE_MS)
+    expect(created.canConfirm).to.equal(true)
+    created.claim('job', VALID_MS)
+    await passTime(timers, claims.ANSWER_TIMEOUT_MS + 2 * claims.CHECK_PERIOD_MS + claims.UNCONFIRMED_LIMIT_MS)
+    expect(created.canConfirm).to.equal(false)
+    other.answer(ClaimVerdict.Granted)
+    expect(created.canConfirm).to.equal(true)
+    created.handleClosed(other.entryId, LinkState.Ended)
+    await passTime(timers, 2 * claims.UNCONFIRMED_LIMIT_MS)
+    expect(created.canConfirm).to.equal(true)
+  })
+})
+
 describe('two entries that claim the same job at the same time', () => {
   before(async () => { await protocol.loadHash() })
 
