Tell entries that have ended from those that can't be reached

A link that could not be opened was reported as absent, whatever the reason. It is now reported as ended if the address refuses connections, if another entry answers there, or if the entry is not registered and its link has not been open, nor has it sent anything, for 2 s. A listed entry counts from the list on. An entry that links to this one is linked back at once if its link is between two attempts, so that the first grant does not wait for the next one.

Tests in unit/fleet/entryClaims: the wait on reset and silent addresses, the grant after a refused connection and after the entry has left the list, and linking back, which fails with the change taken out.

--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -84,5 +84,7 @@
 export const CLAIM_LINK_OPEN_MS = 300
 /** Time after which a link to another entry that has not opened is dialled again, in milliseconds. */
 export const CLAIM_LINK_DIAL_TIMEOUT_MS = 2_000
+/** Time after which an entry that is not in the list counts as gone if its link does not open again, in milliseconds. An entry that has just registered is in the next list. */
+export const UNLISTED_RETENTION_MS = 2_000
 /** Time from the start of a process after which claims no longer wait for the list of entries, in milliseconds. */
 export const CLAIM_LIST_WAIT_MS = 2_000
--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -47,15 +47,14 @@
     server.accept('claim', protocol.claimLink.exchange, async stream => { await this.serve(stream) })
   }
 
-  /** Sets the registered entries. Links to entries that are no longer registered stay until they close. */
+  /** Sets the registered entries. Links to entries that are no longer registered stay until they close and do not open again. */
   setEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
     const listed = new Map(entries.filter(({ address, failureDomain }) => isUsableEntry({ address: address ?? '', failureDomain: failureDomain ?? '' })).map(entry => [entry.entryId ?? '', entry.address ?? '']))
     listed.delete(this.identity.entryId)
-    for (const [entryId, link] of this.links) link.isListed = listed.get(entryId) === link.address
+    for (const [entryId, link] of this.links) link.setListed(listed.get(entryId) === link.address)
     for (const [entryId, address] of listed) {
       const known = this.links.get(entryId)
       if (known?.address === address && !known.isClosed) continue
-      if (!this.isStarted) this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
       this.dial(entryId, address)
     }
     this.start()
@@ -83,15 +82,19 @@
     return this.services.timers.nowMs() - this.startedAtMs
   }
 
-  private dial (entryId: string, address: string): void {
+  private dial (entryId: string, address: string): RegistrarLink {
     const earlier = this.links.get(entryId)
     if (earlier !== undefined && !earlier.isClosed) {
       earlier.close()
       this.jobs.handleClosed(entryId, claims.LinkState.Reopening)
+    } else {
+      // It counts as another entry from now on. Before the start, claims wait for its link.
+      this.jobs.handleClosed(entryId, this.isStarted ? claims.LinkState.Absent : claims.LinkState.Reopening)
     }
     const link = new RegistrarLink(entryId, address, { ...this.services, claims: this.jobs, onProcess: ended => { this.handleProcess(ended) }, createGreeting: () => this.createGreeting() })
     this.links.set(entryId, link)
     link.run()
+    return link
   }
 
   private createGreeting (): protocol.runs.IClaimGreeting {
@@ -109,6 +112,7 @@
           claimant = this.handleGreeting(message.greeting)
           outbox.send({ greeting: this.createGreeting() })
         } else if (message.requests != null && this.newest.get(claimant.incarnation)?.claimant === claimant) {
+          this.links.get(claimant.entryId)?.recordSeen()
           const answers = this.answer(claimant, decodeRequests(message.requests)).map(encodeAnswer)
           if (answers.length > 0) outbox.send({ answers: { answers } })
         }
@@ -126,7 +130,7 @@
     return [...this.table.apply(claimant, { claims: asked.filter(isUsable), releases }), ...refused]
   }
 
-  /** Records a new link of a claimant. What comes in on its earlier ones is outdated. An entry that isn't in the list yet is linked to at once. */
+  /** Records a new link of a claimant. What comes in on its earlier ones is outdated. */
   private handleGreeting ({ entryId, life, upMs, address }: protocol.runs.IClaimGreeting): claims.Claimant {
     const claimant = { entryId: entryId ?? '', incarnation: life ?? '' }
     const earlier = this.newest.get(claimant.incarnation)
@@ -134,14 +138,19 @@
     if (earlier !== undefined && earlier.upMs > (upMs ?? 0)) return claimant
     if (earlier !== undefined) this.table.expireClaims(earlier.claimant)
     this.newest.set(claimant.incarnation, { claimant, upMs: upMs ?? 0, isOpen: true })
-    const known = this.links.get(claimant.entryId)
-    if (claimant.entryId !== this.identity.entryId && (known === undefined || known.isClosed) && isUsableEntry({ address: address ?? '', failureDomain: '' })) {
-      this.dial(claimant.entryId, address!)
-      this.links.get(claimant.entryId)!.isListed = false
-    }
+    if (claimant.entryId !== this.identity.entryId && isUsableEntry({ address: address ?? '', failureDomain: '' })) this.linkBack(claimant.entryId, address!)
     return claimant
   }
 
+  /** Links to an entry that has linked to this one, at once if it isn't in the list yet, or if the next attempt to open the link is some time away. */
+  private linkBack (entryId: string, address: string): void {
+    const known = this.links.get(entryId)
+    const isKnown = known !== undefined && !known.isClosed
+    const link = isKnown && !known.isStuck ? known : this.dial(entryId, address)
+    link.recordSeen()
+    if (link !== known) link.setListed(isKnown && known.isListed)
+  }
+
   /** A link that ends says nothing about the runs of its claimant: they go on unless its process has ended. */
   private handleEnded (claimant: claims.Claimant): void {
     const newest = this.newest.get(claimant.incarnation)
--- a/packages/fleet/src/registrarLink.ts
+++ b/packages/fleet/src/registrarLink.ts
@@ -4,7 +4,7 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import { decodeAnswer } from './claimMessages.ts'
-import { CLAIM_LINK_DIAL_TIMEOUT_MS, CLAIM_LINK_OPEN_MS, MAX_REDIAL_MS, MIN_REDIAL_MS } from './defaults.ts'
+import { CLAIM_LINK_DIAL_TIMEOUT_MS, CLAIM_LINK_OPEN_MS, MAX_REDIAL_MS, MIN_REDIAL_MS, UNLISTED_RETENTION_MS } from './defaults.ts'
 import { events } from './events.ts'
 import { repeatUntilAborted } from './loops.ts'
 
@@ -20,25 +20,31 @@
 
 /** A link to the registrar of one entry. */
 export class RegistrarLink {
-  /** False once the entry is no longer registered. The link is then not dialled again when it closes. */
-  isListed = true
   /** True if nothing listens at the address: the process that did has ended. */
   isRefused = false
+  /** True if another entry answers at the address: the process that was there has ended. */
+  private isReplaced = false
+  /** False once the entry is no longer registered. The link is then given up when it does not open any more. */
+  private isRegistered = true
   /** Incarnation of the process that greeted last; empty before. */
   incarnation = ''
   private isOpen = false
   /** Monotonic time at which the link closed last, in milliseconds. */
   private lastOpenAtMs = Number.NEGATIVE_INFINITY
+  /** Monotonic time of the last sign that the process of the entry runs, in milliseconds. */
+  private lastSeenAtMs = Number.NEGATIVE_INFINITY
+  /** Monotonic time at which the current attempt to open the link began, in milliseconds; undefined between two attempts. */
+  private dialedAtMs: number | undefined
   private redialMs = MIN_REDIAL_MS
   private readonly abort = new AbortController()
 
   constructor (readonly entryId: string, readonly address: string, private readonly services: RegistrarLinkServices) {}
 
-  /** Dials and redials until `close`, or until the link of an entry that is no longer registered has closed. */
+  /** Dials and redials until `close`, or until an entry that is no longer registered has left. */
   async run (): Promise<void> {
     await repeatUntilAborted('claims.dial', this.services, this.abort.signal, async () => {
       const wasOpen = await this.exchange()
-      if (!this.isListed) this.close()
+      if (this.hasLeft) this.close()
       if (wasOpen) return 0
       const delayMs = this.redialMs * (0.5 + Math.random())
       this.redialMs = Math.min(this.redialMs * 2, MAX_REDIAL_MS)
@@ -50,6 +56,28 @@
     return this.abort.signal.aborted
   }
 
+  get isListed (): boolean {
+    return this.isRegistered
+  }
+
+  /** True while the link is not open and no attempt has begun a moment ago. */
+  get isStuck (): boolean {
+    return !this.isOpen && (this.dialedAtMs === undefined || this.services.timers.nowMs() - this.dialedAtMs > CLAIM_LINK_OPEN_MS)
+  }
+
+  /** Records whether the entry is registered. One that isn't, and has no link, has left. */
+  setListed (isListed: boolean): void {
+    this.isRegistered = isListed
+    if (this.isOpen || !this.hasLeft) return
+    this.reportClosed(claims.LinkState.Ended)
+    this.close()
+  }
+
+  /** Records that the process of the entry has sent something on its own link. */
+  recordSeen (): void {
+    this.lastSeenAtMs = this.services.timers.nowMs()
+  }
+
   close (): void {
     this.abort.abort()
   }
@@ -57,6 +85,8 @@
   /** Returns true if the link was open. */
   private async exchange (): Promise<boolean> {
     const { timers, log } = this.services
+    this.dialedAtMs = timers.nowMs()
+    this.isReplaced = false
     const dialed = runtime.dialLink(this.address, protocol.claimLink.exchange)
     const stop = (): void => { dialed.close() }
     this.abort.signal.addEventListener('abort', stop, { once: true })
@@ -79,20 +109,29 @@
     stop()
     const wasOpen = this.isOpen
     this.isOpen = false
+    this.dialedAtMs = undefined
     if (wasOpen) this.lastOpenAtMs = timers.nowMs()
-    this.reportClosed(this.isReopening ? claims.LinkState.Reopening : claims.LinkState.Absent)
+    this.reportClosed(this.closedState)
     if (this.isRefused) this.services.onProcess(this)
     if (wasOpen) log.event(events.ClaimLinkClosed, { peer: this.entryId, step: 'claims.read', reason })
     return wasOpen
   }
 
-  /** True shortly after the link has closed, also if further attempts to open it fail, unless nothing listens there any more. */
-  private get isReopening (): boolean {
-    return this.isListed && !this.isRefused && this.services.timers.nowMs() - this.lastOpenAtMs < CLAIM_LINK_OPEN_MS
+  /** The state after the link has closed, or could not be opened. It counts as reopening for a short time, also if attempts to open it fail. */
+  private get closedState (): claims.ClosedState {
+    if (this.isRefused || this.isReplaced || this.hasLeft) return claims.LinkState.Ended
+    const isReopening = this.services.timers.nowMs() - this.lastOpenAtMs < CLAIM_LINK_OPEN_MS
+    return isReopening ? claims.LinkState.Reopening : claims.LinkState.Absent
+  }
+
+  /** True for an entry that isn't registered and whose process has ended, or has shown no sign for a while. */
+  private get hasLeft (): boolean {
+    if (this.isRegistered) return false
+    return this.isRefused || this.isReplaced || this.services.timers.nowMs() - Math.max(this.lastOpenAtMs, this.lastSeenAtMs) > UNLISTED_RETENTION_MS
   }
 
   /** Another link may have taken the place of one that was closed here. */
-  private reportClosed (state: claims.LinkState.Reopening | claims.LinkState.Absent): void {
+  private reportClosed (state: claims.ClosedState): void {
     if (!this.isClosed) this.services.claims.handleClosed(this.entryId, state)
   }
 
@@ -104,6 +143,7 @@
 
   private handleGreeting (greeting: protocol.runs.IClaimGreeting, outbox: runtime.Outbox<protocol.runs.IFromClaimant>, stop: () => void): void {
     if (greeting.entryId !== this.entryId) {
+      this.isReplaced = true
       stop()
       return
     }
--- a/test/support/claimWorld.ts
+++ b/test/support/claimWorld.ts
@@ -270,7 +270,6 @@
     for (const [entryId, each] of this.dialed) each.isListed = listed.includes(entryId)
     for (const entryId of listed) {
       if (this.dialed.has(entryId)) continue
-      if (!this.isStarted) this.jobClaims.handleClosed(entryId, claims.LinkState.Reopening)
       this.dial(entryId, true)
     }
     this.startClaims()
@@ -294,6 +293,7 @@
   private dial (entryId: string, isListed: boolean): void {
     const entry: Dialed = { link: undefined, isListed, lastOpenAtMs: Number.NEGATIVE_INFINITY }
     this.dialed.set(entryId, entry)
+    this.jobClaims.handleClosed(entryId, this.isStarted ? claims.LinkState.Absent : claims.LinkState.Reopening)
     this.connect(entryId, entry, MIN_REDIAL_MS)
   }
 
--- a/test/unit/fleet/entryClaims.test.ts
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -1,4 +1,5 @@
 /** Links between entries for claims. */
+import * as net from 'node:net'
 import { expect } from 'chai'
 import * as fleet from '@egretvalve/fleet'
 import * as protocol from '@egretvalve/protocol'
@@ -175,12 +176,12 @@
     }
   })
 
-  async function startEntry (entryId: string): Promise<Entry> {
+  async function startEntry (entryId: string, timers: settings.Timers = realTimers, listen = '127.0.0.1:0'): Promise<Entry> {
     const identity = { entryId, life: `life of ${entryId}`, address: '' }
     const granted: string[] = []
     const held: string[] = []
-    const created = new fleet.EntryClaims(identity, { timers: realTimers, log: settings.createSilentLog() }, { onGranted: jobId => { granted.push(jobId) }, onHeld: jobId => { held.push(jobId) }, onSucceeded: () => {}, onLost: () => {} })
-    const server = new runtime.LinkServer('127.0.0.1:0')
+    const created = new fleet.EntryClaims(identity, { timers, log: settings.createSilentLog() }, { onGranted: jobId => { granted.push(jobId) }, onHeld: jobId => { held.push(jobId) }, onSucceeded: () => {}, onLost: () => {} })
+    const server = new runtime.LinkServer(listen)
     created.accept(server)
     identity.address = await server.start()
     const entry = { identity, claims: created, server, granted, held }
@@ -226,6 +227,29 @@
     expect(first.claims.jobs.unconfirmedCount).to.equal(0)
   })
 
+  // Guards against an entry that serves nobody after a start of the whole fleet until its next attempt to open a link.
+  it('are confirmed by an entry that links to this one, also between two attempts to link to it', async () => {
+    const listener = net.createServer(socket => {
+      socket.on('error', () => {})
+      socket.resetAndDestroy()
+    })
+    await new Promise<void>(resolve => { listener.listen(0, '127.0.0.1', resolve) })
+    const address = `127.0.0.1:${(listener.address() as net.AddressInfo).port}`
+    // The clock stands still, so that no other attempt follows.
+    const first = await startEntry('entry-a', new settings.FakeTimers())
+    const reset = new Promise(resolve => { listener.once('connection', resolve) })
+    first.claims.setEntries([first.identity, { entryId: 'entry-b', address, life: 'x' }])
+    first.claims.jobs.claim('job', VALID_MS)
+    await reset
+    await realTimers.sleep(200)
+    await new Promise<void>(resolve => { listener.close(() => { resolve() }) })
+    const second = await startEntry('entry-b', realTimers, address)
+    expect(first.granted).to.deep.equal([])
+    second.claims.setEntries([first.identity, second.identity])
+    await waitUntil(() => first.granted.length > 0)
+    expect(first.claims.jobs.unconfirmedCount).to.equal(0)
+  })
+
   it('do not wait for listed entries that are gone', async () => {
     const first = await startEntry('entry-a')
     first.claims.setEntries([first.identity, { entryId: 'entry-b', address: '127.0.0.1:1', life: 'x' }])
@@ -251,6 +275,67 @@
   })
 })
 
+describe('claims of an entry whose only other entry does not confirm them', () => {
+  const entryClaims: fleet.EntryClaims[] = []
+  const listeners: net.Server[] = []
+
+  before(async () => { await protocol.loadHash() })
+
+  afterEach(() => {
+    for (const each of entryClaims.splice(0)) each.stop()
+    for (const each of listeners.splice(0)) each.close()
+  })
+
+  function createClaims (): { created: fleet.EntryClaims, granted: string[] } {
+    const granted: string[] = []
+    const created = new fleet.EntryClaims({ entryId: 'entry-a', life: 'life', address: '127.0.0.1:1' }, { timers: realTimers, log: settings.createSilentLog() }, { onGranted: jobId => { granted.push(jobId) }, onHeld: () => {}, onSucceeded: () => {}, onLost: () => {} })
+    entryClaims.push(created)
+    return { created, granted }
+  }
+
+  /** Listens at an address where no process greets. */
+  async function listen (handle: (socket: net.Socket) => void): Promise<string> {
+    const listener = net.createServer(socket => {
+      socket.on('error', () => {})
+      handle(socket)
+    })
+    listeners.push(listener)
+    await new Promise<void>(resolve => { listener.listen(0, '127.0.0.1', resolve) })
+    return `127.0.0.1:${(listener.address() as net.AddressInfo).port}`
+  }
+
+  // Guards against two entries that grant themselves a job each, as every attempt to open their links again is reset.
+  for (const { path, handle } of [{ path: 'resets connections', handle: (socket: net.Socket) => { socket.resetAndDestroy() } }, { path: 'accepts connections and stays silent', handle: () => {} }]) {
+    it(`wait while its address ${path}, and are granted once it refuses them`, async () => {
+      const sockets: net.Socket[] = []
+      const address = await listen(socket => {
+        sockets.push(socket)
+        handle(socket)
+      })
+      const { created, granted } = createClaims()
+      created.setEntries([{ entryId: 'entry-b', address, life: 'x' }])
+      created.jobs.claim('job', VALID_MS)
+      await realTimers.sleep(2 * fleet.CLAIM_LINK_OPEN_MS)
+      expect(granted).to.deep.equal([])
+      for (const listener of listeners) listener.close()
+      for (const socket of sockets) socket.destroy()
+      await waitUntil(() => granted.length > 0)
+    })
+  }
+
+  // Guards against an entry that serves nobody after a VM was lost, whose address never refuses connections.
+  it('are granted once it has left the list and its link does not open', async () => {
+    const address = await listen(socket => { socket.resetAndDestroy() })
+    const { created, granted } = createClaims()
+    created.setEntries([{ entryId: 'entry-b', address, life: 'x' }])
+    created.jobs.claim('job', VALID_MS)
+    await realTimers.sleep(2 * fleet.CLAIM_LINK_OPEN_MS)
+    expect(granted).to.deep.equal([])
+    created.setEntries([])
+    await waitUntil(() => granted.length > 0)
+  })
+})
+
 async function waitUntil (condition: () => boolean): Promise<void> {
   const endsAtMs = realTimers.nowMs() + 5_000
   while (!condition()) {
