--- a/packages/fleet/src/entryClaims.ts
+++ b/packages/fleet/src/entryClaims.ts
@@ -146,7 +146,7 @@
   private linkBack (entryId: string, address: string): void {
     const known = this.links.get(entryId)
     const isKnown = known !== undefined && !known.isClosed
-    const link = isKnown && !known.isStuck ? known : this.dial(entryId, address)
+    const link = isKnown && !known.isStuck ? known : this.dial(entryId, isKnown ? known.address : address)
     link.recordSeen()
     if (link !== known) link.setListed(isKnown && known.isListed)
   }
--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -13,6 +13,9 @@
 /** Expected wait while the workers of a contained queue are down, in milliseconds: crashed workers are back after some seconds. */
 const CRASHED_WORKER_WAIT_MS = 3_000
 
+/** Reason for the refusal of a job whose claim has not been granted. */
+export const UNCONFIRMED_REASON = 'no other entry has confirmed in useful time that the job may run here'
+
 /** Why a job is refused, and the expected wait from which the caller's retry time is computed. */
 export interface Refusal {
   reason: string
@@ -71,8 +74,8 @@
     const contained = this.findContained(job)
     if (contained !== undefined) return contained
     if (agents.hasEvacuatedDomain && this.context.workerCount() > 0 && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
-    if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: 'can not end before the deadline', waitMs: this.expectedWaitFor(job) }
-    if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: 'no room in useful time', waitMs: this.expectedWaitFor(job) }
+    if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: job.hasClaim ? 'can not end before the deadline' : UNCONFIRMED_REASON, waitMs: this.expectedWaitFor(job) }
+    if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: job.hasClaim ? 'no room in useful time' : UNCONFIRMED_REASON, waitMs: this.expectedWaitFor(job) }
     return undefined
   }
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -16,7 +16,7 @@
 import { estimatedWorkCoreMs, type JobOutcome, type JobSpec, type JobTerms } from './model.ts'
 import { compareJobs } from './order.ts'
 import { Placer } from './placer.ts'
-import { Refusals } from './refusals.ts'
+import { Refusals, UNCONFIRMED_REASON } from './refusals.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { RunCounts } from './runCounts.ts'
 import { SpeedEstimate } from './speed.ts'
@@ -257,13 +257,13 @@
 
   /** Refuses the open jobs of which nothing has started, which tells the callers that nothing has run. */
   refuseUnstarted (reason: string): void {
-    for (const job of [...this.open.values()]) if (isKnownUnstarted(job)) this.refuse(job, reason, 0)
+    for (const job of [...this.open.values()]) if (this.isKnownUnstarted(job)) this.refuse(job, reason, 0)
   }
 
   /** Ends all open jobs at the end of a planned stop. Jobs of which nothing has started are refused instead, which tells the caller that nothing has run. */
   abortAll (reason: string): void {
     for (const job of [...this.open.values()]) {
-      if (isKnownUnstarted(job)) this.refuse(job, reason, 0)
+      if (this.isKnownUnstarted(job)) this.refuse(job, reason, 0)
       else this.end(job, { kind: 'expired', reason }, reason)
     }
   }
@@ -488,11 +488,11 @@
 
   private checkJob (job: Job): void {
     if (this.hasPassedDeadline(job)) {
-      if (isKnownUnstarted(job)) this.refuse(job, 'no room before the deadline', 0)
+      if (this.isKnownUnstarted(job)) this.refuse(job, job.hasClaim ? 'no room before the deadline' : UNCONFIRMED_REASON, 0)
       else this.end(job, { kind: 'expired', reason: 'deadline passed' }, 'deadline passed')
       return
     }
-    if (!isKnownUnstarted(job)) return
+    if (!this.isKnownUnstarted(job)) return
     const refusal = this.refusals.findWhileWaiting(job)
     if (refusal !== undefined) this.refuse(job, refusal.reason, refusal.waitMs)
   }
@@ -505,6 +505,14 @@
     }
   }
 
+  /**
+   * Returns true if no task of the submission has started, here or at another entry, so that a refusal is true. A job whose claim
+   * has not been answered has started nothing, unless runs of an earlier submission go on here.
+   */
+  private isKnownUnstarted (job: Job): boolean {
+    return !job.mayHaveStarted && (job.hasClaim || !this.runCounts.has(job.id))
+  }
+
   private hasPassedDeadline (job: Job): boolean {
     return this.nowMs >= job.deadlineAtMs || job.age.ms >= job.deadlineMs
   }
@@ -575,11 +583,6 @@
   }
 }
 
-/** Returns true if no task has started, here or at another entry, so that a refusal is true. */
-function isKnownUnstarted (job: Job): boolean {
-  return job.hasClaim && !job.mayHaveStarted
-}
-
 /** Returns true for a job that ended without a result for its caller, so that a resubmission runs it again. */
 function isRepeatable (job: Job): boolean {
   return job.outcome?.kind === 'abandoned' || job.outcome?.kind === 'expired'
