--- a/packages/protocol/src/services.ts
+++ b/packages/protocol/src/services.ts
@@ -73,3 +73,10 @@
     runs.FromClaimant as Codec<runs.FromClaimant, runs.IFromClaimant>,
     runs.FromRegistrar as Codec<runs.FromRegistrar, runs.IFromRegistrar>)
 }
+
+/** Stream that an entry opens to another one to hand jobs over. */
+export const handOverLink = {
+  exchange: createStreamMethod('/egretvalve.HandOverLink/Exchange', 'handing', 'taking',
+    runs.FromHandingEntry as Codec<runs.FromHandingEntry, runs.IFromHandingEntry>,
+    runs.FromTakingEntry as Codec<runs.FromTakingEntry, runs.IFromTakingEntry>)
+}
