--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -86,3 +86,25 @@
 export const CLAIM_LINK_DIAL_TIMEOUT_MS = 2_000
 /** Time from the start of a process after which claims no longer wait for the list of entries, in milliseconds. */
 export const CLAIM_LIST_WAIT_MS = 2_000
+/** Period in which an entry reports its processor time left to entries that may hand jobs over, in milliseconds. */
+export const PROCESSOR_REPORT_PERIOD_MS = 250
+/** Time without a lack of processor time after which an entry closes its links for handing jobs over, in milliseconds. */
+export const HAND_OVER_IDLE_MS = 30_000
+/** Longest delay before such a link is redialled, in milliseconds. An entry of an earlier version accepts none. */
+export const MAX_HAND_OVER_REDIAL_MS = 5_000
+/** Period in which the numbers of jobs handed over are logged, in milliseconds. */
+export const HAND_OVER_LOG_PERIOD_MS = 1_000
+/** Largest number of bytes of bodies in one message. Below the size limit of a message, with one more body. */
+export const MAX_BATCH_BYTES = 1_048_576
+/** Largest body of a request, and of an answer, in bytes. Bodies of callers have at most 262,144, answers some hundred. */
+export const MAX_HANDED_BODY_BYTES = 1_048_576
+export const MAX_HANDED_ANSWER_BYTES = 65_536
+/** Longest path and host of a request, and content type of an answer, in characters. */
+export const MAX_HANDED_TEXT_CHARS = 2_048
+/** Longest deadline, wait and Retry-After of a request handed over. */
+export const MAX_HANDED_WAIT_MS = 24 * 3_600_000
+export const MAX_HANDED_RETRY_S = 3_600
+/** Largest number of requests of one link that are open at a time. */
+export const MAX_HANDED_OPEN = 1_000
+/** Largest number of cores that an entry may report as left. */
+export const MAX_CORES_LEFT = 1_024
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -8,6 +8,7 @@
 import type { EntryClaims } from './entryClaims.ts'
 import { decodeEvacuations, Evacuations, type EvacuationSource } from './evacuations.ts'
 import { events } from './events.ts'
+import type { HandOver } from './handOver.ts'
 import { runLivenessChecks } from './liveness.ts'
 import { decodeCrash, decodeEnd, decodeHeld, decodeLoad, decodeSlow } from './messages.ts'
 
@@ -30,6 +31,8 @@
   evacuations?: Evacuations
   /** Claims on jobs, which the other entries answer over the same server. */
   claims?: EntryClaims
+  /** Jobs that other entries hand over, which are accepted on the same server. */
+  handOver?: HandOver
   /** Returns true while this entry refuses a part of its jobs or isn't ready, so that callers of others are not sent to it. */
   isOverloaded?: () => boolean
 }
@@ -59,6 +62,7 @@
     this.server = new runtime.LinkServer(identity.address)
     this.server.accept('exchange', protocol.runLink.exchange, async (stream, peer) => { await this.serve(stream, peer) })
     services.claims?.accept(this.server)
+    services.handOver?.accept(this.server)
     this.livenessTimer = runLivenessChecks(services.timers, () => { for (const connection of this.connections.values()) connection.keepAlive() })
     services.configCache.subscribe(() => { services.timers.after(Math.random() * CONFIG_PROPAGATION_JITTER_MS, () => { this.propagateConfig() }) })
   }
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -22,5 +22,8 @@
   CancellationReceived: { code: 12016, level: Info, message: 'job was cancelled at another entry' },
   ClaimLinkOpened: { code: 12017, level: Info, message: 'link to another entry opened for claims' },
   ClaimLinkClosed: { code: 12018, level: Warn, message: 'link to another entry closed' },
-  EvacuationsChanged: { code: 12019, level: Warn, message: 'evacuated failure domains changed; no task starts in these' }
+  EvacuationsChanged: { code: 12019, level: Warn, message: 'evacuated failure domains changed; no task starts in these' },
+  HandOverCounts: { code: 12021, level: Info, message: 'jobs were handed over to other entries, or taken from them, in the last second' },
+  HandOverLinkOpened: { code: 12022, level: Info, message: 'link to another entry opened for handing jobs over' },
+  HandOverLinkClosed: { code: 12023, level: Warn, message: 'link to another entry for handing jobs over closed; jobs that it had not answered are left without an answer' }
 })
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -42,6 +42,9 @@
   handle: (request: WebRequest) => Promise<WebResponse>
 }
 
+/** Handles a request in place of a route. */
+export type ScreenedHandler = (request: WebRequest) => Promise<WebResponse | undefined>
+
 export interface WebServerOptions {
   broker: moleculer.ServiceBroker
   timers: settings.Timers
@@ -56,8 +59,11 @@
   tls?: LinkTls
   /** Measures how long connections wait to be accepted. */
   acceptDelay?: AcceptDelay
-  /** Called with each request before its body is read, and its `waitedMs`. A response answers the request without its body being kept, at a fraction of the cost of a route. */
-  screen?: (request: http.IncomingMessage, waitedMs: number) => WebResponse | undefined
+  /**
+   * Called with each request before its body is read, and its `waitedMs`. A response answers the request without its body being kept, at a
+   * fraction of the cost of a route. A function gets the request with its body in place of a route; undefined from it closes the connection without an answer.
+   */
+  screen?: (request: http.IncomingMessage, waitedMs: number) => WebResponse | ScreenedHandler | undefined
   /** Returns true if the connection of a request that is answered now should be closed after it. */
   closesConnection?: () => boolean
 }
@@ -67,7 +73,11 @@
 /** Period of the check whether a stop only waits for requests of which a part has been received, in milliseconds. */
 const PARTIAL_REQUEST_CHECK_MS = 500
 
-type MoleculerRequest = http.IncomingMessage & { $params: Record<string, string> }
+/** A request; `$params` is missing unless moleculer-web has matched it to a route. */
+type MoleculerRequest = http.IncomingMessage & { $params?: Record<string, string> }
+
+/** What handles a request: a route, or a function that screening chose. */
+type RequestHandling = Pick<WebRoute, 'method' | 'path'> & { handle: ScreenedHandler }
 
 export function jsonResponse (status: number, value: unknown, headers?: Readonly<Record<string, string>>): WebResponse {
   return { status, body: JSON.stringify(value), contentType: 'application/json', headers }
@@ -181,6 +191,10 @@
         handle(request, response)
         return
       }
+      if (typeof answer === 'function') {
+        this.serve({ method: request.method as WebRoute['method'], path: request.url ?? '', handle: answer }, request, response)
+        return
+      }
       this.acceptDelaysMs.delete(request.socket)
       // The connection is idle, and safe to close, only once the whole request has been read.
       request.once('end', () => { writeResponse(response, answer, this.closesConnection) })
@@ -205,12 +219,13 @@
     } as unknown as moleculer.ServiceSchema
   }
 
-  private async serve (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<void> {
+  private async serve (route: RequestHandling, request: MoleculerRequest, response: http.ServerResponse): Promise<void> {
     const answer = await this.answer(route, request, response)
-    writeResponse(response, answer, this.closesConnection)
+    if (answer === undefined) response.destroy()
+    else writeResponse(response, answer, this.closesConnection)
   }
 
-  private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
+  private async answer (route: RequestHandling, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse | undefined> {
     const waitedMs = this.acceptDelaysMs.get(request.socket) ?? 0
     this.acceptDelaysMs.delete(request.socket)
     const body = await readBody(request, this.maxBodyBytes)
@@ -309,7 +324,7 @@
 }
 
 function resolvePathParams (request: MoleculerRequest): Record<string, string> {
-  const params = (request.$params as unknown as { params?: Record<string, string> }).params
+  const params = (request.$params as unknown as { params?: Record<string, string> } | undefined)?.params
   return params ?? {}
 }
 
