Write the code cache of the platform programs after a warm-up

The cache was written right after loading, so that it held no function of the path of a job. An entry and an agent now serve 400 jobs of a loopback caller in one process before it is written; the warm-up ends by itself after 20 s at most and needs neither store nor network.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -15,5 +15,4 @@
 
 // V8 rejects a code cache that was created under other flags, so the flags come from the start command of the deployment.
 const flags = /node (.*?)target\/egretvalve\.cjs/.exec(readFileSync('deploy/system.toml', 'utf8'))[1].split(' ').filter(Boolean)
-const createCache = `const loader = require('./${LOADER}'); require('fs').writeFileSync(loader.CACHE, loader.loadProgram().script.createCachedData()); process.exit(0)`
-execFileSync(process.execPath, [...flags, '-e', createCache])
+execFileSync(process.execPath, [...flags, 'scripts/warmUp.mjs'], { stdio: 'inherit' })
