Keep jobs waiting while an entry's view of the fleet grows

After a start of all processes an entry refused jobs by the capacity of the first agents that had linked, and was ready with one worker. scheduler/fleetGrowth decides whether more are expected: until no agent or worker has been added for 250 ms, and for 1.5 s from the first at most. Meanwhile jobs wait for links, for up to 0.7 of their deadline, and the entry is not ready. Two tests that connect agents to an entry that has just started and expect a refusal at once let the view settle first; what they check is unchanged. The new scheduler test fails without the change: 20 jobs of 10 tasks are refused from the capacity of one worker.

--- a/packages/scheduler/src/admission.ts
+++ b/packages/scheduler/src/admission.ts
@@ -18,13 +18,15 @@
 }
 
 /** Share of the caller's deadline after which a job that has not started is refused. More than half is left for a retry. */
-const MAX_WAIT_SHARE = 0.4
+export const MAX_WAIT_SHARE = 0.4
+/** The same while the entry recovers. A retry after a refusal, a second later, would miss the latency objective of most jobs. */
+export const RECOVERY_WAIT_SHARE = 0.7
 /** Estimates are often too low by this factor, and so is the time until which an answer is useful, which derives from them. */
 const ESTIMATE_ERROR_FACTOR = 1.3
 
 /** Returns the time from the arrival to the latest start that is useful to the caller, in milliseconds. */
-export function latestUsefulStartMs (deadlineMs: number, usefulForMs: number, expectedMs: number): number {
-  return Math.max(0, Math.min(deadlineMs * MAX_WAIT_SHARE, usefulForMs * ESTIMATE_ERROR_FACTOR - expectedMs))
+export function latestUsefulStartMs (deadlineMs: number, usefulForMs: number, expectedMs: number, maxWaitShare = MAX_WAIT_SHARE): number {
+  return Math.max(0, Math.min(deadlineMs * maxWaitShare, usefulForMs * ESTIMATE_ERROR_FACTOR - expectedMs))
 }
 
 /** Returns true for a request that has waited so long before it was read that its job would be refused. */
@@ -32,6 +34,11 @@
   return waitedMs > deadlineMs * MAX_WAIT_SHARE
 }
 
+/** Returns the time for which a request that arrives before the first configuration may wait for it, in milliseconds. */
+export function firstConfigWaitMs (deadlineMs: number, waitedMs: number): number {
+  return Math.max(0, deadlineMs * RECOVERY_WAIT_SHARE - waitedMs)
+}
+
 /** Returns the expected wait for capacity, in milliseconds; infinite without cores. */
 export function expectedWaitMs (state: ArrivalState): number {
   return state.cores <= 0 ? Number.POSITIVE_INFINITY : state.workAheadCoreMs / state.cores
--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -1,15 +1,13 @@
 /** Decides which jobs an entry refuses, at their arrival and while they wait. */
 import type * as settings from '@egretvalve/settings'
-import { type ArrivalState, canServe, expectedWaitMs, latestUsefulStartMs } from './admission.ts'
+import { type ArrivalState, canServe, expectedWaitMs, latestUsefulStartMs, MAX_WAIT_SHARE, RECOVERY_WAIT_SHARE } from './admission.ts'
 import type { Agents } from './agents.ts'
 import type { Containment } from './containment.ts'
 import { fitsSomewhere, ownCores, workAheadCoreMs } from './fleetCapacity.ts'
+import { FleetGrowth } from './fleetGrowth.ts'
 import type { Job } from './job.ts'
 import type { SpeedEstimate } from './speed.ts'
 
-/** Time without any worker for which jobs wait instead of being refused, as after a start of the whole system. */
-const NO_WORKER_WAIT_MS = 1_500
-
 /** Expected wait while the workers of a contained queue are down, in milliseconds: crashed workers are back after some seconds. */
 const CRASHED_WORKER_WAIT_MS = 3_000
 
@@ -34,24 +32,29 @@
 }
 
 export class Refusals {
-  /** Time at which a worker was last seen to accept runs; initially the start of the process. */
-  private workerSeenAtMs: number
+  private readonly growth: FleetGrowth
 
   constructor (private readonly context: RefusalContext) {
-    this.workerSeenAtMs = context.timers.nowMs()
+    this.growth = new FleetGrowth(context.timers.nowMs())
+  }
+
+  /** Records the numbers of linked agents and of workers that accept runs now. */
+  recordFleetSize (): void {
+    let agents = 0
+    for (const { port } of this.context.agents.all) agents += port === undefined ? 0 : 1
+    this.growth.record(this.nowMs, { agents, workers: this.context.workerCount() })
   }
 
-  /** Records whether a worker accepts runs now. */
-  recordWorkerPresence (): void {
-    if (this.context.workerCount() > 0) this.workerSeenAtMs = this.nowMs
+  /** True while more workers are expected to appear than this entry sees, as after a start of the whole system. */
+  get isFleetGrowing (): boolean {
+    return this.growth.isGrowing(this.nowMs)
   }
 
   /** Returns why a job that arrives is refused, or undefined when it is accepted. */
   findAtArrival (job: Job): Refusal | undefined {
-    if (this.context.workerCount() === 0) {
-      const isWaiting = this.nowMs - this.workerSeenAtMs < NO_WORKER_WAIT_MS
-      return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
-    }
+    this.recordFleetSize()
+    if (this.isFleetGrowing) return undefined
+    if (this.context.workerCount() === 0) return { reason: 'no worker takes runs', waitMs: 0 }
     if (!this.isPlaceable(job)) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
     const state: ArrivalState = {
       workAheadCoreMs: this.workAheadOf(job),
@@ -70,7 +73,7 @@
     const { agents } = this.context
     const contained = this.findContained(job)
     if (contained !== undefined) return contained
-    if (agents.hasEvacuatedDomain && this.context.workerCount() > 0 && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
+    if (agents.hasEvacuatedDomain && this.context.workerCount() > 0 && !this.isFleetGrowing && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
     if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: 'can not end before the deadline', waitMs: this.expectedWaitFor(job) }
     if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: 'no room in useful time', waitMs: this.expectedWaitFor(job) }
     return undefined
@@ -97,7 +100,9 @@
 
   /** Returns the time from the arrival to the latest useful start. */
   private latestUsefulStartOf (job: Job): number {
-    return latestUsefulStartMs(job.deadlineMs, job.usefulUntilMs - job.arrivedAtMs, this.expectedMs(job))
+    // A caller that is refused during a recovery comes back too late for its latency objective, so its job may wait longer.
+    const maxWaitShare = this.growth.hasGrownSince(job.arrivedAtMs) ? RECOVERY_WAIT_SHARE : MAX_WAIT_SHARE
+    return latestUsefulStartMs(job.deadlineMs, job.usefulUntilMs - job.arrivedAtMs, this.expectedMs(job), maxWaitShare)
   }
 
   private expectedWaitFor (job: Job): number {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -163,6 +163,11 @@
     return count
   }
 
+  /** True while more workers are expected to appear than are connected, as after a start of the whole system. */
+  get isFleetGrowing (): boolean {
+    return this.refusals.isFleetGrowing
+  }
+
   /** Number of connected workers in evacuated failure domains. */
   get evacuatedWorkerCount (): number {
     let count = 0
@@ -461,7 +466,7 @@
 
   /** Checks deadlines and silent agents. */
   private runPeriodicChecks (): void {
-    this.refusals.recordWorkerPresence()
+    this.refusals.recordFleetSize()
     const isStalled = this.nowMs - this.checkedAtMs > this.options.stallMs
     this.checkedAtMs = this.nowMs
     if (!isStalled) for (const agent of [...this.agents.all]) this.checkAgent(agent)
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -10,6 +10,8 @@
 
 /** Time in which an entry hears of other crashes of the same moment before it gives up a task. */
 const VERDICT_MS = 110
+/** Time after the last new worker after which an entry takes its view of the fleet for complete, with one periodic check. */
+const COMPLETE_VIEW_MS = 350
 
 class FakePort implements scheduler.AgentPort {
   /** Tasks sent, oldest first. */
@@ -356,6 +358,7 @@
     const { timers, scheduler: created, submit } = createBench()
     created.connect(new FakePort('agent-1', 'life-1', 'a'), createLoad({ free: workers.NO_SIZE, labels: ['special'] }))
     created.connect(new FakePort('agent-2', 'life-1', 'b'), createLoad())
+    await passTime(timers, COMPLETE_VIEW_MS)
     const waiting = submit(createJob('waiting', 1, { requirement: 'special' }), {}, 9_000)
     created.setEvacuatedDomains(['a'])
     await passTime(timers, 60)
@@ -384,10 +387,27 @@
     await passTime(timers, 1_600)
     expect(submit(createJob('without workers', 1)).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
     created.connect(new FakePort('agent-1'), createLoad())
+    await passTime(timers, COMPLETE_VIEW_MS)
     expect(submit(createJob('large', 1, { size: { ...SIZE, cpuMilli: 31_000 } })).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
     expect(submit(createJob('label', 1, { requirement: 'gpu' })).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
   })
 
+  it('keeps jobs that its first workers can not carry while others are still linking, and refuses them afterwards', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    created.connect(new FakePort('agent-1'), createLoad({ free: workers.NO_SIZE }))
+    const jobs = Array.from({ length: 20 }, (_, index) => submit(createJob(`job-${index}`, 10, { estimatedMs: 300 })))
+    expect(jobs.flatMap(({ outcomes }) => outcomes), 'refused from a sliver of the capacity').to.deep.equal([])
+    const ports = Array.from({ length: 20 }, (_, index) => new FakePort(`later-${index}`))
+    for (const port of ports) {
+      await passTime(timers, 20)
+      created.connect(port, createLoad())
+    }
+    await flushEventLoop()
+    expect(ports.reduce((sum, port) => sum + port.ordered.length, 0)).to.equal(200)
+    await passTime(timers, COMPLETE_VIEW_MS)
+    expect(submit(createJob('after', 10_000, { estimatedMs: 300 })).outcomes.map(({ kind }) => kind)).to.deep.equal(['refused'])
+  })
+
   it('refuses a job whose tasks were all returned unstarted, but not one of which a task may have started', async () => {
     const { timers, scheduler: created, submit } = createBench()
     const port = new FakePort('agent-1')
