Find entries and links sooner while a fleet starts

A link that was refused while its entry started was redialled after a pause as long as the outage so far, an unreachable substitute after 3 s, a list of entries that could not be read after 2 s, and a failed step after 1 s. Redials now follow within 0.15 of the time since the link closed, at most 1 s as before; an agent without any link retries substitutes after 0.3 s and the list after 0.25 s; an entry reads its list again after 0.25 s while the list can't be read, lacks the entry or changes.

--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -16,9 +16,11 @@
 export const LIVENESS_CHECK_PERIOD_MS = 100
 /** Interval between two liveness checks from which this process counts as stalled, in milliseconds. The check is then skipped so that messages that have arrived are read first. */
 export const STALL_MS = 200
-/** First and longest delay before a failed link is redialled, in milliseconds; the delay doubles with each failure. */
+/** Shortest and longest delay before a failed link is redialled, in milliseconds. */
 export const MIN_REDIAL_MS = 50
 export const MAX_REDIAL_MS = 1_000
+/** Delay before a redial, as a share of the time since the link closed. An entry that starts again after a power loss needs 1 to 2 s, and is then linked within a sixth of that. A delay that doubles with each failure is as long as the outage. */
+export const REDIAL_SHARE = 0.15
 /** Time for which ends are retained so that they can be sent again on a reopened link, in milliseconds. */
 export const END_RETENTION_MS = 3_000
 /** Time for which crashes of the worker are retained, in milliseconds, and how many at most. A new link carries them, so that an entry that has just started knows them. */
@@ -46,11 +48,13 @@
 export const MEMBER_RENEW_MS = 2_000
 /** Period in which an entry reads the list of entries and the jobs that were cancelled at others, in milliseconds. */
 export const MEMBER_READ_MS = 2_000
+/** Period in which it reads the list while the list is incomplete: it can't be read, lacks the entry itself, or has just changed, as when several entries start. In milliseconds. */
+export const INCOMPLETE_READ_MS = 250
 /** Period in which an agent reads the list of entries, in milliseconds, while no link is open and while at least one is. */
-export const UNLINKED_DISCOVERY_PERIOD_MS = 500
+export const UNLINKED_DISCOVERY_PERIOD_MS = 250
 export const LINKED_DISCOVERY_PERIOD_MS = 5_000
-/** Time after which a loop whose step failed with an exception repeats it, in milliseconds. */
-export const FAILED_STEP_PAUSE_MS = 1_000
+/** Time after which a loop whose step failed with an exception repeats it, in milliseconds. As short as that after a failed store call, since a program that starts may depend on the step. */
+export const FAILED_STEP_PAUSE_MS = 250
 /** Number of entries to which an agent keeps links open. With fewer, an agent that loses several entries together gets too little work for a while; with more, each node sends more messages. */
 export const LINKS_PER_AGENT = 6
 /** Share of the links that go to entries of the agent's own failure domain, because messages between domains are slower and charged for. The other links keep the agent in use when the entries of the domain are lost or its callers move. */
@@ -59,6 +63,8 @@
 export const SUBSTITUTE_AFTER_MS = 400
 /** Time for which an unreachable substitute is not dialled again, in milliseconds, so that an agent finds a live entry sooner when a whole failure domain is unreachable. */
 export const UNREACHABLE_BACKOFF_MS = 3_000
+/** The same for an agent without any link, in milliseconds. All entries are then starting, and each may be the first to listen. */
+export const UNLINKED_BACKOFF_MS = 300
 /** Time between the notice that a link will close and its close, in milliseconds. Orders in flight arrive in this time. */
 export const LINK_CLOSE_NOTICE_MS = 1_000
 /** Time after which an address that is neither in newer lists nor linked is removed, in milliseconds. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -3,7 +3,7 @@
 import * as runtime from '@egretvalve/runtime'
 import type * as settings from '@egretvalve/settings'
 import type * as workers from '@egretvalve/workers'
-import { BUSY_HEARTBEAT_MS, BUSY_LINK_TIMEOUT_MS, IDLE_HEARTBEAT_MS, IDLE_LINK_TIMEOUT_MS, MAX_REDIAL_MS, MIN_REDIAL_MS } from './defaults.ts'
+import { BUSY_HEARTBEAT_MS, BUSY_LINK_TIMEOUT_MS, IDLE_HEARTBEAT_MS, IDLE_LINK_TIMEOUT_MS, MAX_REDIAL_MS, MIN_REDIAL_MS, REDIAL_SHARE } from './defaults.ts'
 import { events } from './events.ts'
 import { PeerActivity } from './liveness.ts'
 import { repeatUntilAborted } from './loops.ts'
@@ -64,7 +64,6 @@
   private isGreeted = false
   private closedSinceMs: number
   private lastSentAtMs = 0
-  private redialMs = MIN_REDIAL_MS
   private stopStream: () => void = () => {}
   private readonly abort = new AbortController()
 
@@ -88,7 +87,7 @@
     return this.activity.sinceLastMessageMs
   }
 
-  /** Dials and redials until `close`, with exponential back-off and jitter. */
+  /** Dials and redials until `close`, with jitter and longer pauses the longer the link has been closed. */
   async run (): Promise<void> {
     await repeatUntilAborted('link.dial', this.services, this.abort.signal, async () => {
       await this.exchange()
@@ -149,7 +148,6 @@
     this.sentConfigVersion = 0
     this.isOverloaded = false
     this.toldOthersHaveRoom = false
-    this.redialMs = MIN_REDIAL_MS
     this.services.log.event(events.LinkOpened, { peer: this.address, entryId: greeting.entryId ?? '', life: this.incarnation })
     this.handler.onOpen(this, greeting)
   }
@@ -177,8 +175,11 @@
   }
 
   private nextRedialMs (): number {
-    const delayMs = this.redialMs * (0.5 + (this.services.random ?? Math.random)())
-    this.redialMs = Math.min(this.redialMs * 2, MAX_REDIAL_MS)
-    return delayMs
+    return redialDelayMs(this.closedMs, (this.services.random ?? Math.random)())
   }
 }
+
+/** Returns the delay before a link is redialled that has been closed for `closedMs`, in milliseconds. `random` is a number from 0 to 1. */
+export function redialDelayMs (closedMs: number, random: number): number {
+  return Math.min(MAX_REDIAL_MS, Math.max(MIN_REDIAL_MS, closedMs * REDIAL_SHARE)) * (0.5 + random)
+}
--- a/packages/fleet/src/entryLinks.ts
+++ b/packages/fleet/src/entryLinks.ts
@@ -1,6 +1,6 @@
 /** The links of an agent, to a number of entries that does not grow with the fleet. */
 import type * as settings from '@egretvalve/settings'
-import { ENTRY_RETENTION_MS, LINK_CLOSE_NOTICE_MS, SUBSTITUTE_AFTER_MS, UNREACHABLE_BACKOFF_MS } from './defaults.ts'
+import { ENTRY_RETENTION_MS, LINK_CLOSE_NOTICE_MS, SUBSTITUTE_AFTER_MS, UNLINKED_BACKOFF_MS, UNREACHABLE_BACKOFF_MS } from './defaults.ts'
 import { chooseEntries, type RegisteredEntry } from './entryChoice.ts'
 import type { EntryConnection } from './entryConnection.ts'
 
@@ -135,7 +135,7 @@
       return
     }
     if (connection.isOpen && (nowMs - connection.closingSinceMs! < LINK_CLOSE_NOTICE_MS || this.context.hasPendingWork(connection))) return
-    if (!connection.isOpen) this.avoidedUntilMs.set(address, nowMs + UNREACHABLE_BACKOFF_MS)
+    if (!connection.isOpen) this.avoidedUntilMs.set(address, nowMs + (this.openLinks.length === 0 ? UNLINKED_BACKOFF_MS : UNREACHABLE_BACKOFF_MS))
     connection.close()
     this.connections.delete(address)
   }
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -5,7 +5,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as zod from 'zod'
 import { CancellationPublisher, cancellationsSchema } from './cancellations.ts'
-import { CANCELLATION_PREFIX, ENTRY_PREFIX, MAX_NAME_CHARS, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS, REGISTRY_PREFIX } from './defaults.ts'
+import { CANCELLATION_PREFIX, ENTRY_PREFIX, INCOMPLETE_READ_MS, MAX_NAME_CHARS, MEMBER_LEASE_MS, MEMBER_READ_MS, MEMBER_RENEW_MS, REGISTRY_PREFIX } from './defaults.ts'
 import type { EntryIdentity } from './entryNode.ts'
 import { events } from './events.ts'
 import { repeatUntilAborted } from './loops.ts'
@@ -165,19 +165,21 @@
   /** Reads the list. Returns the time until the next read, in milliseconds. */
   private async pollEntries (): Promise<number> {
     const registry = await this.reader.readRegistry()
-    if (registry !== undefined) {
-      this.handleEntries(registry.entries)
-      this.handleCancelledJobs(registry.cancelledJobs)
-    }
-    return MEMBER_READ_MS
+    if (registry === undefined) return INCOMPLETE_READ_MS
+    const hasChanged = this.handleEntries(registry.entries)
+    this.handleCancelledJobs(registry.cancelledJobs)
+    const isIncomplete = hasChanged || !registry.entries.some(({ life }) => life === this.identity.life)
+    return isIncomplete ? INCOMPLETE_READ_MS : MEMBER_READ_MS
   }
 
-  private handleEntries (entries: readonly protocol.runs.IEntryAddress[]): void {
+  /** Passes on a list that has changed. Returns false for one that has not. */
+  private handleEntries (entries: readonly protocol.runs.IEntryAddress[]): boolean {
     const json = JSON.stringify(entries)
-    if (json === this.lastEntriesJson) return
+    if (json === this.lastEntriesJson) return false
     this.services.log.event(events.EntriesChanged, { entries: entries.length })
     this.onEntries(entries)
     this.lastEntriesJson = json
+    return true
   }
 
   private handleCancelledJobs (jobIds: readonly string[]): void {
--- a/test/unit/fleet/entryLinks.test.ts
+++ b/test/unit/fleet/entryLinks.test.ts
@@ -2,6 +2,7 @@
 import * as fleet from '@egretvalve/fleet'
 import * as protocol from '@egretvalve/protocol'
 import * as settings from '@egretvalve/settings'
+import { redialDelayMs } from '../../../packages/fleet/src/entryConnection.ts'
 import { EntryLinks } from '../../../packages/fleet/src/entryLinks.ts'
 import type { EntryConnection } from '../../../packages/fleet/src/entryConnection.ts'
 
@@ -150,4 +151,27 @@
     expect(bench.openAddresses).to.deep.equal(['10.0.0.1:1'])
     expect(bench.notices).to.deep.equal([])
   })
+
+  it('dials an entry soon after it was unreachable while no link is open at all', () => {
+    const bench = new LinksBench()
+    const entries = listEntries(24)
+    for (const { address } of entries) bench.unreachable.add(address)
+    bench.links.updateEntries(entries)
+    const chosen = new Set(bench.dialed.keys())
+    bench.timers.advance(2_000)
+    for (const { address } of entries) if (!chosen.has(address)) bench.unreachable.delete(address)
+    bench.timers.advance(500)
+    expect(bench.openAddresses).to.have.length.of.at.least(fleet.LINKS_PER_AGENT)
+  })
+})
+
+describe('redials of a link', () => {
+  it('reach an entry that was away for 0.5 to 2 s within a quarter of that time, and an entry that stays away about once a second', () => {
+    for (const awayMs of [500, 1_000, 2_000]) {
+      let dialedAtMs = 0
+      while (dialedAtMs < awayMs) dialedAtMs += redialDelayMs(dialedAtMs, 1)
+      expect(dialedAtMs).to.be.below(awayMs * 1.25)
+    }
+    expect(redialDelayMs(60_000, 0.5)).to.equal(fleet.MAX_REDIAL_MS)
+  })
 })
--- a/test/unit/fleet/membership.test.ts
+++ b/test/unit/fleet/membership.test.ts
@@ -103,6 +103,17 @@
     expect(bench.countLines(fleet.events.EntryUnusable.code)).to.be.within(1, MAX_LINES_PER_LIST)
   })
 
+  it('reads a list that could not be read, or lacks entries that start at the same time, again within fractions of a second', async () => {
+    bench.store.faults.down = true
+    bench.membership.start()
+    await bench.pass(100)
+    bench.store.faults.down = false
+    await bench.pass(600)
+    await bench.plant('other', encodeEntry({ address: '10.0.0.2:7000' }))
+    await bench.pass(300)
+    expect(bench.lists.at(-1)).to.have.members([IDENTITY.address, '10.0.0.2:7000'])
+  })
+
   it('keeps following the list and keeps its registration after a call that threw', async () => {
     bench.membership.start()
     await bench.pass(fleet.MEMBER_READ_MS * 2)
