--- a/scripts/measureRestart.ts
+++ b/scripts/measureRestart.ts
@@ -1,8 +1,8 @@
 /**
  * Measures how a fleet recovers when all its processes are killed and started again at the same moments: when each program listens, has
  * its configuration, its links and its first served job, the processor time until then and for the first jobs, and what callers saw.
- * Usage: `npx tsx scripts/measureRestart.ts --runs 5 --programs target/egretvalve.cjs,target/before/egretvalve.cjs`. Several programs
- * are measured in turn. Requires their builds. The stand-ins and callers share this process, which limits the load.
+ * Usage: `npx tsx scripts/measureRestart.ts --runs 5 --folders .,../before`. Several checkouts, each with its
+ * deploy file and its build in `target/`, are measured in turn. The stand-ins and callers share this process, which limits the load.
  */
 import * as fs from 'node:fs'
 import { parseArgs } from 'node:util'
@@ -43,6 +43,8 @@
 interface Call {
   atMs: number
   outcome: 'served' | 'refused' | 'broken'
+  /** Reason of a refusal; empty otherwise. */
+  reason: string
 }
 
 const timers = new settings.TimerService()
@@ -57,7 +59,7 @@
     'run-ms': { type: 'string', default: '8' },
     'pause-ms': { type: 'string', default: '16' },
     runs: { type: 'string', default: '1' },
-    programs: { type: 'string', default: 'target/egretvalve.cjs' },
+    folders: { type: 'string', default: '.' },
     /** Node.js flags, separated by spaces; several sets are separated by commas and measured in turn. */
     flags: { type: 'string', default: '' }
   }
@@ -113,7 +115,7 @@
   private releaseThrottle: () => Promise<void> = async () => {}
   private isEnding = false
 
-  constructor (private readonly program: string, private readonly flags: readonly string[]) {}
+  constructor (private readonly folder: string, private readonly flags: readonly string[]) {}
 
   get entries (): Node[] {
     return this.nodes.filter(node => node.process.role === Role.Entry)
@@ -145,13 +147,13 @@
     for (let number = 0; number < Number(values.entries); number++) {
       const ip = `127.${NET}.0.${number + 1}`
       const frontend = `${ip}:${LINK_PORT + 1}`
-      this.add(new PlatformProcess(Role.Entry, createSettingsFile({ nodeId: `entry-${number}`, ip, storeAddress, linkPort: LINK_PORT, frontend, ready: `${ip}:${LINK_PORT + 2}` }), this.flags, this.program), frontend)
+      this.add(new PlatformProcess(Role.Entry, createSettingsFile({ nodeId: `entry-${number}`, ip, storeAddress, linkPort: LINK_PORT, frontend, ready: `${ip}:${LINK_PORT + 2}` }), this.flags, this.folder), frontend)
     }
     for (let number = 0; number < Number(values.agents); number++) {
       const ip = `127.${NET}.1.${number + 1}`
       const control = `${ip}:${LINK_PORT + 3}`
       const worker = await this.standins.startWorker({ number, control })
-      this.add(new PlatformProcess(Role.Agent, createSettingsFile({ nodeId: `agent-${number}`, ip, storeAddress, linkPort: LINK_PORT, control, worker }), this.flags, this.program), '')
+      this.add(new PlatformProcess(Role.Agent, createSettingsFile({ nodeId: `agent-${number}`, ip, storeAddress, linkPort: LINK_PORT, control, worker }), this.flags, this.folder), '')
     }
   }
 
@@ -215,8 +217,8 @@
     for (let attempt = 0; attempt < 3 && !this.isEnding; attempt++) {
       const node = this.entries[(number + attempt) % this.entries.length]!
       const sentAtMs = Date.now()
-      const { outcome, retryAfterMs } = await this.call(node, jobId)
-      this.calls.push({ atMs: sentAtMs, outcome })
+      const { outcome, reason = '', retryAfterMs } = await this.call(node, jobId)
+      this.calls.push({ atMs: sentAtMs, outcome, reason })
       if (outcome === 'served') {
         node.servedCount++
         if (node.servedCount === 1) recordStep(node, 'firstServed')
@@ -227,21 +229,21 @@
     }
   }
 
-  private async call (node: Node, jobId: string): Promise<{ outcome: Call['outcome'], retryAfterMs: number }> {
+  private async call (node: Node, jobId: string): Promise<Pick<Call, 'outcome'> & { reason?: string, retryAfterMs: number }> {
     try {
       const body = JSON.stringify({ spec: 'x', steps: [{ count: TASKS_PER_JOB, cpu: 3_000, memory_request_mb: 64, estimated_ms: Number(values['work-ms']) }], best_effort: true })
       const response = await undici.request(`http://${node.frontend}/spares/${jobId}`, { method: 'POST', body, dispatcher: this.agent, signal: AbortSignal.timeout(DEADLINE_MS), headers: { host: 'shop.example', 'content-type': 'application/json', 'x-deadline-ms': String(DEADLINE_MS) } })
-      await response.body.dump()
+      const text = await response.body.text()
       if (response.statusCode === 200) return { outcome: 'served', retryAfterMs: 0 }
       const retryAfterMs = Number(response.headers['retry-after'] ?? 1) * 1_000
-      return response.statusCode === 503 || response.statusCode === 429 ? { outcome: 'refused', retryAfterMs } : { outcome: 'broken', retryAfterMs: RESUBMIT_MS }
+      return response.statusCode === 503 || response.statusCode === 429 ? { outcome: 'refused', reason: (JSON.parse(text) as { error: { message: string } }).error.message, retryAfterMs } : { outcome: 'broken', retryAfterMs: RESUBMIT_MS }
     } catch {
       return { outcome: 'broken', retryAfterMs: RESUBMIT_MS }
     }
   }
 
   private print (killedAtMs: number): void {
-    process.stdout.write(`${this.program} ${this.flags.join(' ')}\n`)
+    process.stdout.write(`${this.folder} ${this.flags.join(' ')}\n`)
     for (const role of [Role.Entry, Role.Agent]) {
       const nodes = this.nodes.filter(node => node.process.role === role)
       const steps = new Set(nodes.flatMap(node => [...node.steps.keys()]))
@@ -255,15 +257,17 @@
     for (let window = 0; window < 3; window++) {
       const calls = this.calls.filter(({ atMs }) => Math.floor((atMs - killedAtMs) / WINDOW_MS) === window)
       const count = (outcome: Call['outcome']): number => calls.filter(call => call.outcome === outcome).length
-      process.stdout.write(`  window ${window}: ${count('served')} served, ${count('refused')} refused, ${count('broken')} broken\n`)
+      const reasons = new Map<string, number>()
+      for (const { reason } of calls) if (reason !== '') reasons.set(reason, (reasons.get(reason) ?? 0) + 1)
+      process.stdout.write(`  window ${window}: ${count('served')} served, ${count('refused')} refused, ${count('broken')} broken; ${[...reasons].map(([reason, times]) => `${reason}: ${times}`).join(', ')}\n`)
     }
   }
 }
 
 async function main (): Promise<void> {
   for (let run = 0; run < Number(values.runs); run++) {
-    for (const program of values.programs.split(',')) {
-      for (const flags of values.flags.split(',')) await new RestartRun(program, flags.split(' ').filter(Boolean)).run()
+    for (const folder of values.folders.split(',')) {
+      for (const flags of values.flags.split(',')) await new RestartRun(folder, flags.split(' ').filter(Boolean)).run()
     }
   }
 }
