--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -1,15 +1,13 @@
 /** Decides which jobs an entry refuses, at their arrival and while they wait. */
 import type * as settings from '@egretvalve/settings'
-import { type ArrivalState, canServe, expectedWaitMs, latestUsefulStartMs } from './admission.ts'
+import { type ArrivalState, canServe, expectedWaitMs, latestUsefulStartMs, MAX_WAIT_SHARE, RECOVERY_WAIT_SHARE } from './admission.ts'
 import type { Agents } from './agents.ts'
 import type { Containment } from './containment.ts'
 import { fitsSomewhere, ownCores, workAheadCoreMs } from './fleetCapacity.ts'
+import { FleetGrowth } from './fleetGrowth.ts'
 import type { Job } from './job.ts'
 import type { SpeedEstimate } from './speed.ts'
 
-/** Time without any worker for which jobs wait instead of being refused, as after a start of the whole system. */
-const NO_WORKER_WAIT_MS = 1_500
-
 /** Expected wait while the workers of a contained queue are down, in milliseconds: crashed workers are back after some seconds. */
 const CRASHED_WORKER_WAIT_MS = 3_000
 
@@ -37,26 +35,33 @@
 }
 
 export class Refusals {
-  /** Time at which a worker was last seen to accept runs; initially the start of the process. */
-  private workerSeenAtMs: number
-  private readonly startedAtMs: number
+  private readonly growth: FleetGrowth
 
   constructor (private readonly context: RefusalContext) {
-    this.startedAtMs = context.timers.nowMs()
-    this.workerSeenAtMs = this.startedAtMs
+    this.growth = new FleetGrowth(context.timers.nowMs())
   }
 
-  /** Records whether a worker accepts runs now. */
-  recordWorkerPresence (): void {
-    if (this.context.workerCount() > 0) this.workerSeenAtMs = this.nowMs
+  /** Records the numbers of linked agents and of workers that accept runs now, also in evacuated failure domains: no others are expected in place of these. */
+  recordFleetSize (): void {
+    const size = { agents: 0, workers: 0 }
+    for (const { port, view } of this.context.agents.all) {
+      if (port === undefined) continue
+      size.agents++
+      if (view.acceptsRuns) size.workers++
+    }
+    this.growth.record(this.nowMs, size)
+  }
+
+  /** True while more workers are expected to appear than this entry sees, as after a start of the whole system. */
+  get isFleetGrowing (): boolean {
+    return this.growth.isGrowing(this.nowMs)
   }
 
   /** Returns why a job that arrives is refused, or undefined when it is accepted. */
   findAtArrival (job: Job): Refusal | undefined {
-    if (this.context.workerCount() === 0) {
-      const isWaiting = this.nowMs - this.workerSeenAtMs < NO_WORKER_WAIT_MS
-      return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
-    }
+    this.recordFleetSize()
+    if (this.isFleetGrowing) return undefined
+    if (this.context.workerCount() === 0) return { reason: 'no worker takes runs', waitMs: 0 }
     if (!this.isPlaceable(job)) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
     const state: ArrivalState = {
       workAheadCoreMs: this.workAheadOf(job),
@@ -75,8 +80,7 @@
     const { agents } = this.context
     const contained = this.findContained(job)
     if (contained !== undefined) return contained
-    const mayFindWorkers = this.context.workerCount() === 0 && this.nowMs - this.startedAtMs < NO_WORKER_WAIT_MS
-    if (agents.hasEvacuatedDomain && !mayFindWorkers && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
+    if (agents.hasEvacuatedDomain && !this.isFleetGrowing && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
     if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: job.hasClaim ? 'can not end before the deadline' : UNCONFIRMED_REASON, waitMs: this.expectedWaitFor(job) }
     if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: job.hasClaim ? 'no room in useful time' : UNCONFIRMED_REASON, waitMs: this.expectedWaitFor(job) }
     return undefined
@@ -103,7 +107,9 @@
 
   /** Returns the time from the arrival to the latest useful start. */
   private latestUsefulStartOf (job: Job): number {
-    return latestUsefulStartMs(job.deadlineMs, job.usefulUntilMs - job.arrivedAtMs, this.expectedMs(job))
+    // A caller that is refused during a recovery comes back too late for its latency objective, so its job may wait longer.
+    const maxWaitShare = this.growth.hasGrownSince(job.arrivedAtMs) ? RECOVERY_WAIT_SHARE : MAX_WAIT_SHARE
+    return latestUsefulStartMs(job.deadlineMs, job.usefulUntilMs - job.arrivedAtMs, this.expectedMs(job), maxWaitShare)
   }
 
   private expectedWaitFor (job: Job): number {
