One budget per process for unfinished requests and connections

Cause: clients that send many bodies, headers or streams and never finish them brought a process down. Full: the stalest request of the largest peer is dropped, with 503, or without an answer if the job is known; others wait unread. Link servers accept 4 MB messages, 16 streams, and close connections without a complete message after 5 s or 64 KB.

--- a/packages/cli/src/commands/process.ts
+++ b/packages/cli/src/commands/process.ts
@@ -51,6 +51,8 @@
   const timers = new settings.TimerService()
   const log = settings.createLog(program, values.nodeId, values.logLevel)
   const metrics = settings.createMetrics({ host: values.statsdHost, port: values.statsdPort, program, nodeId: values.nodeId })
+  runtime.processBudget.setLimits(runtime.overrideLimits(runtime.detectLimits(), values))
+  const reports = runtime.processBudget.startReports(log)
   const refresh = timers.every(TLS_REFRESH_MS, () => { refreshTls(tls.val, log) })
   const running = create({ timers, log, metrics, tls: tls.val })
   try {
@@ -62,6 +64,7 @@
   streams.out(describe(running))
   const exitCode = await runtime.runUntilSignal(running, { timers, stopLimitMs: values.stopLimitMs, print: streams.error })
   refresh.cancel()
+  reports.cancel()
   await metrics.close()
   await log.close()
   return exitCode
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -196,6 +196,8 @@
       routes: [...routes, ...this.configuration.createWebRoutes()],
       maxBodyBytes: settings.maxBodyBytes,
       requestTimeoutMs: settings.requestTimeoutMs,
+      // The id of a submission is in its body, so an earlier attempt may have run.
+      mayRefuse: request => request.method !== 'POST',
       tls: services.tls
     })
   }
--- a/packages/runtime/src/body.ts
+++ b/packages/runtime/src/body.ts
@@ -2,14 +2,22 @@
 import type * as http from 'node:http'
 import * as protocol from '@egretvalve/protocol'
 import * as results from 'ts-results'
+import { BodyBuffer } from './bodyBuffer.ts'
 
 /** Bytes beyond the limit that are read and discarded: a sender that is still writing could not read the error response. */
 const MAX_DISCARDED_BYTES = 64 * 1024 * 1024
 
+/** Counts the memory that the body of a request holds. Negative numbers release it. */
+export type CountHeld = (bytes: number) => void
+
 /** Reads the whole body. Returns an `InvalidInput` error if it exceeds `maxBodyBytes` or the connection breaks before its end. */
-export async function readBody (request: http.IncomingMessage, maxBodyBytes: number): Promise<results.Result<Buffer, protocol.StepError>> {
-  const chunks: Buffer[] = []
+export async function readBody (request: http.IncomingMessage, maxBodyBytes: number, countHeld: CountHeld = () => {}): Promise<results.Result<Buffer, protocol.StepError>> {
+  const buffer = new BodyBuffer()
   let sizeBytes = 0
+  const clear = (): void => {
+    countHeld(-buffer.heldBytes)
+    buffer.clear()
+  }
   const problem = await new Promise<string | undefined>(resolve => {
     const stop = (reason: string | undefined): void => {
       request.off('data', add)
@@ -17,8 +25,12 @@
     }
     const add = (chunk: Buffer): void => {
       sizeBytes += chunk.length
-      if (sizeBytes <= maxBodyBytes) chunks.push(chunk)
-      else chunks.length = 0
+      if (sizeBytes <= maxBodyBytes) {
+        const grownBytes = buffer.append(chunk)
+        if (grownBytes > 0) countHeld(grownBytes)
+      } else if (buffer.heldBytes > 0) {
+        clear()
+      }
       if (sizeBytes > maxBodyBytes + MAX_DISCARDED_BYTES) {
         request.destroy()
         stop(undefined)
@@ -30,9 +42,9 @@
     request.once('close', () => { stop('connection closed') })
     if (request.destroyed) stop('connection closed')
   })
-  if (problem !== undefined) return results.Err(createBodyError(`body stopped halfway: ${problem}`))
-  if (sizeBytes > maxBodyBytes) return results.Err(createBodyError(`body: got more than ${maxBodyBytes} bytes; expected at most that many`))
-  return results.Ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
+  if (problem === undefined && sizeBytes <= maxBodyBytes) return results.Ok(buffer.take())
+  clear()
+  return results.Err(createBodyError(problem !== undefined ? `body stopped halfway: ${problem}` : `body: got more than ${maxBodyBytes} bytes; expected at most that many`))
 }
 
 function createBodyError (message: string): protocol.StepError {
--- a/packages/runtime/src/connections.ts
+++ b/packages/runtime/src/connections.ts
@@ -3,6 +3,7 @@
 import * as https from 'node:https'
 import * as net from 'node:net'
 import type * as settings from '@egretvalve/settings'
+import { type BudgetHolder, CONNECTION_BYTES, DropCause, HolderState, type RequestBudget } from './requestBudget.ts'
 
 /**
  * Maximum time since the sockets were last polled at which an idle connection is closed, in milliseconds. Bytes that came since
@@ -26,13 +27,69 @@
   connectionsCut: number
 }
 
-interface Connection {
+const STALLED_HEADERS_RESPONSE = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+
+/** Answers a request that is dropped before it has been read completely, or closes its connection. */
+export type DropRequest = (request: http.IncomingMessage, response: http.ServerResponse, cause: DropCause) => void
+
+class Connection implements BudgetHolder {
   /** Requests of which the headers have been read and the response has not been handed to the socket completely. */
-  unanswered: number
+  unanswered = 0
   /** Bytes read from the socket when its last request was answered. More means that a part of the next request has come. */
-  bytesReadWhenIdle: number
-  /** Monotonic time at which the connection was accepted or its last request was answered, in milliseconds. */
-  idleSinceMs: number
+  bytesReadWhenIdle = 0
+  /** Request whose headers were read last, and its response. */
+  last: { request: http.IncomingMessage, response: http.ServerResponse } | undefined
+  readonly peer: string
+  heldBytes = 0
+  progressBytes = 0
+  isPaused = false
+  wasReceiving = false
+  progressAtMs: number
+
+  /** `idleSinceMs` is the monotonic time at which the connection was accepted or its last request was answered, in milliseconds. */
+  constructor (readonly socket: net.Socket, public idleSinceMs: number, private readonly dropRequest: DropRequest) {
+    this.peer = socket.remoteAddress ?? ''
+    this.progressAtMs = idleSinceMs
+  }
+
+  get bytesRead (): number {
+    return this.socket.bytesRead
+  }
+
+  get isIdle (): boolean {
+    return this.unanswered === 0 && this.socket.bytesRead === this.bytesReadWhenIdle
+  }
+
+  get state (): HolderState {
+    if (this.isIdle) return HolderState.Idle
+    // Of several unanswered requests, the earlier ones have been read completely.
+    const isReceiving = this.unanswered === 0 || (this.unanswered === 1 && this.last?.request.complete !== true)
+    return isReceiving ? HolderState.Receiving : HolderState.Answering
+  }
+
+  pause (): void {
+    this.last?.request.pause()
+    this.socket.pause()
+  }
+
+  resume (): void {
+    this.socket.resume()
+    this.last?.request.resume()
+  }
+
+  drop (cause: DropCause): void {
+    if (this.unanswered > 0 && this.last !== undefined) {
+      // The socket is not read while the answer is written: what came would be kept and not be counted.
+      this.isPaused = true
+      this.pause()
+      this.dropRequest(this.last.request, this.last.response, cause)
+    } else if (cause === DropCause.Stalled) {
+      this.socket.end(STALLED_HEADERS_RESPONSE)
+      this.socket.destroySoon()
+    } else {
+      this.socket.destroy()
+    }
+  }
 }
 
 /** The open connections of a server. */
@@ -44,9 +101,9 @@
   private answered = 0
   private unanswered = 0
 
-  constructor (private readonly server: http.Server, private readonly timers: settings.Timers) {
+  constructor (private readonly server: http.Server, private readonly timers: settings.Timers, private readonly budget: RequestBudget, private readonly dropRequest: DropRequest) {
     server.on(server instanceof https.Server ? 'secureConnection' : 'connection', (socket: net.Socket) => { this.add(socket) })
-    server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => { this.addRequest(request.socket, response) })
+    server.prependListener('request', (request: http.IncomingMessage, response: http.ServerResponse) => { this.addRequest(request, response) })
     // Without a listener the server closes an idle connection when its timer fires, with the request that may wait in its socket.
     server.on('timeout', socket => { this.closeIfIdle(socket) })
   }
@@ -79,38 +136,57 @@
     const counts = { requestsCut: 0, connectionsCut: 0 }
     for (const [socket, connection] of this.connections) {
       counts.requestsCut += connection.unanswered
-      counts.connectionsCut += this.isIdle(socket, connection) ? 0 : 1
+      counts.connectionsCut += connection.isIdle ? 0 : 1
       socket.destroy()
     }
     this.server.close()
     return counts
   }
 
+  /** Counts memory that the body of a request holds, and keeps the connection from being read if that is too much. */
+  countHeld (request: http.IncomingMessage, bytes: number): void {
+    const connection = this.connections.get(request.socket)
+    if (connection === undefined) return
+    if (bytes < 0) this.budget.release(connection, -bytes)
+    else if (!this.budget.hold(connection, bytes)) connection.pause()
+  }
+
   private add (socket: net.Socket): void {
     this.acceptedCount++
-    this.connections.set(socket, { unanswered: 0, bytesReadWhenIdle: 0, idleSinceMs: this.timers.nowMs() })
-    socket.once('close', () => { this.connections.delete(socket) })
+    const connection = new Connection(socket, this.timers.nowMs(), this.dropRequest)
+    this.connections.set(socket, connection)
+    this.budget.add(connection)
+    // A request whose buffer is not full lets its socket be read again, up to some 200 KB, although it is paused.
+    socket.on('resume', () => { if (connection.isPaused) socket.pause() })
+    socket.once('close', () => {
+      this.connections.delete(socket)
+      this.budget.remove(connection)
+    })
   }
 
-  private addRequest (socket: net.Socket, response: http.ServerResponse): void {
+  private addRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { socket } = request
     const connection = this.connections.get(socket)
     if (connection === undefined) return
     connection.unanswered++
+    connection.last = { request, response }
+    connection.progressAtMs = this.timers.nowMs()
+    connection.progressBytes = socket.bytesRead
     this.unanswered++
     response.once('close', () => {
       connection.unanswered--
       this.unanswered--
       this.answered += response.writableFinished ? 1 : 0
       if (connection.unanswered > 0) return
+      this.budget.release(connection, connection.heldBytes - CONNECTION_BYTES)
+      connection.last = undefined
       connection.bytesReadWhenIdle = socket.bytesRead
       connection.idleSinceMs = this.timers.nowMs()
+      connection.progressAtMs = connection.idleSinceMs
+      connection.progressBytes = socket.bytesRead
     })
   }
 
-  private isIdle (socket: net.Socket, { unanswered, bytesReadWhenIdle }: Connection): boolean {
-    return unanswered === 0 && socket.bytesRead === bytesReadWhenIdle
-  }
-
   /**
    * Accepts the connections that wait at the listener, which may carry requests, and closes it. One connection is accepted in each turn
    * of the event loop, so none waits after a turn without one. If they come too fast, the system turns further ones away meanwhile.
@@ -138,7 +214,7 @@
     for (const [socket, connection] of this.connections) {
       const nowMs = this.timers.nowMs()
       if (nowMs - startedAtMs > MAX_UNREAD_MS) return
-      if (nowMs - connection.idleSinceMs >= MIN_IDLE_MS && this.isIdle(socket, connection)) socket.destroy()
+      if (nowMs - connection.idleSinceMs >= MIN_IDLE_MS && connection.isIdle) socket.destroy()
     }
   }
 
@@ -146,7 +222,7 @@
     for (;;) {
       const { startedAtMs } = await this.runTurn()
       const connection = this.connections.get(socket)
-      if (connection === undefined || !this.isIdle(socket, connection)) return
+      if (connection === undefined || !connection.isIdle) return
       if (this.timers.nowMs() - startedAtMs > MAX_UNREAD_MS) continue
       socket.destroy()
       return
--- a/packages/runtime/src/links.ts
+++ b/packages/runtime/src/links.ts
@@ -1,6 +1,9 @@
 /** gRPC servers and clients for the streams between egretvalve processes. */
+import * as net from 'node:net'
 import * as grpc from '@grpc/grpc-js'
 import * as protocol from '@egretvalve/protocol'
+import * as settings from '@egretvalve/settings'
+import { type BudgetHolder, HolderState, processBudget } from './requestBudget.ts'
 import { TlsSource } from './tlsSource.ts'
 import { formatAddress, parseAddress } from './addresses.ts'
 
@@ -11,7 +14,17 @@
   ca: Buffer
 }
 
-const MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+/** Largest message. A configuration, the largest of all, has at most 1 MB. */
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+/** Streams that one connection may open. A link uses one. */
+const MAX_STREAMS = 16
+/** Time and bytes within which a connection has to deliver its first complete message. */
+const FIRST_MESSAGE_MS = 5_000
+const FIRST_MESSAGE_BYTES = 64 * 1024
+/** Period of the check of connections without a message, in milliseconds. There are such connections only while links open. */
+const FIRST_MESSAGE_CHECK_MS = 20
+/** A connection with a message counts as receiving while it holds more than this of the next one, in bytes. Smaller amounts include the frames of flow control. */
+const MIN_PENDING_BYTES = 1024 * 1024
 /** Interval of keepalive pings on an idle connection, which detect an unresponsive peer. */
 const KEEPALIVE_PERIOD_MS = 30_000
 const KEEPALIVE_TIMEOUT_MS = 5_000
@@ -53,11 +66,121 @@
   return grpc.credentials.createSsl(tls.ca, tls.key, tls.cert)
 }
 
+/** A connection to a link server. */
+class LinkConnection implements BudgetHolder {
+  readonly peer: string
+  heldBytes = 0
+  progressBytes = 0
+  isPaused = false
+  wasReceiving = false
+  hasDelivered = false
+  /** Bytes read from the socket when the last message was delivered. */
+  private deliveredBytes = 0
+
+  constructor (private readonly socket: net.Socket, readonly acceptedAtMs: number, public progressAtMs = acceptedAtMs) {
+    this.peer = socket.remoteAddress ?? ''
+  }
+
+  get bytesRead (): number {
+    return this.socket.bytesRead
+  }
+
+  get measuredBytes (): number {
+    return this.socket.bytesRead - this.deliveredBytes
+  }
+
+  get state (): HolderState {
+    return this.hasDelivered && this.measuredBytes < MIN_PENDING_BYTES ? HolderState.Answering : HolderState.Receiving
+  }
+
+  recordDelivered (): void {
+    this.hasDelivered = true
+    this.deliveredBytes = this.socket.bytesRead
+  }
+
+  resume (): void {}
+
+  drop (): void {
+    this.socket.destroy()
+  }
+}
+
+/** Counts the connections to a link server and closes those that deliver no message. */
+class LinkConnections {
+  private readonly connections = new Map<string, LinkConnection>()
+  private readonly unproven = new Set<LinkConnection>()
+  private check: settings.TimerHandle | undefined
+
+  constructor (private readonly timers: settings.Timers) {}
+
+  add (socket: net.Socket): void {
+    const key = `${socket.remoteAddress}:${socket.remotePort}`
+    const connection = new LinkConnection(socket, this.timers.nowMs())
+    this.connections.set(key, connection)
+    this.unproven.add(connection)
+    this.check ??= this.timers.every(FIRST_MESSAGE_CHECK_MS, () => {
+      // What waits in the sockets is read first: after a pause of the process, a timer fires before them.
+      setImmediate(() => { setImmediate(() => { this.closeUnproven() }) })
+    })
+    processBudget.add(connection)
+    socket.once('close', () => {
+      this.connections.delete(key)
+      this.unproven.delete(connection)
+      processBudget.remove(connection)
+    })
+  }
+
+  /** Records the messages of a stream as its handler reads them. */
+  observe<T> (peer: string, source: AsyncIterator<T>): AsyncIterator<T> {
+    const connection = this.connections.get(peer)
+    if (connection === undefined) return source
+    const recordFirst = (result: IteratorResult<T>): IteratorResult<T> => {
+      if (result.done !== true) this.recordDelivered(connection)
+      return result
+    }
+    return {
+      next: async () => {
+        if (!connection.hasDelivered) return recordFirst(await source.next())
+        // The handler has taken the previous message.
+        this.recordDelivered(connection)
+        return await source.next()
+      },
+      return: async value => await (source.return?.(value) ?? { done: true, value })
+    }
+  }
+
+  private recordDelivered (connection: LinkConnection): void {
+    connection.recordDelivered()
+    this.unproven.delete(connection)
+  }
+
+  private closeUnproven (): void {
+    const nowMs = this.timers.nowMs()
+    for (const connection of this.unproven) {
+      if (connection.measuredBytes <= FIRST_MESSAGE_BYTES && nowMs - connection.acceptedAtMs <= FIRST_MESSAGE_MS) continue
+      this.unproven.delete(connection)
+      connection.drop()
+    }
+    if (this.unproven.size > 0) return
+    this.check?.cancel()
+    this.check = undefined
+  }
+
+  stop (): void {
+    this.check?.cancel()
+    this.check = undefined
+  }
+}
+
 /** A gRPC server for bidirectional streams. */
 export class LinkServer {
-  private readonly server = new grpc.Server(LINK_OPTIONS)
+  private readonly server = new grpc.Server({ ...LINK_OPTIONS, 'grpc.max_concurrent_streams': MAX_STREAMS })
+  private readonly listener = net.createServer({ noDelay: true })
+  private readonly connections: LinkConnections
 
-  constructor (private readonly listen: string, private readonly tls?: LinkTls) {}
+  constructor (private readonly listen: string, private readonly tls?: LinkTls, timers: settings.Timers = new settings.TimerService()) {
+    this.connections = new LinkConnections(timers)
+  }
 
   /** Registers the handler of one stream method. Call before `start`. */
   accept<QP, RP, Q, R> (name: string, method: protocol.StreamMethod<QP, RP, Q, R>, handler: LinkHandler<Q, RP>): void {
@@ -65,7 +188,7 @@
       call.on('error', () => {})
       const stream = call as unknown as LinkStream<Q, RP>
       // Do not destroy the call when the handler stops iterating, so that it can still end with a status.
-      stream[Symbol.asyncIterator] = () => call.iterator({ destroyOnReturn: false }) as AsyncIterator<Q>
+      stream[Symbol.asyncIterator] = () => this.connections.observe(call.getPeer(), call.iterator({ destroyOnReturn: false }) as AsyncIterator<Q>)
       handler(stream, call.getPeer()).catch(() => {}).finally(() => { call.end() })
     }
     this.server.addService({ [name]: method as unknown as grpc.MethodDefinition<unknown, unknown> }, { [name]: handle as unknown as grpc.UntypedHandleCall })
@@ -73,17 +196,24 @@
 
   /** Starts listening and returns the bound address. Rejects with an `Unavailable` error if the address cannot be bound. */
   async start (): Promise<string> {
-    const port = await new Promise<number>((resolve, reject) => {
-      this.server.bindAsync(this.listen, createServerCredentials(this.tls), (error, boundPort) => {
-        if (error === null) resolve(boundPort)
-        else reject(new protocol.StepError(protocol.ErrorCode.Unavailable, 'link.listen', this.listen, error.message))
-      })
+    const { host, port } = parseAddress(this.listen)
+    const injector = this.server.createConnectionInjector(createServerCredentials(this.tls))
+    this.listener.on('connection', (socket: net.Socket) => {
+      socket.on('error', () => {})
+      this.connections.add(socket)
+      injector.injectConnection(socket)
+    })
+    await new Promise<void>((resolve, reject) => {
+      this.listener.on('error', error => { reject(new protocol.StepError(protocol.ErrorCode.Unavailable, 'link.listen', this.listen, error.message)) })
+      this.listener.listen(port, host, resolve)
     })
-    return formatAddress(parseAddress(this.listen).host, port)
+    return formatAddress(host, (this.listener.address() as net.AddressInfo).port)
   }
 
   /** Cancels all streams and stops listening. */
   stop (): void {
+    this.connections.stop()
+    this.listener.close()
     this.server.forceShutdown()
   }
 }
--- a/packages/runtime/src/processSettings.ts
+++ b/packages/runtime/src/processSettings.ts
@@ -9,8 +9,15 @@
   statsdHost: string
   /** UDP port of the StatsD collector; 0 disables metrics. */
   statsdPort: number
+  /** Memory that unfinished requests and connections may hold, in bytes; 0 derives it from the memory of the machine. */
+  requestMaxBytes: number
+  /** Open connections of all listeners; 0 derives the number from the file descriptors of the process. */
+  maxConnections: number
 }
 
+const MAX_REQUEST_BYTES = 1024 * 1024 * 1024
+const MAX_CONNECTIONS = 1_000_000
+
 const MAX_STOP_LIMIT_MS = 3_600_000
 const MAX_PORT = 65_535
 
@@ -23,5 +30,7 @@
   tlsCaFile: settings.text('PEM file with the certificate authority.', 'a path', ''),
   logLevel: settings.choice('Least severe event that is logged.', settings.LogLevel, settings.LogLevel.Info),
   statsdHost: settings.text('IP number of the StatsD collector.', 'an IPv4 address', '127.0.0.1'),
-  statsdPort: settings.wholeNumber('UDP port of the StatsD collector; 0 sends nothing.', 'port', 0, MAX_PORT, '0')
+  statsdPort: settings.wholeNumber('UDP port of the StatsD collector; 0 sends nothing.', 'port', 0, MAX_PORT, '0'),
+  requestMaxBytes: settings.wholeNumber('Memory for unfinished requests; 0 takes an eighth of the machine\'s, 8 to 32 MiB.', 'bytes', 0, MAX_REQUEST_BYTES, '0'),
+  maxConnections: settings.wholeNumber('Open connections; 0 takes three quarters of the file descriptors.', 'connections', 0, MAX_CONNECTIONS, '0')
 }
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -11,6 +11,7 @@
 import { readBody } from './body.ts'
 import { type CutCounts, ServerConnections } from './connections.ts'
 import type { LinkTls } from './links.ts'
+import { DropCause, processBudget, type RequestBudget } from './requestBudget.ts'
 import { TlsSource } from './tlsSource.ts'
 
 /** A request with its complete body. */
@@ -60,6 +61,10 @@
   screen?: (request: http.IncomingMessage, waitedMs: number) => WebResponse | undefined
   /** Returns true if the connection of a request that is answered now should be closed after it. */
   closesConnection?: () => boolean
+  /** Returns whether a request that is dropped before it has been read completely may be answered as not run; true by default. Without an answer the connection is closed. */
+  mayRefuse?: (request: http.IncomingMessage) => boolean
+  /** Limits unfinished requests and connections; that of the process by default. */
+  budget?: RequestBudget
 }
 
 /** Longest interval between checks for connections that exceed the request time limit. */
@@ -118,7 +123,7 @@
     const { host, port } = parseAddress(this.options.listen)
     this.service = this.options.broker.createService(this.createSchema(host, port))
     const server = this.server()
-    this.connections = new ServerConnections(server, this.options.timers)
+    this.connections = new ServerConnections(server, this.options.timers, this.options.budget ?? processBudget, (request, response, cause) => { this.dropRequest(request, response, cause) })
     const listening = waitForListening(server, this.options.listen)
     // A running broker starts a new service itself. Otherwise wait for its start, which must complete before another server is added.
     const isRunning = (this.options.broker as unknown as { started: boolean }).started
@@ -205,6 +210,11 @@
     } as unknown as moleculer.ServiceSchema
   }
 
+  private dropRequest (request: http.IncomingMessage, response: http.ServerResponse, cause: DropCause): void {
+    if (response.headersSent || this.options.mayRefuse?.(request) === false) request.socket.destroy()
+    else writeResponse(response, createDropResponse(cause), true)
+  }
+
   private async serve (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<void> {
     const answer = await this.answer(route, request, response)
     writeResponse(response, answer, this.closesConnection)
@@ -213,7 +223,7 @@
   private async answer (route: WebRoute, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse> {
     const waitedMs = this.acceptDelaysMs.get(request.socket) ?? 0
     this.acceptDelaysMs.delete(request.socket)
-    const body = await readBody(request, this.maxBodyBytes)
+    const body = await readBody(request, this.maxBodyBytes, bytes => { this.connections!.countHeld(request, bytes) })
     if (body.err) return errorResponse(413, protocol.ErrorCode.InvalidInput, body.val.message, 'body')
     try {
       return await route.handle(createWebRequest(route.method, request, response, body.val, waitedMs))
@@ -224,6 +234,11 @@
   }
 }
 
+function createDropResponse (cause: DropCause): WebResponse {
+  if (cause === DropCause.Stalled) return errorResponse(408, protocol.ErrorCode.InvalidInput, 'not run: the request did not arrive in time')
+  return jsonResponse(503, { error: { code: protocol.ErrorCode.Unavailable, message: 'not run: too many unfinished requests' } }, { 'retry-after': '1' })
+}
+
 /** A request target without anything that the parser of URLs would resolve or decode. */
 const PLAIN_TARGET = /^(?:\/[\w~-]+)+$/
 
@@ -292,7 +307,7 @@
     connectionsCheckingInterval: Math.min(requestTimeoutMs, MAX_TIMEOUT_CHECK_PERIOD_MS)
   }
   if (tls === undefined) return http.createServer(options, handler)
-  const server = https.createServer({ ...options, key: tls.key, cert: tls.cert }, handler)
+  const server = https.createServer({ ...options, handshakeTimeout: requestTimeoutMs, key: tls.key, cert: tls.cert }, handler)
   if (tls instanceof TlsSource) tls.subscribe(() => { server.setSecureContext({ key: tls.key, cert: tls.cert }) })
   return server
 }
