--- a/packages/claims/src/registrars.ts
+++ b/packages/claims/src/registrars.ts
@@ -11,7 +11,7 @@
   Reopening = 'reopening',
   /** Can't be reached, but its process may go on. */
   Absent = 'absent',
-  /** Its process has ended, or it has left the deployment. */
+  /** Its process has ended, it has left the deployment, or it is of a version without claims. */
   Ended = 'ended'
 }
 
--- a/packages/fleet/src/registrarLink.ts
+++ b/packages/fleet/src/registrarLink.ts
@@ -24,6 +24,8 @@
   isRefused = false
   /** True if another entry answers at the address: the process that was there has ended. */
   private isReplaced = false
+  /** True if the process is of a version without claims, which confirms none. */
+  private isUnsupported = false
   /** False once the entry is no longer registered. The link is then given up when it does not open any more. */
   private isRegistered = true
   /** Incarnation of the process that greeted last; empty before. */
@@ -87,6 +89,7 @@
     const { timers, log } = this.services
     this.dialedAtMs = timers.nowMs()
     this.isReplaced = false
+    this.isUnsupported = false
     const dialed = runtime.dialLink(this.address, protocol.claimLink.exchange)
     const stop = (): void => { dialed.close() }
     this.abort.signal.addEventListener('abort', stop, { once: true })
@@ -102,6 +105,7 @@
     } catch (thrown) {
       reason = protocol.toStepError(thrown, 'claims.read', this.address).describe()
       this.isRefused = reason.includes('ECONNREFUSED')
+      this.isUnsupported = reason.includes('UNIMPLEMENTED')
     }
     this.abort.signal.removeEventListener('abort', stop)
     for (const wait of waits) wait.cancel()
@@ -119,7 +123,7 @@
 
   /** The state after the link has closed, or could not be opened. It counts as reopening for a short time, also if attempts to open it fail. */
   private get closedState (): claims.ClosedState {
-    if (this.isRefused || this.isReplaced || this.hasLeft) return claims.LinkState.Ended
+    if (this.isRefused || this.isReplaced || this.isUnsupported || this.hasLeft) return claims.LinkState.Ended
     const isReopening = this.services.timers.nowMs() - this.lastOpenAtMs < CLAIM_LINK_OPEN_MS
     return isReopening ? claims.LinkState.Reopening : claims.LinkState.Absent
   }
--- a/test/unit/fleet/entryClaims.test.ts
+++ b/test/unit/fleet/entryClaims.test.ts
@@ -323,6 +323,17 @@
     })
   }
 
+  // Guards against the first entry of a new version that serves nobody beside those of a version without claims.
+  it('are granted when it is of a version without claims', async () => {
+    const server = new runtime.LinkServer('127.0.0.1:0')
+    server.accept('exchange', protocol.runLink.exchange, async () => {})
+    const address = await server.start()
+    const { created, granted } = createClaims()
+    created.setEntries([{ entryId: 'entry-b', address, life: 'x' }])
+    created.jobs.claim('job', VALID_MS)
+    await waitUntil(() => granted.length > 0).finally(() => { server.stop() })
+  })
+
   // Guards against an entry that serves nobody after a VM was lost, whose address never refuses connections.
   it('are granted once it has left the list and its link does not open', async () => {
     const address = await listen(socket => { socket.resetAndDestroy() })
