--- a/packages/fleet/src/registrarLink.ts
+++ b/packages/fleet/src/registrarLink.ts
@@ -121,10 +121,10 @@
     return wasOpen
   }
 
-  /** The state after the link has closed, or could not be opened. It counts as reopening for a short time, also if attempts to open it fail. */
+  /** The state after the link has closed, or could not be opened. It counts as reopening for a short time, also if attempts to open it fail, unless the entry is leaving. */
   private get closedState (): claims.ClosedState {
     if (this.isRefused || this.isReplaced || this.isUnsupported || this.hasLeft) return claims.LinkState.Ended
-    const isReopening = this.services.timers.nowMs() - this.lastOpenAtMs < CLAIM_LINK_OPEN_MS
+    const isReopening = this.isRegistered && this.services.timers.nowMs() - this.lastOpenAtMs < CLAIM_LINK_OPEN_MS
     return isReopening ? claims.LinkState.Reopening : claims.LinkState.Absent
   }
 
--- a/test/support/claimWorld.ts
+++ b/test/support/claimWorld.ts
@@ -312,7 +312,7 @@
       for (const wait of waits) wait.cancel()
       if (isOpen) dialed.lastOpenAtMs = process.nowMs()
       const hasLeft = !dialed.isListed && (link.isRefused || process.nowMs() - dialed.lastOpenAtMs > UNLISTED_RETENTION_MS)
-      const state = isOpen ? claims.LinkState.Reopening : claims.LinkState.Absent
+      const state = isOpen && dialed.isListed ? claims.LinkState.Reopening : claims.LinkState.Absent
       jobClaims.handleClosed(entryId, link.isRefused || hasLeft ? claims.LinkState.Ended : state)
       if (hasLeft) this.dialed.delete(entryId)
       else if (isOpen) this.connect(entryId, dialed, MIN_REDIAL_MS)
