--- a/scripts/measureHandOver.ts
+++ b/scripts/measureHandOver.ts
@@ -66,8 +66,8 @@
   return { jobs: statuses.length, succeeded: statuses.filter(status => status === 200).length }
 }
 
-async function measure (mode: Mode, net: number, jobsPerS: number, seconds: number, flags: readonly string[]): Promise<void> {
-  const fleet = new SoakFleet({ entries: 3, agents: AGENTS, net }, () => RUN_MS)
+async function measure (mode: Mode, net: number, jobsPerS: number, seconds: number, entries: number, flags: readonly string[]): Promise<void> {
+  const fleet = new SoakFleet({ entries, agents: AGENTS, net }, () => RUN_MS)
   await fleet.start()
   const [replaced] = fleet.entries
   await replaced!.process.end('SIGKILL')
@@ -96,9 +96,9 @@
 }
 
 async function main (): Promise<void> {
-  const { values } = parseArgs({ options: { 'jobs-per-s': { type: 'string', default: '100' }, seconds: { type: 'string', default: '10' }, net: { type: 'string', default: '54' }, modes: { type: 'string', default: Object.values(Mode).join() }, /** Folder for processor profiles of the measured entry. */ profile: { type: 'string' } } })
+  const { values } = parseArgs({ options: { 'jobs-per-s': { type: 'string', default: '100' }, seconds: { type: 'string', default: '10' }, entries: { type: 'string', default: '3' }, net: { type: 'string', default: '54' }, modes: { type: 'string', default: Object.values(Mode).join() }, /** Folder for processor profiles of the measured entry. */ profile: { type: 'string' } } })
   const flags = values.profile === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${values.profile}`]
-  for (const mode of values.modes.split(',') as Mode[]) await measure(mode, Number(values.net), Number(values['jobs-per-s']), Number(values.seconds), flags)
+  for (const mode of values.modes.split(',') as Mode[]) await measure(mode, Number(values.net), Number(values['jobs-per-s']), Number(values.seconds), Number(values.entries), flags)
 }
 
 const isEntry = process.argv[2] === 'entry'
