--- a/packages/runtime/src/links.ts
+++ b/packages/runtime/src/links.ts
@@ -14,8 +14,8 @@
   ca: Buffer
 }
 
-/** Largest message. A configuration, the largest of all, has at most 1 MB. */
-const MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+/** Largest message: twice the largest request body, since one that is passed on to another entry can share its message with others of the same turn. */
+const MAX_MESSAGE_BYTES = 2 * protocol.MAX_BODY_BYTES
 /** Streams that one connection may open. A link uses one. */
 const MAX_STREAMS = 16
 /** Time and bytes within which a connection has to deliver its first complete message. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -89,7 +89,7 @@
   private readonly cancelledJobs: CancelledJobs
   private readonly attemptNumbers: AttemptNumbers
   private readonly agents = new Agents()
-  private readonly speeds = new SpeedEstimate()
+  private readonly speeds: SpeedEstimate
   private readonly ejection: placement.Ejection
   private readonly crashRecords: CrashRecords
   private readonly unconfirmedStarts: UnconfirmedStarts
@@ -107,6 +107,7 @@
   constructor (private readonly services: SchedulerServices) {
     this.options = services.options ?? DEFAULT_SCHEDULER
     this.checkedAtMs = services.timers.nowMs()
+    this.speeds = new SpeedEstimate(services.timers)
     this.cancelledJobs = new CancelledJobs(services.timers, this.options.cancelRetentionMs)
     this.attemptNumbers = new AttemptNumbers(services.timers)
     this.ejection = new placement.Ejection(placement.DEFAULT_EJECTION, change => { this.logEjectionChange(change) })
--- a/test/unit/scheduler/job.test.ts
+++ b/test/unit/scheduler/job.test.ts
@@ -58,9 +58,8 @@
 describe('SpeedEstimate', () => {
   it('has the lower median of the known ratios after any order of reports', () => {
     const random = new bench.Random(7)
-    const speeds = new SpeedEstimate()
+    const speeds = new SpeedEstimate(new settings.FakeTimers())
     const known = new Map<string, number>()
-    let median = 1
     for (let change = 0; change < 3_000; change++) {
       const agentId = `agent-${random.whole(0, 12)}`
       const kind = random.unit()
@@ -71,7 +70,7 @@
       else known.delete(agentId)
       if (random.unit() < 0.5) continue
       const sorted = [...known.values()].sort((left, right) => left - right)
-      if (sorted.length > 0) median = sorted[Math.floor((sorted.length - 1) / 2)]!
+      const median = sorted[Math.floor((sorted.length - 1) / 2)] ?? 1
       expect(speeds.expectedMs(100)).to.equal(100 * median)
       expect(speeds.factorOf(agentId)).to.equal(known.has(agentId) ? Math.min(12, Math.max(0.6, known.get(agentId)! / median)) : 1)
     }
