--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -92,9 +92,9 @@
   }
 
   /** Adds an agent or replaces its link. The load of the worker is reset to `load`. */
-  connect (port: AgentPort, load: ReportedLoad, nowMs = 0): AgentRecord {
+  connect (port: AgentPort, load: ReportedLoad): AgentRecord {
     const view = new WorkerView(port.agentId, port.failureDomain)
-    view.apply(load, nowMs)
+    view.apply(load)
     const known = this.records.get(port.agentId)
     const record: AgentRecord = known ?? { agentId: port.agentId, incarnation: port.incarnation, port, view, sent: new Map(), lastMessageAtMs: undefined }
     record.port = port
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -5,7 +5,7 @@
 import type { AgentRecord, Agents, SentTask } from './agents.ts'
 import type { Containment } from './containment.ts'
 import type { CrashRecords } from './crashRecords.ts'
-import { type Candidate, chooseContended, chooseForSuspect, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
+import { type Candidate, chooseForSuspect, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
 import type { SchedulerOptions } from './defaults.ts'
 import { events } from './events.ts'
 import { type Job, type Task, TaskPhase } from './job.ts'
@@ -140,7 +140,8 @@
   private placeTask (job: Job, task: Task, sample: Candidate[], candidates: Candidate[], reserved: Set<string>): boolean {
     const step = job.stepOf(task)
     const usable = this.filterFor(job, task, candidates)
-    const chosen = this.choose(this.filterFor(job, task, sample), usable, step)
+    const expectedMs = this.context.speeds.expectedMs(step.estimatedMs)
+    const chosen = chooseWorker(this.filterFor(job, task, sample), step, expectedMs, this.context.options) ?? chooseWorker(usable, step, expectedMs, this.context.options)
     if (chosen !== undefined) {
       this.send(job, task, chosen)
       Object.assign(chosen, this.createCandidate(this.context.agents.get(chosen.agentId)!, step), { hasSibling: true })
@@ -153,17 +154,6 @@
     return true
   }
 
-  /** Chooses a worker with room for further tasks, of the sample if there is one, else one whose last free capacity other entries have probably not used. */
-  private choose (sample: readonly Candidate[], usable: readonly Candidate[], step: StepSpec): Candidate | undefined {
-    const { options, speeds, entryCount } = this.context
-    const expectedMs = speeds.expectedMs(step.estimatedMs)
-    if (entryCount() === 1) return chooseWorker(sample, step, expectedMs, options) ?? chooseWorker(usable, step, expectedMs, options)
-    const inSample = chooseContended(sample, step, expectedMs, options)
-    if (inSample.spare !== undefined) return inSample.spare
-    const { spare, reliable } = chooseContended(usable, step, expectedMs, options)
-    return spare ?? inSample.reliable ?? reliable
-  }
-
   /** Lists the workers that are eligible for tasks of a step and not reserved for others. */
   private findCandidates (job: Job, number: number, reserved: ReadonlySet<string>, isSuspect = false): Candidate[] {
     const step = job.spec.steps[number]!
@@ -203,8 +193,7 @@
       hasDataRack: step.dataRack !== undefined && agent.view.hasLabel(step.dataRack),
       isOwnDomain: agent.view.failureDomain === this.context.failureDomain,
       hasSibling: false,
-      hasSuspect: this.hasSuspect(agent),
-      reportAgeMs: this.nowMs - agent.view.reportedAtMs
+      hasSuspect: this.hasSuspect(agent)
     }
   }
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -287,7 +287,7 @@
   connect (port: AgentPort, load: ReportedLoad): void {
     const known = this.agents.get(port.agentId)
     const isNewIncarnation = known !== undefined && known.incarnation !== port.incarnation
-    const agent = this.agents.connect(port, load, this.nowMs)
+    const agent = this.agents.connect(port, load)
     this.ejection.add(port.agentId)
     this.services.log.event(events.AgentConnected, { agentId: port.agentId, life: port.incarnation, isNewLife: isNewIncarnation, sent: agent.sent.size, takesRuns: agent.view.acceptsRuns, freeCpuMilli: agent.view.free.cpuMilli })
     if (isNewIncarnation && agent.view.acceptsRuns) this.adoptIncarnation(agent, port.incarnation)
@@ -329,7 +329,7 @@
   handleLoad (port: AgentPort, load: ReportedLoad): void {
     const agent = this.agents.get(port.agentId)
     if (agent?.port !== port) return
-    agent.view.apply(load, this.nowMs)
+    agent.view.apply(load)
     this.speeds.record(agent.agentId, load.runTimeRatio)
     if (agent.incarnation !== port.incarnation && agent.view.acceptsRuns) this.adoptIncarnation(agent, port.incarnation)
     this.scheduleDispatch()
--- a/packages/scheduler/src/workerChoice.ts
+++ b/packages/scheduler/src/workerChoice.ts
@@ -16,8 +16,6 @@
   hasSibling: boolean
   /** True while it runs a task that is suspected of a crash, and may crash too. */
   hasSuspect: boolean
-  /** Time since the worker's last load report, in milliseconds. */
-  reportAgeMs: number
 }
 
 /** Weights of the choice; see `SchedulerOptions`. */
@@ -42,12 +40,12 @@
   return runMs + candidate.usedShare * options.loadPenaltyMs - (candidate.isOwnDomain ? OWN_DOMAIN_BONUS_MS : 0) - (candidate.hasSibling ? SIBLING_BONUS_MS : 0) + (candidate.hasSuspect ? SUSPECT_PENALTY_MS : 0)
 }
 
-/** Chooses the worker with the lowest cost among those with free capacity for the task that `mayUse` admits. */
-export function chooseWorker (candidates: readonly Candidate[], step: StepSpec, expectedMs: number, options: ChoiceOptions, mayUse: (candidate: Candidate) => boolean = () => true): Candidate | undefined {
+/** Chooses the worker with the lowest cost among those with free capacity for the task. */
+export function chooseWorker (candidates: readonly Candidate[], step: StepSpec, expectedMs: number, options: ChoiceOptions): Candidate | undefined {
   let best: Candidate | undefined
   let bestMs = Number.POSITIVE_INFINITY
   for (const candidate of candidates) {
-    if (!workers.fits(candidate.free, step.size) || !mayUse(candidate)) continue
+    if (!workers.fits(candidate.free, step.size)) continue
     const costMs = expectedCostMs(candidate, step, expectedMs, options)
     if (costMs >= bestMs) continue
     best = candidate
@@ -56,35 +54,6 @@
   return best
 }
 
-/** Tasks of the same size for which a worker has room beyond the one to place, so that orders of other entries don't take its place. See docs/design/placement.md for other values. */
-const SPARE_TASKS = 2
-/** Age up to which a report shows what is free now: it has come with a reservation or with ends of runs, and the other entries have hardly used it yet. */
-const FRESH_REPORT_MS = 10
-/** Age from which a report shows what is free now, since agents report a change of it sooner. */
-const STEADY_REPORT_MS = 100
-
-/** The best worker with room for further tasks, and the best whose last report can be relied on for the last task that fits. */
-export interface ContendedChoice {
-  spare: Candidate | undefined
-  reliable: Candidate | undefined
-}
-
-/**
- * Chooses among workers that other entries use too. Load: 6 to 10 entries that all see the same free capacity of a fast worker and send it
- * more than it can take, so that a quarter of the orders is returned.
- */
-export function chooseContended (candidates: readonly Candidate[], step: StepSpec, expectedMs: number, options: ChoiceOptions): ContendedChoice {
-  const spareSize = multiplySize(step.size, 1 + SPARE_TASKS)
-  return {
-    spare: chooseWorker(candidates, step, expectedMs, options, ({ free }) => workers.fits(free, spareSize)),
-    reliable: chooseWorker(candidates, step, expectedMs, options, ({ reportAgeMs }) => reportAgeMs <= FRESH_REPORT_MS || reportAgeMs >= STEADY_REPORT_MS)
-  }
-}
-
-function multiplySize ({ cpuMilli, memoryMb, accelerators }: workers.RunSize, factor: number): workers.RunSize {
-  return { cpuMilli: cpuMilli * factor, memoryMb: memoryMb * factor, accelerators: accelerators * factor }
-}
-
 /** Chooses the worker for a task that may crash it: one without another such task, and with the least to lose. */
 export function chooseForSuspect (candidates: readonly Candidate[], step: StepSpec): Candidate | undefined {
   let best: Candidate | undefined
--- a/packages/scheduler/src/workerView.ts
+++ b/packages/scheduler/src/workerView.ts
@@ -16,17 +16,14 @@
 
 export class WorkerView {
   private load: ReportedLoad | undefined
-  /** Time of the last report, in milliseconds. */
-  reportedAtMs = 0
   private sentCount = 0
   private unreported: UnreportedTask[] = []
 
   constructor (readonly agentId: string, readonly failureDomain: string) {}
 
   /** Applies a report and drops the tasks that it covers from the correction. */
-  apply (load: ReportedLoad, nowMs: number): void {
+  apply (load: ReportedLoad): void {
     this.load = load
-    this.reportedAtMs = nowMs
     this.unreported = this.unreported.filter(sent => sent.sequence > load.received)
   }
 
--- a/test/unit/scheduler/workerChoice.test.ts
+++ b/test/unit/scheduler/workerChoice.test.ts
@@ -12,7 +12,7 @@
 const TASKS = 6
 
 function createCandidate (number: number, changes: Partial<scheduler.Candidate> = {}): scheduler.Candidate {
-  return { agentId: `agent-${number}`, free: { cpuMilli: 32_000, memoryMb: 100_000, accelerators: 0 }, usedShare: 0.5, speedFactor: 1, hasDataRack: false, isOwnDomain: false, hasSibling: false, hasSuspect: false, reportAgeMs: 50, ...changes }
+  return { agentId: `agent-${number}`, free: { cpuMilli: 32_000, memoryMb: 100_000, accelerators: 0 }, usedShare: 0.5, speedFactor: 1, hasDataRack: false, isOwnDomain: false, hasSibling: false, hasSuspect: false, ...changes }
 }
 
 function createRandom (seed: number): () => number {
@@ -34,20 +34,6 @@
     expect(scheduler.sampleCandidates([full], STEP, 6, () => 0)).to.deep.equal([])
   })
 
-  // Load: 6 to 10 entries that fill the fastest worker by the same load report while others have room.
-  it('prefers a worker with room for further tasks to a faster one that is nearly full, also just after a report', () => {
-    const nearlyFull = createCandidate(1, { speedFactor: 0.6, free: { cpuMilli: 8_000, memoryMb: 1_000, accelerators: 0 }, reportAgeMs: 1 })
-    const choice = scheduler.chooseContended([nearlyFull, createCandidate(2)], STEP, 100, OPTIONS)
-    expect([choice.spare?.agentId, choice.reliable?.agentId]).to.deep.equal(['agent-2', 'agent-1'])
-  })
-
-  // Load: all workers nearly full, whose last free capacity every entry sees in the same report; a reservation comes with a new report.
-  it('uses the last room of a worker only by a report that is new, or that no later one has replaced', () => {
-    const last = { cpuMilli: 3_000, memoryMb: 1_000, accelerators: 0 }
-    const chosen = [0, 10, 11, 99, 100, 5_000].map(reportAgeMs => scheduler.chooseContended([createCandidate(1, { free: last, reportAgeMs })], STEP, 100, OPTIONS))
-    expect(chosen.map(({ spare, reliable }) => [spare, reliable?.reportAgeMs])).to.deep.equal([[undefined, 0], [undefined, 10], [undefined, undefined], [undefined, undefined], [undefined, 100], [undefined, 5_000]])
-  })
-
   it('does not exceed the capacity of a worker when many entries place tasks by the same load reports', () => {
     const counts = new Map<string, number>()
     for (let entry = 0; entry < ENTRIES; entry++) {
