--- a/test/unit/docs/events.test.ts
+++ b/test/unit/docs/events.test.ts
@@ -17,7 +17,8 @@
   scheduler: 11_000,
   fleet: 12_000,
   adapter: 13_000,
-  claims: 15_000
+  claims: 15_000,
+  runtime: 16_000
 }
 const CODES_PER_PACKAGE = 1000
 
