--- a/packages/fleet/src/agentConnection.ts
+++ b/packages/fleet/src/agentConnection.ts
@@ -15,6 +15,8 @@
   readonly failureDomain: string
   /** Highest configuration version that the agent has reported or was sent. */
   configVersion: number
+  /** Highest revision of the evacuations that the agent has reported or was sent. */
+  evacuationRevision: number
   /** True if the agent is linked to another entry that isn't overloaded. */
   othersHaveRoom = false
   private readonly activity: PeerActivity
@@ -40,6 +42,7 @@
     this.incarnation = greeting.life ?? ''
     this.failureDomain = greeting.failureDomain ?? ''
     this.configVersion = greeting.configVersion ?? 0
+    this.evacuationRevision = greeting.evacuations?.revision ?? 0
     this.activity = new PeerActivity(timers)
   }
 
--- a/packages/fleet/src/agentNode.ts
+++ b/packages/fleet/src/agentNode.ts
@@ -7,6 +7,7 @@
 import { isUsableEntry, type RegisteredEntry } from './entryChoice.ts'
 import { type ConnectionServices, EntryConnection } from './entryConnection.ts'
 import { EntryLinks } from './entryLinks.ts'
+import { decodeEvacuations, Evacuations, type EvacuationSource } from './evacuations.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
 import { decodeDemand, decodeEntry, decodeOrder, encodeCrash, encodeEnd, encodeLoad } from './messages.ts'
@@ -26,6 +27,8 @@
   driver: workers.WorkerDriver
   /** Cache of the newest configuration. Defaults to a private one. */
   configCache?: ConfigCache
+  /** The evacuated failure domains. Defaults to an object of its own. */
+  evacuations?: Evacuations
 }
 
 const MAX_LOGGED_ADDRESS_CHARS = 80
@@ -34,6 +37,7 @@
 export class AgentNode {
   readonly executor: workers.RunExecutor
   private readonly configCache: ConfigCache
+  private readonly evacuations: Evacuations
   private readonly clock: workers.ElapsedClock
   private readonly owners: Owners
   private readonly links: EntryLinks
@@ -53,6 +57,8 @@
   constructor (readonly identity: AgentIdentity, private readonly services: AgentServices) {
     this.configCache = services.configCache ?? new ConfigCache()
     this.configCache.subscribe(() => { this.configReceivedAtMs = services.timers.nowMs() })
+    this.evacuations = services.evacuations ?? new Evacuations()
+    this.evacuations.subscribe(source => { this.handleEvacuationsChanged(source) })
     this.clock = new workers.ElapsedClock(services.timers)
     this.owners = new Owners(services.timers, this.clock)
     this.crashes = new RecentCrashes(services.timers)
@@ -109,7 +115,7 @@
 
   private dial (address: string): EntryConnection {
     const connection = new EntryConnection(address, {
-      createGreeting: () => this.createGreeting(),
+      createGreeting: target => this.createGreeting(target),
       onOpen: (opened, greeting) => { this.handleLinkOpened(opened, greeting) },
       onHeard: (from, heardAtMs) => { this.recordHeard(from, heardAtMs) },
       onMessage: (from, message) => { this.receive(from, message) },
@@ -120,13 +126,17 @@
     return connection
   }
 
-  private createGreeting (): protocol.runs.IAgentGreeting {
-    return { ...this.identity, load: encodeLoad(this.executor.load, 0), configVersion: this.configCache.version }
+  private createGreeting (connection: EntryConnection): protocol.runs.IAgentGreeting {
+    connection.evacuationRevision = this.evacuations.revision
+    return { ...this.identity, load: encodeLoad(this.executor.load, 0), configVersion: this.configCache.version, evacuations: this.evacuations.message }
   }
 
   private handleLinkOpened (connection: EntryConnection, greeting: protocol.runs.IEntryGreeting): void {
     const { incarnation } = connection
     this.links.recordOpen(connection)
+    this.handleEvacuations(connection, greeting.evacuations)
+    // The state may have changed since this agent sent its greeting.
+    this.sendEvacuations(connection)
     this.pendingEnds.delete(incarnation)
     this.sendReport(connection, { crashes: this.crashes.recent().map(crash => encodeCrash(crash, this.services.timers.nowMs())), ends: this.owners.retainedEnds(incarnation).map(encodeEnd) })
     connection.sendHeld(this.executor.heldBy(incarnation).map(order => ({ ...order.task, attempt: order.attempt })))
@@ -149,9 +159,31 @@
     else if (message.demand != null) this.executor.updateDemand(connection.incarnation, decodeDemand(message.demand, this.services.timers.nowMs()))
     else if (message.config != null) this.configCache.offer(decodeCopy(message.config))
     else if (message.entries != null) this.handleEntryList(message.entries.entries ?? [])
+    else if (message.evacuations != null) this.handleEvacuations(connection, message.evacuations)
     else if (message.beat != null) this.handleHeartbeat(connection, message.beat)
   }
 
+  private handleEvacuations (connection: EntryConnection, message: protocol.runs.IEvacuations | null | undefined): void {
+    const state = decodeEvacuations(message)
+    if (state === undefined) return
+    connection.evacuationRevision = Math.max(connection.evacuationRevision, state.revision)
+    this.evacuations.offer(state, `entry ${connection.address}`)
+  }
+
+  /** Applies a change of the evacuations, and passes it on to the entries that do not have it, as some may not reach the store. */
+  private handleEvacuationsChanged (source: EvacuationSource): void {
+    const { revision, failureDomains } = this.evacuations
+    this.services.log.event(events.EvacuationsChanged, { failureDomains: failureDomains.join(), revision, source })
+    this.executor.setEvacuated(this.evacuations.has(this.identity.failureDomain))
+    for (const connection of this.links.openLinks) this.sendEvacuations(connection)
+  }
+
+  private sendEvacuations (connection: EntryConnection): void {
+    const { revision, message } = this.evacuations
+    if (connection.evacuationRevision >= revision || !connection.send({ evacuations: message })) return
+    connection.evacuationRevision = revision
+  }
+
   private handleHeartbeat (connection: EntryConnection, heartbeat: protocol.runs.IBeat): void {
     connection.isOverloaded = heartbeat.isOverloaded === true
     this.forwardConfig(connection, heartbeat.configVersion ?? 0)
--- a/packages/fleet/src/defaults.ts
+++ b/packages/fleet/src/defaults.ts
@@ -65,6 +65,8 @@
 export const ENTRY_RETENTION_MS = 10_000
 /** Longest id or failure domain of an entry, in characters. */
 export const MAX_NAME_CHARS = 200
+/** Largest number of failure domains in an evacuation message. A deployment has a handful. */
+export const MAX_EVACUATED_DOMAINS = 64
 /** Common prefix of the keys below, which an entry reads in one call. */
 export const REGISTRY_PREFIX = 'egretvalve/'
 /** Prefix of the keys of entries in the store. */
--- a/packages/fleet/src/entryConnection.ts
+++ b/packages/fleet/src/entryConnection.ts
@@ -39,6 +39,8 @@
   incarnation = ''
   /** Version of the configuration last sent on the current stream. */
   sentConfigVersion = 0
+  /** Highest revision of the evacuations that the entry has reported or was sent on the current stream. */
+  evacuationRevision = 0
   /** Monotonic time of the greeting on the current stream, in milliseconds. */
   openedAtMs = 0
   /** Time at which the list of held tasks was sent on the current stream, on the agent's clock. Infinite before. */
--- a/packages/fleet/src/entryNode.ts
+++ b/packages/fleet/src/entryNode.ts
@@ -6,6 +6,7 @@
 import { AgentConnection } from './agentConnection.ts'
 import { type ConfigCache, decodeCopy } from './configCopy.ts'
 import type { EntryClaims } from './entryClaims.ts'
+import { decodeEvacuations, Evacuations, type EvacuationSource } from './evacuations.ts'
 import { events } from './events.ts'
 import { runLivenessChecks } from './liveness.ts'
 import { decodeCrash, decodeEnd, decodeHeld, decodeLoad, decodeSlow } from './messages.ts'
@@ -25,6 +26,8 @@
   log: settings.Log
   scheduler: scheduler.Scheduler
   configCache: ConfigCache
+  /** The evacuated failure domains. Defaults to an object of its own. */
+  evacuations?: Evacuations
   /** Claims on jobs, which the other entries answer over the same server. */
   claims?: EntryClaims
   /** Returns true while this entry refuses a part of its jobs or isn't ready, so that callers of others are not sent to it. */
@@ -42,6 +45,7 @@
 
 /** Accepts the links of agents and connects them to the scheduler. */
 export class EntryNode {
+  private readonly evacuations: Evacuations
   private readonly server: runtime.LinkServer
   private readonly connections = new Map<string, AgentConnection>()
   private entries: protocol.runs.IEntryAddress[] = []
@@ -50,6 +54,8 @@
   private isStopping = false
 
   constructor (readonly identity: EntryIdentity, private readonly services: EntryNodeServices) {
+    this.evacuations = services.evacuations ?? new Evacuations()
+    this.evacuations.subscribe(source => { this.handleEvacuationsChanged(source) })
     this.server = new runtime.LinkServer(identity.address)
     this.server.accept('exchange', protocol.runLink.exchange, async (stream, peer) => { await this.serve(stream, peer) })
     services.claims?.accept(this.server)
@@ -115,7 +121,9 @@
     if (previous !== undefined) this.close(previous, 'agent opened another link')
     this.connections.set(connection.agentId, connection)
     this.services.log.event(events.LinkOpened, { peer: connection.agentId, life: connection.incarnation })
-    connection.send({ greeting: { entryId: this.identity.entryId, life: this.identity.life, entries: this.entries, configVersion: this.services.configCache.version } })
+    this.handleEvacuations(connection, greeting.evacuations)
+    connection.evacuationRevision = this.evacuations.revision
+    connection.send({ greeting: { entryId: this.identity.entryId, life: this.identity.life, entries: this.entries, configVersion: this.services.configCache.version, evacuations: this.evacuations.message } })
     this.services.scheduler.connect(connection, decodeLoad(greeting.load))
     this.scheduleCopyCheck()
     return connection
@@ -126,6 +134,7 @@
     if (message.report != null) this.handleReport(connection, message.report)
     else if (message.held != null) this.handleHeld(connection, message.held)
     else if (message.config != null) this.handleConfig(connection, message.config)
+    else if (message.evacuations != null) this.handleEvacuations(connection, message.evacuations)
     else if (message.beat != null) this.handleHeartbeat(connection, message.beat)
   }
 
@@ -158,6 +167,25 @@
     this.services.configCache.offer(decodeCopy(copy))
   }
 
+  private handleEvacuations (connection: AgentConnection, message: protocol.runs.IEvacuations | null | undefined): void {
+    const state = decodeEvacuations(message)
+    if (state === undefined) return
+    connection.evacuationRevision = Math.max(connection.evacuationRevision, state.revision)
+    this.evacuations.offer(state, `agent ${connection.agentId}`)
+  }
+
+  /** Applies a change of the evacuations, and sends it to the agents that do not have it. */
+  private handleEvacuationsChanged (source: EvacuationSource): void {
+    const { revision, failureDomains, message } = this.evacuations
+    this.services.log.event(events.EvacuationsChanged, { failureDomains: failureDomains.join(), revision, source })
+    this.services.scheduler.setEvacuatedDomains(failureDomains)
+    for (const connection of this.connections.values()) {
+      if (connection.evacuationRevision >= revision) continue
+      connection.evacuationRevision = revision
+      connection.send({ evacuations: message })
+    }
+  }
+
   private recordConfigVersion (connection: AgentConnection, version: number): void {
     connection.configVersion = Math.max(connection.configVersion, version)
   }
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -21,5 +21,6 @@
   CancellationUnpublished: { code: 12015, level: Warn, message: 'other entries could not be told of a cancelled job' },
   CancellationReceived: { code: 12016, level: Info, message: 'job was cancelled at another entry' },
   ClaimLinkOpened: { code: 12017, level: Info, message: 'link to another entry opened for claims' },
-  ClaimLinkClosed: { code: 12018, level: Warn, message: 'link to another entry closed' }
+  ClaimLinkClosed: { code: 12018, level: Warn, message: 'link to another entry closed' },
+  EvacuationsChanged: { code: 12019, level: Warn, message: 'evacuated failure domains changed; no task starts in these' }
 })
--- a/packages/platform/src/store.ts
+++ b/packages/platform/src/store.ts
@@ -35,9 +35,17 @@
   ttlMs: number
 }
 
+/** A key that no longer exists, with the revision at which it was removed. */
+export interface RemovedKey {
+  key: string
+  revision: number
+}
+
 /** Values read by `list`, or changed since the revision given to `watch`. */
 export interface StoreChange {
   values: StoredValue[]
+  /** Keys removed since the revision given to `watch`; undefined from `list`, and from stores that report them as values with revision 0. */
+  removed?: RemovedKey[]
   /** Revision to pass to the next `watch` call. */
   revision: number
 }
@@ -52,7 +60,7 @@
   list: (prefix: string) => StoreResult<StoreChange>
   /** Writes a key if it has the expected revision; 0 expects that it does not exist. With `leaseId`, the key is removed when the lease ends. */
   compareAndSwap: (key: string, expectedRevision: number, value: string, leaseId?: string) => StoreResult<StoredValue>
-  /** Waits up to `waitMs` milliseconds for a change of a key with the prefix after the revision. Returns no values if none occurs. */
+  /** Waits up to `waitMs` milliseconds for a change of a key with the prefix after the revision. Returns no values and no removed keys if none occurs. */
   watch: (prefix: string, afterRevision: number, waitMs: number, signal?: AbortSignal) => StoreResult<StoreChange>
   /** Grants a lease that ends `ttlMs` milliseconds after its last renewal. */
   grantLease: (ttlMs: number) => StoreResult<StoreLease>
--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -53,6 +53,31 @@
 /** Registry of the agents that are connected to this entry, or were so recently. */
 export class Agents {
   private readonly records = new Map<string, AgentRecord>()
+  private evacuated: ReadonlySet<string> = new Set()
+
+  /** Sets the failure domains whose workers get no tasks and don't count as capacity. */
+  setEvacuatedDomains (failureDomains: readonly string[]): void {
+    this.evacuated = new Set(failureDomains)
+  }
+
+  /** True while some failure domain is evacuated. */
+  get hasEvacuatedDomain (): boolean {
+    return this.evacuated.size > 0
+  }
+
+  isEvacuated ({ view }: AgentRecord): boolean {
+    return this.evacuated.has(view.failureDomain)
+  }
+
+  /** Agents outside of evacuated failure domains. */
+  get usable (): Iterable<AgentRecord> {
+    return this.hasEvacuatedDomain ? [...this.records.values()].filter(agent => !this.isEvacuated(agent)) : this.records.values()
+  }
+
+  /** Returns true while new tasks may be sent to the agent's worker. */
+  acceptsRuns (agent: AgentRecord): boolean {
+    return agent.port !== undefined && agent.view.acceptsRuns && !this.isEvacuated(agent)
+  }
 
   get all (): Iterable<AgentRecord> {
     return this.records.values()
--- a/packages/scheduler/src/demandNotifier.ts
+++ b/packages/scheduler/src/demandNotifier.ts
@@ -42,7 +42,7 @@
       const { service } = queued.job.terms
       if (!waiting.has(service) && queued.job.hasWaitingTask) waiting.set(service, queued)
     }
-    for (const [service, queued] of waiting) this.notify(service, createDemand(queued, nowMs), agents.all, nowMs)
+    for (const [service, queued] of waiting) this.notify(service, createDemand(queued, nowMs), agents.usable, nowMs)
     for (const service of this.demandedServices) {
       if (!waiting.has(service)) this.notify(service, undefined, agents.all, nowMs)
     }
--- a/packages/scheduler/src/fleetCapacity.ts
+++ b/packages/scheduler/src/fleetCapacity.ts
@@ -8,9 +8,9 @@
 /** Minimum share of the fleet's processors that an entry expects to use, so that it does not refuse the first jobs after being idle. */
 const MIN_SHARE = 0.2
 
-/** Returns true when some worker of the service, if idle, has enough capacity and the label for a task of the step. */
+/** Returns true when some worker of the service outside of evacuated failure domains, if idle, has enough capacity and the label for a task of the step. */
 export function fitsSomewhere (agents: Agents, job: Job, step: StepSpec): boolean {
-  for (const { view } of agents.all) {
+  for (const { view } of agents.usable) {
     const hasLabel = step.requirement === undefined || view.hasLabel(step.requirement)
     if (view.service === job.terms.service && hasLabel && workers.fits(view.total, step.size)) return true
   }
@@ -33,7 +33,7 @@
   let used = 0
   let own = 0
   for (const agent of agents.all) {
-    if (agent.port === undefined || agent.view.service !== service || !agent.view.acceptsRuns || !mayUse(agent)) continue
+    if (agent.view.service !== service || !agents.acceptsRuns(agent) || !mayUse(agent)) continue
     total += agent.view.total.cpuMilli
     used += agent.view.total.cpuMilli * agent.view.usedShare
     for (const sent of agent.sent.values()) own += sent.job.stepOf(sent.task).size.cpuMilli
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -166,7 +166,7 @@
   }
 
   private isEligible (agent: AgentRecord, job: Job, step: StepSpec): boolean {
-    if (agent.port === undefined || agent.view.service !== job.terms.service || !agent.view.acceptsRuns) return false
+    if (agent.port === undefined || agent.view.service !== job.terms.service || !this.context.agents.acceptsRuns(agent)) return false
     if (agent.port.sinceLastMessageMs() > this.context.options.suspectAfterMs) return false
     if (step.requirement !== undefined && !agent.view.hasLabel(step.requirement)) return false
     return this.context.ejection.accepts(agent.agentId, this.nowMs)
--- a/packages/scheduler/src/refusals.ts
+++ b/packages/scheduler/src/refusals.ts
@@ -48,13 +48,11 @@
 
   /** Returns why a job that arrives is refused, or undefined when it is accepted. */
   findAtArrival (job: Job): Refusal | undefined {
-    const { agents } = this.context
     if (this.context.workerCount() === 0) {
       const isWaiting = this.nowMs - this.workerSeenAtMs < NO_WORKER_WAIT_MS
       return isWaiting ? undefined : { reason: 'no worker takes runs', waitMs: 0 }
     }
-    const unplaceable = job.spec.steps.find(step => !fitsSomewhere(agents, job, step))
-    if (unplaceable !== undefined) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
+    if (!this.isPlaceable(job)) return { reason: 'no worker is large enough or has the label', waitMs: 0 }
     const state: ArrivalState = {
       workAheadCoreMs: this.workAheadOf(job),
       cores: this.coresFor(job),
@@ -69,13 +67,19 @@
 
   /** Returns why a waiting job, of which nothing has started, is refused, or undefined while it may wait. */
   findWhileWaiting (job: Job): Refusal | undefined {
+    const { agents } = this.context
     const contained = this.findContained(job)
     if (contained !== undefined) return contained
+    if (agents.hasEvacuatedDomain && this.context.workerCount() > 0 && !this.isPlaceable(job)) return { reason: 'the workers that fit are in an evacuated failure domain', waitMs: 0 }
     if (this.nowMs + this.expectedMs(job) > job.deadlineAtMs) return { reason: 'can not end before the deadline', waitMs: this.expectedWaitFor(job) }
     if (this.nowMs - job.arrivedAtMs > this.latestUsefulStartOf(job)) return { reason: 'no room in useful time', waitMs: this.expectedWaitFor(job) }
     return undefined
   }
 
+  private isPlaceable (job: Job): boolean {
+    return job.spec.steps.every(step => fitsSomewhere(this.context.agents, job, step))
+  }
+
   /** Returns a refusal while the job's queue is contained and all workers that it may use are down. */
   private findContained (job: Job): Refusal | undefined {
     const isServable = !this.context.containment.isContained(job.terms.queue) || this.coresFor(job) > 0
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -159,7 +159,14 @@
   /** Number of workers with a connected agent that accept runs. */
   get workerCount (): number {
     let count = 0
-    for (const agent of this.agents.all) count += agent.port !== undefined && agent.view.acceptsRuns ? 1 : 0
+    for (const agent of this.agents.all) count += this.agents.acceptsRuns(agent) ? 1 : 0
+    return count
+  }
+
+  /** Number of connected workers in evacuated failure domains. */
+  get evacuatedWorkerCount (): number {
+    let count = 0
+    for (const agent of this.agents.all) count += agent.port !== undefined && this.agents.isEvacuated(agent) ? 1 : 0
     return count
   }
 
@@ -261,6 +268,12 @@
     }
   }
 
+  /** Sets the failure domains in which no task may start. Runs there go on. */
+  setEvacuatedDomains (failureDomains: readonly string[]): void {
+    this.agents.setEvacuatedDomains(failureDomains)
+    this.scheduleDispatch()
+  }
+
   /**
    * Adds a link to an agent. Once the worker of a new incarnation of the agent accepts runs, the runs of the earlier incarnation
    * have been stopped, so their tasks are marked lost.
--- a/packages/workers/src/executor.ts
+++ b/packages/workers/src/executor.ts
@@ -76,6 +76,7 @@
   private readonly stopReasons = new WeakMap<TaskOrder, string>()
   private deferredEnds: DeferredEnd[] = []
   private isStopping = false
+  private isEvacuated = false
   private onIdle: (() => void) | undefined
   private readonly checkTimer: settings.TimerHandle
   private readonly startedAtMs: number
@@ -161,6 +162,13 @@
     this.handleLoadChange()
   }
 
+  /** Sets whether the failure domain is evacuated: no task starts then, and waiting ones are returned. Runs go on. */
+  setEvacuated (isEvacuated: boolean): void {
+    this.isEvacuated = isEvacuated
+    if (isEvacuated) this.returnWaiting(ReturnReason.DomainEvacuated)
+    else this.handleLoadChange()
+  }
+
   /** Accepts a task ordered by an entry. Its end is reported exactly once. A repeated order for a task that waits or for a run that is active is ignored. */
   submit (order: TaskOrder): void {
     const key = taskKey(order.task)
@@ -241,7 +249,7 @@
   /** Reserves free capacity for the most urgent demands, and reassigns it when a reservation expires unused. */
   private reserve (): void {
     const { load } = this
-    if (!load.isPresent || load.isDraining) return
+    if (!load.isPresent || load.isDraining || this.isEvacuated) return
     const { timers } = this.services
     const owners = this.reservations.assign(load.free, timers.nowMs())
     if (owners.length > 0) this.handlers.onCapacityReserved(owners)
@@ -286,8 +294,8 @@
   }
 
   private startWaiting (): void {
-    if (!this.canStart) {
-      this.returnWaiting(ReturnReason.WorkerUnavailable)
+    if (this.isEvacuated || !this.canStart) {
+      this.returnWaiting(this.isEvacuated ? ReturnReason.DomainEvacuated : ReturnReason.WorkerUnavailable)
       return
     }
     const session = this.session!
--- a/packages/workers/src/order.ts
+++ b/packages/workers/src/order.ts
@@ -52,6 +52,8 @@
   WorkerDraining = 'worker is draining',
   WorkerUnresponsive = 'worker does not answer',
   WorkerUnavailable = 'worker takes no runs',
+  /** The operator has asked that nothing starts in the failure domain. */
+  DomainEvacuated = 'domain evacuated',
   AgentStopping = 'agent stops'
 }
 
--- a/test/failure/runLinks.test.ts
+++ b/test/failure/runLinks.test.ts
@@ -24,6 +24,7 @@
   readonly runRecorder = new standin.RunRecorder()
   readonly scheduler = new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' })
   readonly configCache = new fleet.ConfigCache()
+  readonly evacuations = new fleet.Evacuations()
   readonly entry: fleet.EntryNode
   readonly proxies: standin.NetworkProxy[] = []
   readonly agents: fleet.AgentNode[] = []
@@ -35,8 +36,9 @@
   readonly startCounts: number[] = []
   private readonly reports: settings.TimerHandle[] = []
 
-  constructor (port: number) {
-    this.entry = new fleet.EntryNode({ entryId: 'entry', life: 'entry-life', address: `127.0.0.1:${port}`, failureDomain: 'a' }, { timers, log, scheduler: this.scheduler, configCache: this.configCache })
+  /** `domains` holds the failure domain of each agent; 'a' for the others. */
+  constructor (port: number, private readonly domains: readonly string[] = []) {
+    this.entry = new fleet.EntryNode({ entryId: 'entry', life: 'entry-life', address: `127.0.0.1:${port}`, failureDomain: 'a' }, { timers, log, scheduler: this.scheduler, configCache: this.configCache, evacuations: this.evacuations })
   }
 
   async start (agentCount: number): Promise<void> {
@@ -77,7 +79,7 @@
     }
     const worker = new standin.StandinWorker({ workerId: `w-${number}`, total: { cpuMilli: 32_000, memoryMb: 10_000, accelerators: 0 }, workOf, sizeOf: () => SIZE, timers, runRecorder: this.runRecorder })
     const cache = new fleet.ConfigCache()
-    const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: 'a' }, { timers, log, driver: worker, configCache: cache })
+    const agent = new fleet.AgentNode({ agentId: `agent-${number}`, life: `agent-${number}-life`, failureDomain: this.domains[number] ?? 'a' }, { timers, log, driver: worker, configCache: cache })
     this.agentCaches.push(cache)
     agent.executor.applyReport(worker.report())
     this.reports.push(timers.every(REPORT_PERIOD_MS, () => { agent.executor.applyReport(worker.report()) }))
@@ -273,6 +275,36 @@
     other.stop()
   })
 
+  // Guards against a start in an evacuated failure domain by an entry that can't reach the store, or by an agent that has lost its links.
+  it('tell entries without the store of an evacuation, before any order on a new link', async () => {
+    const fleetBench = new LinkBench(port++, ['a', 'b'])
+    await fleetBench.start(2)
+    const jobs = new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' })
+    const evacuations = new fleet.Evacuations()
+    const other = new fleet.EntryNode({ entryId: 'other', life: 'other-life', address: `127.0.0.1:${port++}`, failureDomain: 'a' }, { timers, log, scheduler: jobs, configCache: new fleet.ConfigCache(), evacuations })
+    await other.start()
+    for (const agent of fleetBench.agents) agent.updateEntries([{ address: other.identity.address, failureDomain: 'a' }])
+    await fleetBench.waitFor(() => jobs.workerCount === 2)
+    // The agent of the evacuated domain has no link to the entry that reads the store.
+    fleetBench.proxies[0]!.setFault({ kind: standin.LinkFaultKind.CutBothWays })
+    fleetBench.proxies[0]!.resetAll()
+    fleetBench.evacuations.offer({ revision: 7, failureDomains: ['a'] }, 'store')
+    await fleetBench.waitFor(() => evacuations.has('a') && jobs.workerCount === 1)
+    fleetBench.proxies[0]!.setFault({ kind: standin.LinkFaultKind.None })
+    await fleetBench.waitFor(() => fleetBench.scheduler.evacuatedWorkerCount === 1)
+    fleetBench.workOfMs = 50
+    const { outcome } = fleetBench.submit('job', 5)
+    const atOther = jobs.submit({ jobId: 'other-job', spec: '', steps: [{ count: 5, size: SIZE, estimatedMs: 50, after: [] }] }, TERMS, 6_000)
+    expect((await outcome).kind).to.equal('succeeded')
+    await fleetBench.waitFor(() => atOther.hasEnded)
+    expect([fleetBench.startCounts, atOther.outcome?.kind]).to.deep.equal([[0, 10], 'succeeded'])
+    fleetBench.evacuations.offer({ revision: 8, failureDomains: [] }, 'store')
+    await fleetBench.waitFor(() => jobs.workerCount === 2 && fleetBench.scheduler.workerCount === 2)
+    jobs.stop()
+    other.stop()
+    await fleetBench.stop()
+  })
+
   it('tell every entry of a crash, also one that starts later', async () => {
     bench.submit('job', 1)
     await bench.waitFor(() => bench.runCount === 1)
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -336,6 +336,33 @@
     expect(second.ordered.map(({ attempt }) => attempt)).to.deep.equal([2])
   })
 
+  // Load: a quarter of the workers must get nothing more, while their free capacity still shows in their reports.
+  it('places tasks outside of evacuated failure domains only, and on these again when they are taken back', async () => {
+    const { scheduler: created, submit } = createBench()
+    const [evacuated, other] = [new FakePort('agent-1', 'life-1', 'a'), new FakePort('agent-2', 'life-1', 'b')]
+    created.connect(evacuated, createLoad())
+    created.connect(other, createLoad({ free: SIZE }))
+    created.setEvacuatedDomains(['a'])
+    submit(createJob('job', 3))
+    await flushEventLoop()
+    expect([evacuated.ordered.length, other.ordered.length]).to.deep.equal([0, 1])
+    expect([evacuated.demands.length, other.demands.length, created.workerCount, created.evacuatedWorkerCount]).to.deep.equal([0, 1, 1, 1])
+    created.setEvacuatedDomains([])
+    await flushEventLoop()
+    expect([evacuated.ordered.length, other.ordered.length]).to.deep.equal([2, 1])
+  })
+
+  it('refuses a job that waits for workers of an evacuated failure domain only, and one that arrives, at once', async () => {
+    const { timers, scheduler: created, submit } = createBench()
+    created.connect(new FakePort('agent-1', 'life-1', 'a'), createLoad({ free: workers.NO_SIZE, labels: ['special'] }))
+    created.connect(new FakePort('agent-2', 'life-1', 'b'), createLoad())
+    const waiting = submit(createJob('waiting', 1, { requirement: 'special' }), {}, 9_000)
+    created.setEvacuatedDomains(['a'])
+    await passTime(timers, 60)
+    const arriving = submit(createJob('arriving', 1, { requirement: 'special' }), {}, 9_000)
+    expect([...waiting.outcomes, ...arriving.outcomes].map(({ kind }) => kind)).to.deep.equal(['refused', 'refused'])
+  })
+
   it('fails a job when one task has used up its attempts, each on another worker', async () => {
     const { scheduler: created, submit } = createBench()
     const ports = [new FakePort('agent-1'), new FakePort('agent-2')]
--- a/test/unit/workers/executor.test.ts
+++ b/test/unit/workers/executor.test.ts
@@ -68,6 +68,23 @@
     expect(worker.runCount).to.equal(4)
   })
 
+  // Guards against a start in an evacuated failure domain by an entry that does not know of the evacuation.
+  it('returns every task while its failure domain is evacuated, without ending runs or reserving capacity, and starts tasks after that', async () => {
+    const { timers, worker, executor, endings, order } = await createBench()
+    executor.submit(order(0))
+    await passTime(timers, 20)
+    executor.setEvacuated(true)
+    executor.submit(order(1))
+    executor.updateDemand('entry-1', { rank: 0, latestStartAtMs: 0, size: TASK_SIZE, count: 1 })
+    expect(endings.map(({ order: { task }, end, reason }) => [task.index, end, reason])).to.deep.equal([[1, workers.TaskEnd.NotStarted, 'domain evacuated']])
+    expect([worker.runCount, executor.loadFor('entry-2').free.cpuMilli]).to.deep.equal([1, 9_000])
+    await passTime(timers, 400)
+    executor.setEvacuated(false)
+    executor.submit(order(2))
+    await passTime(timers, 400)
+    expect(endings.slice(1).map(({ order: { task }, end }) => [task.index, end])).to.deep.equal([[0, workers.TaskEnd.Done], [2, workers.TaskEnd.Done]])
+  })
+
   it('returns a suspect of a crash while one of another job is observed, and names the observed job when the worker crashes', async () => {
     const { timers, endings, order } = await createBench()
     const worker = new standin.StandinWorker({ workerId: 'w-2', total: TOTAL, workOf: () => WORK_MS, sizeOf: () => TASK_SIZE, crashesAfterMs: ({ index }) => index === 0 ? 40 : undefined, timers, runRecorder: new standin.RunRecorder() })
