--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -72,6 +72,17 @@
     this.child.kill('SIGKILL')
   }
 
+  /** Stops the process as planned work does: SIGTERM, and SIGKILL after the grace period. It is back after `downMs` milliseconds. */
+  stopPlanned (downMs = RESTART_DELAY_MS) {
+    const { child } = this
+    child.isCaused = true
+    child.downMs = downMs
+    this.fleet.note('planned-stop', { node: this.name })
+    child.kill('SIGTERM')
+    const limit = setTimeout(() => { child.kill('SIGKILL') }, BOUNDS.grace_period_s * 1_000)
+    child.once('exit', () => { clearTimeout(limit) })
+  }
+
   readMemoryMb () {
     try {
       return Math.round(Number(/VmRSS:\s+(\d+)/.exec(fs.readFileSync(`/proc/${this.child.pid}/status`, 'utf8'))?.[1] ?? 0) / 1024)
