--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -19,6 +19,11 @@
   return new RegExp(`run = "node (.*) ${role}"`).exec(text)[1].split(' ').concat(role)
 }
 
+/** Processes that run. They end with this one, however it ends. */
+const running = new Set()
+process.once('exit', () => { for (const child of running) child.kill('SIGKILL') })
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.once(signal, () => { process.exit(2) })
+
 /** One process of the system. */
 export class Node {
   constructor (role, name, settings, folder, record) {
@@ -33,6 +38,8 @@
     this.child = spawn(process.execPath, readCommand(this.role), { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, EGRETVALVE_SETTINGS: this.file }, stdio: ['ignore', log, log] })
     fs.closeSync(log)
     const { child } = this
+    running.add(child)
+    child.once('exit', () => { running.delete(child) })
     this.record({ what: 'process started', node: this.name })
     this.ended = new Promise(resolve => { child.once('exit', (code, signal) => { resolve({ code, signal }) }) })
     child.once('exit', (code, signal) => { this.record({ what: 'process ended', node: this.name, code, signal }) })
@@ -120,10 +127,10 @@
     return true
   }
 
-  async submit (entry, jobId, body, { deadlineMs = 1_500, timeoutMs = 4_000 } = {}) {
-    this.record({ what: 'POST sent', node: entry.name, jobId })
+  async submit (entry, jobId, body, { deadlineMs = 1_500, timeoutMs = 4_000, isQuiet = false } = {}) {
+    if (!isQuiet) this.record({ what: 'POST sent', node: entry.name, jobId })
     const reply = await call({ address: entry.settings.bind_addresses.frontend, method: 'POST', path: PREFIX + jobId, headers: { 'x-deadline-ms': String(deadlineMs) }, body: JSON.stringify(body), timeoutMs })
-    this.record({ what: 'POST answered', node: entry.name, jobId, status: reply.status, body: reply.body.slice(0, 200) })
+    if (!isQuiet) this.record({ what: 'POST answered', node: entry.name, jobId, status: reply.status, body: reply.body.slice(0, 200) })
     return reply
   }
 
--- a/review/lib-3/standins.mjs
+++ b/review/lib-3/standins.mjs
@@ -92,6 +92,15 @@
     this.notify()
   }
 
+  /** Takes keys away, as if their leases had ended, and returns them. No answer shows it. */
+  takeAway (isTaken) {
+    const keys = [...this.items.keys()].filter(isTaken)
+    for (const { lease } of keys.map(key => this.items.get(key))) {
+      if (lease) this.endLease(lease)
+    }
+    return keys
+  }
+
   /** Value of a key as text; undefined without it. */
   read (key) {
     const item = this.items.get(key)
@@ -267,6 +276,23 @@
     this.server.close()
   }
 
+  /** Crashes: what runs is gone, nothing listens at the address, and nothing is sent. */
+  crash () {
+    this.record({ what: 'minion crashed', minion: this.id })
+    for (const { task, run } of this.runs.values()) this.record({ what: 'end', minion: this.id, task, run, how: 'crashed' })
+    this.runs.clear()
+    this.stop()
+  }
+
+  /** Starts again at its address, under its id, and reports itself at once. */
+  async restart () {
+    this.reset()
+    const [host, port] = this.address.split(':')
+    await new Promise(resolve => { this.server.listen(Number(port), host, resolve) })
+    this.record({ what: 'minion started', minion: this.id })
+    this.startBeats()
+  }
+
   beat () {
     const body = JSON.stringify({ service: this.service, address: this.address, zone: this.zone, version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, capacity: this.capacity, labels: this.labels, machine: this.agentMachine, clock_ms: this.clockMs, sequence: ++this.sequence, born: this.born })
     const [host, port] = this.reportAddress.split(':')
