Check every suspect of a crash against the worker that it is sent to

What callers saw: two workers crashed under a step of eleven tasks with a limit of one task on each worker.

Without the crash the limit held.

Cause: Placer.placeSuspects kept the worker chosen for one suspect for the next ones of the job, as long as they fitted there. It did not ask filterFor again, which knows the limit, workers to avoid, ejection and a run that is being stopped. Nor did it look at the step: a suspect of another step went to a worker without the label of that step.

Change: each suspect is filtered like any other task, and the candidates are those of its own step. Workers that got suspects of the job in the same pass stay preferred, so that suspects that need not be apart still share one.

--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -82,19 +82,28 @@
     }
   }
 
-  /** Sends the waiting tasks of a job that are suspected of a crash to a worker without suspects of other jobs. Without one they wait, and reserve nothing. */
+  /**
+   * Sends the waiting tasks of a job that are suspected of a crash to workers without suspects of other jobs. Those that need not be apart share
+   * one, so that a crash takes few workers. Without such a worker they wait, and reserve nothing.
+   */
   placeSuspects (job: Job): void {
     if (this.hasNoSuspects) return
     const placed: string[] = []
-    let chosen: Candidate | undefined
+    const sharedIds = new Set<string>()
+    let number = -1
+    let candidates: Candidate[] = []
     for (const task of job.waitingTasks()) {
       if (!this.isSuspect(task) || this.awaitsVerdict(task)) continue
       const step = job.stepOf(task)
-      const holderId = this.context.stopOrders.findHolder(task.ref)
-      const isUsable = chosen !== undefined && workers.fits(this.context.agents.get(chosen.agentId)!.view.free, step.size) && (holderId === undefined || holderId === chosen.agentId)
-      if (!isUsable) chosen = chooseForSuspect(this.filterFor(job, task, this.findCandidates(job, task.ref.step, NONE_RESERVED, true)), step)
+      if (task.ref.step !== number) {
+        number = task.ref.step
+        candidates = this.findCandidates(job, number, NONE_RESERVED, true)
+      }
+      const chosen = chooseForSuspect(this.filterFor(job, task, candidates), step, sharedIds)
       if (chosen === undefined) continue
       this.send(job, task, chosen)
+      Object.assign(chosen, this.createCandidate(this.context.agents.get(chosen.agentId)!, step))
+      sharedIds.add(chosen.agentId)
       placed.push(this.describePlacement(task))
     }
     this.logPlaced(job, placed)
--- a/packages/scheduler/src/workerChoice.ts
+++ b/packages/scheduler/src/workerChoice.ts
@@ -54,11 +54,13 @@
   return best
 }
 
-/** Chooses the worker for a task that may crash it: one without another such task, and with the least to lose. */
-export function chooseForSuspect (candidates: readonly Candidate[], step: StepSpec): Candidate | undefined {
+/** Chooses the worker for a task that may crash it: one of `sharedIds`, which have such tasks of the same job only, else one without any and with the least to lose. */
+export function chooseForSuspect (candidates: readonly Candidate[], step: StepSpec, sharedIds: ReadonlySet<string>): Candidate | undefined {
   let best: Candidate | undefined
   for (const candidate of candidates) {
-    if (candidate.hasSuspect || !workers.fits(candidate.free, step.size)) continue
+    if (!workers.fits(candidate.free, step.size)) continue
+    if (sharedIds.has(candidate.agentId)) return candidate
+    if (candidate.hasSuspect) continue
     if (best === undefined || candidate.usedShare < best.usedShare) best = candidate
   }
   return best
--- /dev/null
+++ b/test/unit/scheduler/placementLimit.test.ts
@@ -0,0 +1,55 @@
+/** The limit of tasks of a step on one worker, on every way in which a task gets there. */
+import { expect } from 'chai'
+import type * as scheduler from '@egretvalve/scheduler'
+import * as workers from '@egretvalve/workers'
+import { type Bench, createBench, createEnd, createJob, createLoad, FakePort, TERMS } from '../../support/schedulerBench.ts'
+import { flushEventLoop } from '../../support/simulatedTime.ts'
+
+/** Crashes the worker of an agent, and reports its runs as lost. */
+function crash ({ scheduler: created, timers }: Bench, port: FakePort): void {
+  const runs = port.ordered.map(({ ref, attempt }) => ({ task: ref, queue: TERMS.queue, attempt, earlierCrashes: 0, isObserved: false, runMs: 100 }))
+  created.handleCrash({ crashId: port.agentId, kind: workers.CrashKind.Down, crashedAtMs: timers.nowMs(), runs })
+  created.handleLoad(port, createLoad({ isPresent: false, received: runs.length }))
+  created.handleEnds(port, port.ordered.map(each => createEnd(each, workers.TaskEnd.Lost, 'worker is down')))
+}
+
+function connectAgents ({ scheduler: created }: Bench, loads: ReadonlyArray<Partial<scheduler.ReportedLoad>>): FakePort[] {
+  return loads.map((load, index) => {
+    const port = new FakePort(`agent-${index + 1}`)
+    created.connect(port, createLoad(load))
+    return port
+  })
+}
+
+describe('the limit of tasks of a step on one worker', () => {
+  // Guards against suspects of a crash that all go to the worker chosen for the first of them, beyond the limit of their step.
+  it('holds for the suspects of workers that crash together', async () => {
+    const bench = createBench()
+    const ports = connectAgents(bench, [{}, {}, {}, {}])
+    const { outcomes } = bench.submit(createJob('job', 4, { maxPerWorker: 1 }))
+    await flushEventLoop()
+    expect(ports.map(({ ordered }) => ordered.length)).to.deep.equal([1, 1, 1, 1])
+    for (const port of ports.slice(2)) bench.scheduler.handleEnds(port, port.ordered.map(each => createEnd(each, workers.TaskEnd.Done)))
+    for (const port of ports.slice(0, 2)) crash(bench, port)
+    await flushEventLoop()
+    expect(ports.slice(2).map(({ ordered }) => ordered.length), 'one suspect on each').to.deep.equal([2, 2])
+    for (const port of ports.slice(2)) bench.scheduler.handleEnds(port, [createEnd(port.ordered[1]!, workers.TaskEnd.Done)])
+    expect(outcomes).to.deep.equal([{ kind: 'succeeded' }])
+  })
+
+  // Guards against suspects that go to a worker without the label of their step, as it was chosen for a suspect of another one.
+  it('leaves the suspects of two steps to workers with the label of each', async () => {
+    const bench = createBench()
+    const ports = connectAgents(bench, [{ labels: ['a', 'b'] }, { labels: ['a'] }, { labels: ['b'] }])
+    const step = createJob('job', 1).steps[0]!
+    ports.slice(1).forEach(port => { bench.scheduler.handleLoad(port, createLoad({ isPresent: false })) })
+    bench.submit({ jobId: 'job', spec: 'x', steps: [{ ...step, requirement: 'a' }, { ...step, requirement: 'b' }] })
+    await flushEventLoop()
+    expect(ports[0]!.ordered).to.have.length(2)
+    bench.scheduler.handleLoad(ports[1]!, createLoad({ labels: ['a'] }))
+    bench.scheduler.handleLoad(ports[2]!, createLoad({ labels: ['b'] }))
+    crash(bench, ports[0]!)
+    await flushEventLoop()
+    expect(ports.slice(1).map(({ ordered }) => ordered.map(({ ref }) => ref.step))).to.deep.equal([[0], [1]])
+  })
+})
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -3,78 +3,14 @@
 import * as scheduler from '@egretvalve/scheduler'
 import * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
+import { createBench, createEnd, createJob, createLoad, FakePort, SIZE, TERMS } from '../../support/schedulerBench.ts'
 import { passTime, flushEventLoop } from '../../support/simulatedTime.ts'
 
-const SIZE: workers.RunSize = { cpuMilli: 3_000, memoryMb: 64, accelerators: 0 }
-const TERMS: scheduler.JobTerms = { queue: 'shop.example/spares/', service: 'spares', priority: 0, maxAttempts: 2, targetLatencyMs: 60, slackFactor: 1.6 }
-
 /** Time in which an entry hears of other crashes of the same moment before it gives up a task. */
 const VERDICT_MS = 110
 /** Time after the last new worker after which an entry takes its view of the fleet for complete, with one periodic check. */
 const COMPLETE_VIEW_MS = 350
 
-class FakePort implements scheduler.AgentPort {
-  /** Tasks sent, oldest first. */
-  readonly ordered: Array<{ ref: workers.TaskRef, attempt: number, crashes: number }> = []
-  readonly stopped: workers.TaskRef[] = []
-  readonly demands: Array<workers.Demand | undefined> = []
-  /** Time since the last message of the agent. */
-  idleMs = 0
-
-  constructor (readonly agentId: string, readonly incarnation = 'life-1', readonly failureDomain = 'a') {}
-
-  sinceLastMessageMs (): number {
-    return this.idleMs
-  }
-
-  sendTask (_job: scheduler.Job, task: scheduler.Task, _expiresInMs: number, { crashes }: scheduler.Suspicion): void {
-    this.ordered.push({ ref: task.ref, attempt: task.attempt, crashes })
-  }
-
-  stop (ref: workers.TaskRef): void {
-    this.stopped.push(ref)
-  }
-
-  sendDemand (demand: workers.Demand | undefined): void {
-    this.demands.push(demand)
-  }
-}
-
-function createLoad (changes: Partial<scheduler.ReportedLoad> = {}): scheduler.ReportedLoad {
-  const total = { cpuMilli: 30_000, memoryMb: 100_000, accelerators: 0 }
-  return { isPresent: true, isDraining: false, service: 'spares', total, free: total, labels: ['a', 'rack-1'], waiting: 0, hasSuspect: false, runTimeRatio: 0, received: 0, ...changes }
-}
-
-function createJob (jobId: string, count: number, changes: Partial<scheduler.StepSpec> = {}): scheduler.JobSpec {
-  return { jobId, spec: 'x', steps: [{ count, size: SIZE, estimatedMs: 100, after: [], ...changes }] }
-}
-
-/** A scheduler on simulated time. */
-interface Bench {
-  timers: settings.FakeTimers
-  scheduler: scheduler.Scheduler
-  submit: (spec: scheduler.JobSpec, terms?: Partial<scheduler.JobTerms>, deadlineMs?: number) => { job: scheduler.Job, outcomes: scheduler.JobOutcome[] }
-}
-
-function createBench (): Bench {
-  const timers = new settings.FakeTimers()
-  const created = new scheduler.Scheduler({ timers, log: settings.createSilentLog(), random: () => 0.5, failureDomain: 'a' })
-  return {
-    timers,
-    scheduler: created,
-    submit: (spec, terms = {}, deadlineMs = 2_000) => {
-      const outcomes: scheduler.JobOutcome[] = []
-      const job = created.submit(spec, { ...TERMS, ...terms }, deadlineMs)
-      job.onOutcome(outcome => { outcomes.push(outcome) })
-      return { job, outcomes }
-    }
-  }
-}
-
-function createEnd (ordered: { ref: workers.TaskRef, attempt: number }, end: workers.TaskEnd, reason = ''): scheduler.ReportedEnd {
-  return { ...ordered, end, runMs: 100, reason }
-}
-
 describe('jobs at an entry', () => {
   it('ends a job when its last task is done, and only then', async () => {
     const { scheduler: created, submit } = createBench()
