Place tasks of other steps while those of one step have no worker

What callers saw: a job whose first step had reached its limit of tasks on each worker started no task of its other steps until that changed, beside workers that were free. The same held while no worker with the label of one step was up. The job ended late, or not in time.

Cause: Placer.placeTasks ended at the first task for which no worker was left to reserve. It took that as a sign that all workers were reserved for earlier tasks, but the limit or a label excludes workers for one step only.

Change: such a task blocks the rest of its own step. Tasks that return to the agent which stops their earlier run are still tried, as that is the only agent they may go to.

--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -68,17 +68,20 @@
     let step = -1
     let candidates: Candidate[] = []
     let sample: Candidate[] = []
+    let isStepBlocked = false
     for (const task of job.waitingTasks()) {
       if (this.isSuspect(task) || this.awaitsVerdict(task)) continue
       if (task.ref.step !== step) {
         step = task.ref.step
+        isStepBlocked = false
         candidates = this.findCandidates(job, step, reserved)
         sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.context.entryCount()), this.context.random)
       }
       const holderId = this.context.stopOrders.findHolder(task.ref)
-      if (holderId !== undefined && !candidates.some(({ agentId }) => agentId === holderId)) continue
-      if (!this.placeTask(job, task, sample, candidates, reserved)) return
+      if (holderId === undefined ? isStepBlocked : !candidates.some(({ agentId }) => agentId === holderId)) continue
+      const hasWorker = this.placeTask(job, task, sample, candidates, reserved)
       if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
+      if (holderId === undefined) isStepBlocked = !hasWorker
     }
   }
 
@@ -145,7 +148,7 @@
     return `${task.ref.step}.${task.ref.index}#${task.attempt}@${agent.agentId},free=${freeCores},speed=${this.context.speeds.factorOf(agent.agentId).toFixed(2)},age=${Math.round(agent.port?.sinceLastMessageMs() ?? 0)}${task.lastEnd === undefined ? '' : `,after=${task.lastEnd}`}`
   }
 
-  /** Sends a task to a worker of the sample, else to any worker with free capacity, else reserves the worker with the most free processors. Returns false when no worker is left to reserve. */
+  /** Sends a task to a worker of the sample, else to any worker with free capacity, else reserves the worker with the most free processors. Returns false if no worker may get the task or be reserved for it. */
   private placeTask (job: Job, task: Task, sample: Candidate[], candidates: Candidate[], reserved: Set<string>): boolean {
     const step = job.stepOf(task)
     const usable = this.filterFor(job, task, candidates)
--- a/test/unit/scheduler/placementLimit.test.ts
+++ b/test/unit/scheduler/placementLimit.test.ts
@@ -52,4 +52,14 @@
     await flushEventLoop()
     expect(ports.slice(1).map(({ ordered }) => ordered.map(({ ref }) => ref.step))).to.deep.equal([[0], [1]])
   })
+
+  // Guards against tasks that wait beside free workers because a task of an earlier step has reached its limit, or has no worker with its label.
+  it('holds up no task of another step', async () => {
+    const bench = createBench()
+    const ports = connectAgents(bench, [{}, { labels: ['b'], isPresent: false }])
+    const step = createJob('job', 1).steps[0]!
+    bench.submit({ jobId: 'job', spec: 'x', steps: [{ ...step, count: 2, maxPerWorker: 1 }, { ...step, requirement: 'b' }, step] })
+    await flushEventLoop()
+    expect(ports[0]!.ordered.map(({ ref }) => `${ref.step}.${ref.index}`)).to.deep.equal(['0.0', '2.0'])
+  })
 })
