Count runs whose end is not known towards the limit of a worker

What callers saw: after a job with a limit of tasks on each worker had been abandoned and submitted again, a task could start on a worker beside the run of a sibling from the earlier submission that was still being stopped.

Cause: Job.countOn counted the tasks that the new submission had sent. Runs of the earlier one are held by the agent record only. A task with a run that is being stopped returned to its agent without a check of the limit at all.

Change: SentTasks, the tasks that an agent holds until the end of their run is known, keeps their number by step. Placer.filterFor asks it on every way to a worker: ordinary placement, suspects, moves, and tasks that return to the agent which stops their earlier run. A task that is sent again on a new link has its place already. Runs of a silent, disconnected or restarted agent count until they are known to have ended.

The first of the new tests failed before: task 0 was sent beside the run of task 1 that was being stopped. The others hold both orders of ends and a reconnected agent.

--- a/packages/scheduler/src/agents.ts
+++ b/packages/scheduler/src/agents.ts
@@ -1,19 +1,9 @@
 /** The agents of this entry: their links, the load of their workers and the tasks they hold. */
 import type * as workers from '@egretvalve/workers'
 import type { Job, Task } from './job.ts'
+import { SentTasks } from './sentTasks.ts'
 import { type ReportedLoad, WorkerView } from './workerView.ts'
 
-/** A task held by an agent. */
-export interface SentTask {
-  job: Job
-  task: Task
-  attempt: number
-  /** Time for which the run is observed, in milliseconds; 0 for a task that is not suspected of a crash. */
-  observationMs: number
-  /** Link on which the task was sent or, after a reconnect, reported as held. */
-  port: AgentPort
-}
-
 /** What an order tells about crashes of workers under the task; see `workers.TaskOrder`. */
 export interface Suspicion {
   crashes: number
@@ -44,8 +34,7 @@
   /** Undefined while no link is open. */
   port: AgentPort | undefined
   view: WorkerView
-  /** Tasks held by the agent, by their key. */
-  readonly sent: Map<string, SentTask>
+  readonly sent: SentTasks
   /** Time of the agent's last message, in milliseconds; undefined while connected. */
   lastMessageAtMs: number | undefined
 }
@@ -96,7 +85,7 @@
     const view = new WorkerView(port.agentId, port.failureDomain)
     view.apply(load)
     const known = this.records.get(port.agentId)
-    const record: AgentRecord = known ?? { agentId: port.agentId, incarnation: port.incarnation, port, view, sent: new Map(), lastMessageAtMs: undefined }
+    const record: AgentRecord = known ?? { agentId: port.agentId, incarnation: port.incarnation, port, view, sent: new SentTasks(), lastMessageAtMs: undefined }
     record.port = port
     record.view = view
     record.lastMessageAtMs = undefined
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -153,11 +153,6 @@
     return longestChainMs(open)
   }
 
-  /** Returns how many tasks of the step an agent holds. */
-  countOn (agentId: string, step: number): number {
-    return this.tasks[step]!.filter(task => task.phase === TaskPhase.Sent && task.agentId === agentId).length
-  }
-
   /** Calls `waiter` with the outcome, immediately when the job has ended. Returns a function that removes the waiter. */
   onOutcome (waiter: (outcome: JobOutcome) => void): () => void {
     if (this.outcome !== undefined) {
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -2,7 +2,7 @@
 import type * as placement from '@egretvalve/placement'
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-import type { AgentRecord, Agents, SentTask } from './agents.ts'
+import type { AgentRecord, Agents } from './agents.ts'
 import type { Containment } from './containment.ts'
 import type { CrashRecords } from './crashRecords.ts'
 import { type Candidate, chooseForSuspect, chooseReserved, chooseWorker, sampleCandidates, sampleSize } from './workerChoice.ts'
@@ -11,6 +11,7 @@
 import { type Job, type Task, TaskPhase } from './job.ts'
 import type { StepSpec } from './model.ts'
 import type { RunCounts } from './runCounts.ts'
+import { createStepKey, type SentTask } from './sentTasks.ts'
 import type { SpeedEstimate } from './speed.ts'
 import type { StopOrders } from './stopOrders.ts'
 import type { UnconfirmedStarts } from './unconfirmedStarts.ts'
@@ -184,16 +185,23 @@
     return this.context.ejection.accepts(agent.agentId, this.nowMs)
   }
 
-  /** Removes the workers that must not get the task: all others while a run of it is being stopped on one. Workers that the task avoids remain only when there is no other. */
-  private filterFor (job: Job, task: Task, candidates: Candidate[]): Candidate[] {
+  /** Returns the workers that may get the task; every way to a worker goes through here. Workers that the task avoids are returned only when there is no other. */
+  private filterFor (job: Job, task: Task, candidates: readonly Candidate[]): Candidate[] {
     const holderId = this.context.stopOrders.findHolder(task.ref)
-    if (holderId !== undefined) return candidates.filter(({ agentId }) => agentId === holderId && this.context.ejection.accepts(agentId, this.nowMs))
+    const isWithinLimit = this.createLimitCheck(job, task)
+    const allowed = candidates.filter(({ agentId }) => (holderId === undefined || agentId === holderId) && this.context.ejection.accepts(agentId, this.nowMs) && isWithinLimit(agentId))
+    if (holderId !== undefined || task.avoided.size === 0) return allowed
+    const preferred = allowed.filter(each => !task.avoided.has(each.agentId))
+    return preferred.length > 0 ? preferred : allowed
+  }
+
+  /** Returns a test of the workers that hold fewer other tasks of the step than its limit, also by runs whose end is not known. */
+  private createLimitCheck (job: Job, task: Task): (agentId: string) => boolean {
     const { maxPerWorker } = job.stepOf(task)
-    const allowed = maxPerWorker === undefined ? candidates : candidates.filter(each => job.countOn(each.agentId, task.ref.step) < maxPerWorker)
-    const accepting = allowed.filter(each => this.context.ejection.accepts(each.agentId, this.nowMs))
-    if (task.avoided.size === 0) return accepting
-    const preferred = accepting.filter(each => !task.avoided.has(each.agentId))
-    return preferred.length > 0 ? preferred : accepting
+    if (maxPerWorker === undefined) return () => true
+    const stepKey = createStepKey(task.ref)
+    const key = workers.taskKey(task.ref)
+    return agentId => this.context.agents.get(agentId)!.sent.countSiblings(stepKey, key) < maxPerWorker
   }
 
   private createCandidate (agent: AgentRecord, step: StepSpec): Candidate {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -4,7 +4,7 @@
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
 import { retryAfterMs } from './admission.ts'
-import { type AgentPort, type AgentRecord, Agents, type SentTask } from './agents.ts'
+import { type AgentPort, type AgentRecord, Agents } from './agents.ts'
 import { AttemptNumbers } from './attemptNumbers.ts'
 import { CancelledJobs } from './cancelledJobs.ts'
 import { Containment } from './containment.ts'
@@ -17,6 +17,7 @@
 import { compareJobs } from './order.ts'
 import { Placer } from './placer.ts'
 import { Refusals, UNCONFIRMED_REASON } from './refusals.ts'
+import type { SentTask } from './sentTasks.ts'
 import { isWorthMoving, type SlowRun } from './slowRuns.ts'
 import { RunCounts } from './runCounts.ts'
 import { SpeedEstimate } from './speed.ts'
@@ -305,7 +306,7 @@
     const agent = this.agents.get(port.agentId)
     if (agent?.port !== port || agent.incarnation !== port.incarnation) return
     const heldAttempts = new Map(held.map(({ ref, attempt }) => [workers.taskKey(ref), attempt]))
-    for (const [key, sent] of [...agent.sent]) {
+    for (const [key, sent] of agent.sent.all) {
       if (sent.port === port) continue
       const heldAttempt = heldAttempts.get(key)
       if (heldAttempt === sent.attempt) sent.port = port
--- a/packages/scheduler/src/stopOrders.ts
+++ b/packages/scheduler/src/stopOrders.ts
@@ -1,8 +1,9 @@
 /** Orders to stop runs. An order stands until the end of its run is known, and is repeated on every link that opens meanwhile. */
 import type * as settings from '@egretvalve/settings'
 import * as workers from '@egretvalve/workers'
-import type { AgentPort, AgentRecord, SentTask } from './agents.ts'
+import type { AgentPort, AgentRecord } from './agents.ts'
 import { events } from './events.ts'
+import type { SentTask } from './sentTasks.ts'
 
 /** A task attempt that an agent reports as held. */
 export interface HeldTask {
--- a/test/unit/scheduler/placementLimit.test.ts
+++ b/test/unit/scheduler/placementLimit.test.ts
@@ -62,4 +62,56 @@
     await flushEventLoop()
     expect(ports[0]!.ordered.map(({ ref }) => `${ref.step}.${ref.index}`)).to.deep.equal(['0.0', '2.0'])
   })
+
+  // Guards against a task that starts beside the run of a sibling that is being stopped, since only the tasks of the new submission counted.
+  it('counts runs of an earlier submission until their end is known', async () => {
+    const bench = createBench()
+    const ports = connectAgents(bench, [{}, {}])
+    const earlier = bench.submit(createJob('job', 2, { maxPerWorker: 1 }))
+    await flushEventLoop()
+    const stopping = ports.find(({ ordered }) => ordered[0]!.ref.index === 1)!
+    const ended = ports.find(port => port !== stopping)!
+    bench.scheduler.abandon(earlier.job)
+    bench.scheduler.handleEnds(ended, [createEnd(ended.ordered[0]!, workers.TaskEnd.Lost)])
+    bench.scheduler.handleLoad(ended, createLoad({ isPresent: false, received: 1 }))
+    const again = bench.submit(createJob('job', 2, { maxPerWorker: 1 }))
+    await flushEventLoop()
+    expect(stopping.ordered.map(({ ref }) => ref.index), 'only the task whose earlier run is being stopped there').to.deep.equal([1, 1])
+    bench.scheduler.handleEnds(stopping, [createEnd(stopping.ordered[1]!, workers.TaskEnd.Done)])
+    await flushEventLoop()
+    expect(stopping.ordered.map(({ ref }) => ref.index)).to.deep.equal([1, 1, 0])
+    bench.scheduler.handleEnds(stopping, [createEnd(stopping.ordered[2]!, workers.TaskEnd.Done)])
+    expect(again.outcomes).to.deep.equal([{ kind: 'succeeded' }])
+  })
+
+  // Guards against a task that starts beside a sibling of the earlier submission when the order of their ends is the other one.
+  it('frees the place of a stopped run for a sibling once its end is known', async () => {
+    const bench = createBench()
+    const ports = connectAgents(bench, [{}])
+    const port = ports[0]!
+    const earlier = bench.submit(createJob('job', 2, { maxPerWorker: 1 }))
+    await flushEventLoop()
+    expect(port.ordered).to.have.length(1)
+    bench.scheduler.abandon(earlier.job)
+    bench.scheduler.handleEnds(port, [createEnd(port.ordered[0]!, workers.TaskEnd.Lost)])
+    bench.submit(createJob('job', 2, { maxPerWorker: 1 }))
+    await flushEventLoop()
+    expect(port.ordered).to.have.length(2)
+  })
+
+  // Guards against a sibling that starts on a worker whose agent is disconnected, or has restarted, while the run there may go on.
+  it('counts the run of a disconnected agent until the agent no longer holds it', async () => {
+    const bench = createBench()
+    const [first] = connectAgents(bench, [{}]) as [FakePort]
+    bench.submit(createJob('job', 2, { maxPerWorker: 1 }), {}, 10_000)
+    await flushEventLoop()
+    bench.scheduler.disconnect(first, 'test')
+    const second = new FakePort('agent-1')
+    bench.scheduler.connect(second, createLoad())
+    await flushEventLoop()
+    expect(second.ordered).to.deep.equal([])
+    bench.scheduler.reconcile(second, [])
+    await flushEventLoop()
+    expect(second.ordered).to.have.length(1)
+  })
 })
