Keep a task at an agent that holds an earlier run of it after its job ended

A job is abandoned, submitted again and abandoned again, and a link loses the second order. When the link is back, the agent lists the first run, which it is still stopping. The entry took the task for one that the agent does not hold: it released the claim of the job, and a third submission could start the task on another worker beside that run. The run did not count towards the limit of its step either.

Cause: Scheduler.reconcile marked a task lost when the agent's list had another attempt of it and its job had ended. Only for open jobs did it see that the attempt in the list is a run of the same task.

Change: the listed run takes the place of the lost order. The order to stop it stands, and the claim and the place at the worker are held until its end is reported.

The new test failed before: the third submission's task was sent to the other agent. unit/scheduler and unit/fleet passed with the change (263).

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -299,8 +299,8 @@
   /**
    * Applies the list of tasks that an agent holds for this entry. Tasks that were sent on an earlier link and are not in the list
    * will not start on the agent and are marked lost; if the agent holds an earlier run of such a task, the task is sent again, as the
-   * agent stops that run before it starts the task. Tasks in the list of which this entry has no record are stopped. Tasks sent on this
-   * link are skipped, as they may have crossed the list.
+   * agent stops that run before it starts the task. Once the job has ended, that run stands for the task until its end is known.
+   * Tasks in the list of which this entry has no record are stopped. Tasks sent on this link are skipped, as they may have crossed the list.
    */
   reconcile (port: AgentPort, held: readonly HeldTask[]): void {
     const agent = this.agents.get(port.agentId)
@@ -309,9 +309,9 @@
     for (const [key, sent] of agent.sent.all) {
       if (sent.port === port) continue
       const heldAttempt = heldAttempts.get(key)
-      if (heldAttempt === sent.attempt) sent.port = port
-      else if (heldAttempt !== undefined && !sent.job.hasEnded) this.placer.sendAgain(agent, sent)
-      else this.handleEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
+      if (heldAttempt === undefined) this.handleEnd(agent, { ref: sent.task.ref, attempt: sent.attempt, end: workers.TaskEnd.Lost, runMs: 0, reason: 'agent does not hold the task' })
+      else if (heldAttempt !== sent.attempt && !sent.job.hasEnded) this.placer.sendAgain(agent, sent)
+      else Object.assign(sent, { port, attempt: heldAttempt })
     }
     this.stopOrders.stopUnknown(port, held.filter(({ ref }) => !agent.sent.has(workers.taskKey(ref))))
     this.scheduleDispatch()
--- a/test/unit/scheduler/scheduler.test.ts
+++ b/test/unit/scheduler/scheduler.test.ts
@@ -190,6 +190,30 @@
     expect(other.ordered).to.deep.equal([])
   })
 
+  // Guards against a task that starts elsewhere beside its run, as the end of a job hid that the agent still holds an earlier attempt.
+  it('keeps a task at the agent that holds its earlier run when a link has lost the order of a job that ended', async () => {
+    const { scheduler: created, submit } = createBench()
+    const first = new FakePort('agent-1')
+    created.connect(first, createLoad())
+    for (let submission = 1; submission <= 2; submission++) {
+      const { job } = submit(createJob('job', 1))
+      await flushEventLoop()
+      created.abandon(job)
+    }
+    const other = new FakePort('agent-2')
+    created.connect(other, createLoad())
+    created.disconnect(first, 'test')
+    const second = new FakePort('agent-1')
+    created.connect(second, createLoad({ free: workers.NO_SIZE }))
+    created.reconcile(second, first.ordered.slice(0, 1))
+    submit(createJob('job', 1))
+    await flushEventLoop()
+    expect(other.ordered).to.deep.equal([])
+    created.handleEnds(second, [createEnd(first.ordered[0]!, workers.TaskEnd.Lost)])
+    await flushEventLoop()
+    expect(other.ordered.map(({ attempt }) => attempt)).to.deep.equal([3])
+  })
+
   // Guards against a task of a resubmitted job that starts elsewhere while the stop of its earlier run is not confirmed.
   it('sends a task of a resubmitted job to no other agent before the stop of its earlier run is confirmed', async () => {
     const { timers, scheduler: created, submit } = createBench()
