Play jobs with limits of tasks on one worker in the property test of a fleet

Jobs get a second step, parallel or after the first, and each step a limit of 1 to 3, under all faults: crashed, silent and restarted workers, paused and killed agents and entries, broken and silent links, callers that leave. A stand-in worker is asked at each start how many siblings it runs. After the faults each entry must fill a share of every worker with a limited job, so that no task waits beside a worker that it may use.

--- a/packages/standin/src/worker/standinWorker.ts
+++ b/packages/standin/src/worker/standinWorker.ts
@@ -92,6 +92,8 @@
   /** Returns the run time of a task in milliseconds. */
   workOf: (task: workers.TaskRef, spec: string) => number
   sizeOf: (task: workers.TaskRef) => workers.RunSize
+  /** Called for each start, before its run is active. */
+  onStart?: (task: workers.TaskRef) => void
   /** Returns the time from the start of a task to the crash that it causes, in milliseconds, or 0 for a crash before the start is answered; undefined for a task that causes none. */
   crashesAfterMs?: (task: workers.TaskRef, spec: string) => number | undefined
   /** True for a worker that starts what it is told to, also beyond its capacity. */
@@ -258,6 +260,7 @@
       if (this.options.isUnguarded !== true) return refuse(workers.StartRefusal.NoCapacity)
       if (this.faults.countsOverloads) this.options.runRecorder.overloads++
     }
+    this.options.onStart?.(call.ref.task)
     this.runs.add({ ref: call.ref, spec: call.spec, workMs: this.options.workOf(call.ref.task, call.spec), doneMs: 0, startedAtMs: this.options.timers.nowMs(), isStopping: false })
     this.options.runRecorder.recordStart(key)
     if (this.options.crashesAfterMs?.(call.ref.task, call.spec) === 0) {
--- a/scripts/exploreRuns.ts
+++ b/scripts/exploreRuns.ts
@@ -14,6 +14,7 @@
     from: { type: 'string', default: '1' },
     to: { type: 'string', default: '200' },
     path: { type: 'string', default: '40' },
+    limits: { type: 'boolean', default: false },
     late: { type: 'string', default: '0.03' },
     faults: { type: 'string', default: Object.values(FleetFault).join() }
   }
@@ -30,7 +31,7 @@
 /** Callers leave before their deadlines in every second seed. */
 async function playEntries (seed: number): Promise<string[]> {
   const faults = Object.values(FleetFault).filter(fault => values.faults.split(',').includes(fault))
-  return await playFleet({ seed, durationMs: 4_000, ...drawn, faults, hasLeavingCallers: seed % 2 === 1 })
+  return await playFleet({ seed, durationMs: 4_000, ...drawn, faults, hasLeavingCallers: seed % 2 === 1, hasLimits: values.limits })
 }
 
 async function main (): Promise<void> {
--- a/test/support/fleetWorld.ts
+++ b/test/support/fleetWorld.ts
@@ -25,6 +25,8 @@
 const REPORT_PERIOD_MS = 400
 const ENTRY_LIST_PERIOD_MS = 500
 const MAX_TASKS = 5
+/** Largest limit of the tasks of a step on one worker. */
+const MAX_LIMIT = 3
 /** Shortest and longest work of most tasks, and of the others, which still run when a paused process resumes, in milliseconds. */
 const MIN_WORK_MS = 20
 const MAX_WORK_MS = 400
@@ -84,6 +86,8 @@
   maxPathMs: number
   /** Share of the calls to workers and of the answers that are late, so that they count as lost. */
   lateShare: number
+  /** True if jobs have a second step, and steps a limit of tasks on one worker. */
+  hasLimits?: boolean
 }
 
 type Link = SimulatedLink<protocol.runs.IFromAgent, protocol.runs.FromAgent, protocol.runs.IFromEntry, protocol.runs.FromEntry>
@@ -106,8 +110,7 @@
 }
 
 interface WorldJob {
-  readonly jobId: string
-  readonly tasks: number
+  readonly spec: scheduler.JobSpec
   wasRefusedOnly: boolean
 }
 
@@ -126,10 +129,12 @@
   private readonly entries: WorldEntry[] = []
   private readonly agents: WorldAgent[] = []
   private readonly links = new Set<{ link: Link, entry: WorldEntry, agent: WorldAgent }>()
-  private readonly workMsByJob = new Map<string, number>()
+  private readonly specs = new Map<string, scheduler.JobSpec>()
   /** Ends that agents have reported, by incarnations of agent and entry, task and attempt. */
   private readonly reportedEnds = new Map<string, { kind: unknown, atMs: number }>()
   private readonly nextRandom: () => number
+  /** Draws the limits, so that the other draws of a seed are the same without them. */
+  private readonly nextLimitRandom: () => number
   private isFaulty = false
   private lives = 0
   private jobs = 0
@@ -137,8 +142,8 @@
   private activeFaults = 0
 
   constructor (private readonly options: FleetWorldOptions) {
-    const generator = prand.xoroshiro128plus(options.seed)
-    this.nextRandom = () => prand.unsafeUniformIntDistribution(0, 1_000_000, generator) / 1_000_001
+    this.nextRandom = createRandom(options.seed)
+    this.nextLimitRandom = createRandom(-options.seed)
   }
 
   async play (): Promise<string[]> {
@@ -181,7 +186,8 @@
     const worker: standin.StandinWorker = new standin.StandinWorker({
       workerId: `w-${number}`,
       total: TOTAL,
-      workOf: ({ jobId }) => this.workMsByJob.get(jobId) ?? MIN_WORK_MS,
+      workOf: ({ jobId, step }) => this.specs.get(jobId)?.steps[step]?.estimatedMs ?? MIN_WORK_MS,
+      onStart: task => { this.checkLimit(worker, task) },
       sizeOf: () => TASK_SIZE,
       clockRate: 0.98 + 0.02 * (number % 3),
       pathDelayMs: () => agent.extraPathMs! + (this.isFaulty && this.nextRandom() < options.lateShare ? this.nextRandom() * MAX_LATE_MS : this.nextRandom() * options.maxPathMs),
@@ -252,13 +258,39 @@
     if (worker.isRunning(task)) this.violations.push(`${workers.taskKey(task)} counts as ended while it runs: ${fields.reason}`)
   }
 
+  /** Checks that a worker gets no more tasks of a step than its limit. */
+  private checkLimit (worker: standin.StandinWorker, task: workers.TaskRef): void {
+    const { count, maxPerWorker } = this.specs.get(task.jobId)!.steps[task.step]!
+    if (maxPerWorker === undefined) return
+    const others = Array.from({ length: count }, (_, index) => ({ ...task, index })).filter(other => other.index !== task.index && worker.isRunning(other))
+    if (others.length >= maxPerWorker) this.violations.push(`${workers.taskKey(task)} started beside ${others.map(workers.taskKey).join()}, with a limit of ${maxPerWorker}`)
+  }
+
+  private createSpec (jobId: string, count: number, estimatedMs: number, maxPerWorker?: number): scheduler.JobSpec {
+    const spec: scheduler.JobSpec = { jobId, spec: '', steps: [{ count, size: TASK_SIZE, estimatedMs, after: [], maxPerWorker }] }
+    this.specs.set(jobId, spec)
+    return spec
+  }
+
+  private drawSpec (): scheduler.JobSpec {
+    const jobId = String(this.jobs++)
+    const count = 1 + Math.floor(this.nextRandom() * MAX_TASKS)
+    const spec = this.createSpec(jobId, count, this.nextRandom() < LONG_SHARE ? LONG_WORK_MS : MIN_WORK_MS + this.nextRandom() * (MAX_WORK_MS - MIN_WORK_MS))
+    if (this.options.hasLimits !== true) return spec
+    const drawLimit = (): number => 1 + Math.floor(this.nextLimitRandom() * MAX_LIMIT)
+    const first = spec.steps[0]!
+    const steps = [{ ...first, maxPerWorker: drawLimit() }, { ...first, after: this.nextLimitRandom() < 0.5 ? [0] : [], maxPerWorker: drawLimit() }]
+    const limited = { ...spec, steps }
+    this.specs.set(jobId, limited)
+    return limited
+  }
+
   /** Submits a job until it is answered, as a caller does. */
   private async callUntilAnswered (): Promise<void> {
-    const job: WorldJob = { jobId: String(this.jobs++), tasks: 1 + Math.floor(this.nextRandom() * MAX_TASKS), wasRefusedOnly: true }
-    this.workMsByJob.set(job.jobId, this.nextRandom() < LONG_SHARE ? LONG_WORK_MS : MIN_WORK_MS + this.nextRandom() * (MAX_WORK_MS - MIN_WORK_MS))
+    const job: WorldJob = { spec: this.drawSpec(), wasRefusedOnly: true }
     this.openCallers++
     for (let submission = 0; submission < MAX_SUBMISSIONS; submission++) {
-      const outcome = await this.submit(this.pick(this.entries), job.jobId, job.tasks, DEADLINE_MS)
+      const outcome = await this.submit(this.pick(this.entries), job.spec, DEADLINE_MS)
       if (outcome?.kind === 'refused') break
       job.wasRefusedOnly = false
       if (outcome?.kind === 'succeeded') this.checkSucceeded(job)
@@ -274,7 +306,7 @@
   }
 
   /** Submits a job once. Resolves with undefined if the entry has ended, or the caller has left before the answer. */
-  private async submit (entry: WorldEntry, jobId: string, tasks: number, deadlineMs: number): Promise<scheduler.JobOutcome | undefined> {
+  private async submit (entry: WorldEntry, spec: scheduler.JobSpec, deadlineMs: number): Promise<scheduler.JobOutcome | undefined> {
     const { process, scheduler: target } = entry
     const stayMs = this.options.hasLeavingCallers && this.isFaulty && this.nextRandom() < LEAVING_SHARE ? MIN_STAY_MS + this.nextRandom() * (MAX_STAY_MS - MIN_STAY_MS) : deadlineMs
     let outcomes = 0
@@ -297,9 +329,9 @@
       process.read(() => {
         // An entry drops a request whose caller has left before it was read.
         if (hasLeft) return
-        job = target.submit({ jobId, spec: '', steps: [{ count: tasks, size: TASK_SIZE, estimatedMs: this.workMsByJob.get(jobId)!, after: [] }] }, TERMS, deadlineMs)
+        job = target.submit(spec, TERMS, deadlineMs)
         job.onOutcome(outcome => {
-          if (++outcomes > 1) this.violations.push(`${jobId} was answered twice`)
+          if (++outcomes > 1) this.violations.push(`${spec.jobId} was answered twice`)
           checkAlive.cancel()
           timer.cancel()
           resolve(outcome)
@@ -412,22 +444,23 @@
 
   /** Checks that each entry can fill all workers at once, if need be after workers that failed are no longer ejected and estimates have aged. */
   private async probeCapacity (): Promise<void> {
-    for (const entry of this.entries) {
-      for (let attempt = 1, runs = await this.fillWorkers(entry); runs.some(count => count !== SLOTS); attempt++, runs = await this.fillWorkers(entry)) {
-        if (attempt === PROBE_ATTEMPTS) {
-          this.violations.push(`${entry.address} fills ${runs.join()} of ${SLOTS} slots each`)
-          break
-        }
-        await passTime(this.timers, PROBE_PAUSE_MS)
+    const shares = this.options.hasLimits === true ? [SLOTS, 1, MAX_LIMIT] : [SLOTS]
+    for (const entry of this.entries) for (const share of shares) await this.probeShare(entry, share)
+  }
+
+  private async probeShare (entry: WorldEntry, share: number): Promise<void> {
+    for (let attempt = 1, runs = await this.fillWorkers(entry, share); runs.some(count => count !== share); attempt++, runs = await this.fillWorkers(entry, share)) {
+      if (attempt === PROBE_ATTEMPTS) {
+        this.violations.push(`${entry.address} fills ${runs.join()} of ${share} slots each`)
+        return
       }
+      await passTime(this.timers, PROBE_PAUSE_MS)
     }
   }
 
-  /** Submits a job that fills all workers, and returns how many of its tasks run on each. */
-  private async fillWorkers (entry: WorldEntry): Promise<number[]> {
-    const jobId = `probe-${this.jobs++}`
-    this.workMsByJob.set(jobId, MAX_WORK_MS)
-    this.submit(entry, jobId, AGENTS * SLOTS, PROBE_DEADLINE_MS)
+  /** Submits a job that fills a share of the slots of all workers, and returns how many of its tasks run on each. */
+  private async fillWorkers (entry: WorldEntry, share: number): Promise<number[]> {
+    this.submit(entry, this.createSpec(`probe-${this.jobs++}`, AGENTS * share, MAX_WORK_MS, share === SLOTS ? undefined : share), PROBE_DEADLINE_MS)
     await passTime(this.timers, MAX_WORK_MS / 2)
     const runs = this.agents.map(({ worker }) => worker.runCount)
     await passTime(this.timers, PROBE_DEADLINE_MS)
@@ -444,6 +477,12 @@
   }
 }
 
-function taskKeys ({ jobId, tasks }: WorldJob): string[] {
-  return Array.from({ length: tasks }, (_, index) => workers.taskKey({ jobId, step: 0, index }))
+function taskKeys ({ spec: { jobId, steps } }: WorldJob): string[] {
+  return steps.flatMap(({ count }, step) => Array.from({ length: count }, (_, index) => workers.taskKey({ jobId, step, index })))
+}
+
+/** Returns a generator of numbers from 0 to 1. */
+function createRandom (seed: number): () => number {
+  const generator = prand.xoroshiro128plus(seed)
+  return () => prand.unsafeUniformIntDistribution(0, 1_000_000, generator) / 1_000_001
 }
