Tell tasks that wait for the limit of their step from those without room

What operators saw: a task that waited beside free workers, since each had as many of its step as the limit allows, looked like one that waits for free capacity. Agents were sent a demand for it and kept capacity free, which helped nobody.

--- a/packages/scheduler/src/demandNotifier.ts
+++ b/packages/scheduler/src/demandNotifier.ts
@@ -1,7 +1,7 @@
 /** Sends agents the demand of an entry: its most urgent tasks that wait for capacity. Agents give freed capacity to the most urgent demand of all entries. */
 import type * as workers from '@egretvalve/workers'
 import type { AgentRecord, Agents } from './agents.ts'
-import type { Job } from './job.ts'
+import type { Job, Task } from './job.ts'
 import { latestStartOf, type OrderKey, rankOf } from './order.ts'
 
 /** Period in which a demand is sent again while tasks wait. Agents drop a demand after 250 ms. */
@@ -37,12 +37,14 @@
 
   /** Sends the demand of the first job in `queue` that still waits for capacity, for each service, and the end of demands without such a job. */
   update (queue: readonly QueuedJob[], agents: Agents, nowMs: number): void {
-    const waiting = new Map<string, QueuedJob>()
+    const waiting = new Map<string, { queued: QueuedJob, tasks: Task[] }>()
     for (const queued of queue) {
       const { service } = queued.job.terms
-      if (!waiting.has(service) && queued.job.hasWaitingTask) waiting.set(service, queued)
+      if (waiting.has(service) || !queued.job.hasWaitingTask) continue
+      const tasks = queued.job.tasksWithoutRoom()
+      if (tasks.length > 0) waiting.set(service, { queued, tasks })
     }
-    for (const [service, queued] of waiting) this.notify(service, createDemand(queued, nowMs), agents.usable, nowMs)
+    for (const [service, { queued, tasks }] of waiting) this.notify(service, createDemand(queued, tasks, nowMs), agents.usable, nowMs)
     for (const service of this.demandedServices) {
       if (!waiting.has(service)) this.notify(service, undefined, agents.all, nowMs)
     }
@@ -74,8 +76,7 @@
   }
 }
 
-function createDemand (queued: QueuedJob, nowMs: number): workers.Demand {
-  const tasks = queued.job.waitingTasks()
+function createDemand (queued: QueuedJob, tasks: readonly Task[], nowMs: number): workers.Demand {
   return { rank: rankOf(queued, nowMs), latestStartAtMs: latestStartOf(queued), size: queued.job.stepOf(tasks[0]!).size, count: tasks.length }
 }
 
--- a/packages/scheduler/src/events.ts
+++ b/packages/scheduler/src/events.ts
@@ -20,5 +20,6 @@
   QueueContained: { code: 11014, level: Warn, message: 'queue contained: its tasks crash workers, and it keeps only a part of them' },
   QueueReleased: { code: 11015, level: Info, message: 'queue no longer contained' },
   StaleRunStopped: { code: 11016, level: Warn, message: 'runs stopped that their entry no longer wants' },
-  RequestLate: { code: 11017, level: Warn, message: 'caller left right after its job was accepted; the request was probably late, and the job may run at another entry' }
+  RequestLate: { code: 11017, level: Warn, message: 'caller left right after its job was accepted; the request was probably late, and the job may run at another entry' },
+  TasksAtLimit: { code: 11018, level: Info, message: 'tasks wait as workers with free capacity have as many of their step as its limit allows' }
 })
--- a/packages/scheduler/src/job.ts
+++ b/packages/scheduler/src/job.ts
@@ -25,6 +25,8 @@
   failures: number
   agentId: string | undefined
   sentAtMs: number
+  /** True while it waits for the limit of its step on each worker, and not for free capacity. Set in each dispatch pass. */
+  isAtLimit: boolean
   /** How the last attempt ended, for the log; undefined before the first end and after success. */
   lastEnd: string | undefined
   /** Agents on which the task failed, was refused by an unhealthy worker, or was stopped as slow or stalled. */
@@ -45,6 +47,8 @@
   readonly usefulUntilMs: number
   readonly deadlineAtMs: number
   readonly tasks: Task[][]
+  /** Steps with tasks that have waited for their limit on each worker. */
+  readonly limitedSteps = new Set<number>()
   /** True once this entry holds the claim on the job, and may start its tasks. */
   hasClaim = false
   /** True if another entry may have started tasks of the job. */
@@ -115,6 +119,11 @@
     return waiting
   }
 
+  /** Returns the tasks that wait for free capacity. */
+  tasksWithoutRoom (): Task[] {
+    return this.waitingTasks().filter(task => !task.isAtLimit)
+  }
+
   /** True while a task is to be placed. */
   get hasWaitingTask (): boolean {
     return this.waitingCounts.some(count => count > 0)
@@ -194,6 +203,7 @@
     failures: 0,
     agentId: undefined,
     sentAtMs: 0,
+    isAtLimit: false,
     lastEnd: undefined,
     avoided: new Set<string>()
   }))
--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -42,6 +42,8 @@
 export class Placer {
   /** Number of tasks sent since the process started. */
   sentCount = 0
+  /** Number of steps of jobs with tasks that have waited for their limit on each worker. */
+  limitedStepCount = 0
 
   constructor (private readonly context: PlacerContext) {}
 
@@ -70,6 +72,7 @@
     let candidates: Candidate[] = []
     let sample: Candidate[] = []
     let isStepBlocked = false
+    let isStepAtLimit = false
     for (const task of job.waitingTasks()) {
       if (this.isSuspect(task) || this.awaitsVerdict(task)) continue
       if (task.ref.step !== step) {
@@ -79,11 +82,39 @@
         sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.context.entryCount()), this.context.random)
       }
       const holderId = this.context.stopOrders.findHolder(task.ref)
-      if (holderId === undefined ? isStepBlocked : !candidates.some(({ agentId }) => agentId === holderId)) continue
+      if (holderId !== undefined && !candidates.some(({ agentId }) => agentId === holderId)) continue
+      if (holderId === undefined && isStepBlocked) {
+        task.isAtLimit = isStepAtLimit
+        continue
+      }
       const hasWorker = this.placeTask(job, task, sample, candidates, reserved)
       if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
-      if (holderId === undefined) isStepBlocked = !hasWorker
+      else task.isAtLimit = holderId === undefined && this.isHeldByLimit(job, task, candidates)
+      if (holderId !== undefined) continue
+      isStepBlocked = !hasWorker
+      isStepAtLimit = task.isAtLimit
     }
+    this.recordLimited(job)
+  }
+
+  /** Returns true if all workers have reached the limit of a task's step, and one of them has free capacity for the task. */
+  private isHeldByLimit (job: Job, task: Task, candidates: readonly Candidate[]): boolean {
+    const step = job.stepOf(task)
+    if (step.maxPerWorker === undefined) return false
+    const isWithinLimit = this.createLimitCheck(job, task)
+    return !candidates.some(({ agentId }) => isWithinLimit(agentId)) && candidates.some(({ free }) => workers.fits(free, step.size))
+  }
+
+  /** Counts and logs each step once whose tasks wait for its limit. */
+  private recordLimited (job: Job): void {
+    job.spec.steps.forEach(({ maxPerWorker }, step) => {
+      if (maxPerWorker === undefined || job.limitedSteps.has(step)) return
+      const tasks = job.tasks[step]!.filter(task => task.phase === TaskPhase.Waiting && task.isAtLimit).length
+      if (tasks === 0) return
+      job.limitedSteps.add(step)
+      this.limitedStepCount++
+      this.context.log.event(events.TasksAtLimit, { jobId: job.id, step, tasks, maxPerWorker, ageMs: Math.round(this.nowMs - job.arrivedAtMs) })
+    })
   }
 
   /**
@@ -104,12 +135,16 @@
         candidates = this.findCandidates(job, number, NONE_RESERVED, true)
       }
       const chosen = chooseForSuspect(this.filterFor(job, task, candidates), step, sharedIds)
-      if (chosen === undefined) continue
+      if (chosen === undefined) {
+        task.isAtLimit = this.isHeldByLimit(job, task, candidates)
+        continue
+      }
       this.send(job, task, chosen)
       Object.assign(chosen, this.createCandidate(this.context.agents.get(chosen.agentId)!, step))
       sharedIds.add(chosen.agentId)
       placed.push(this.describePlacement(task))
     }
+    this.recordLimited(job)
     this.logPlaced(job, placed)
   }
 
@@ -221,6 +256,7 @@
     const agent = this.context.agents.get(chosen.agentId)!
     task.attempt++
     job.setPhase(task, TaskPhase.Sent)
+    task.isAtLimit = false
     task.agentId = agent.agentId
     task.sentAtMs = this.nowMs
     job.recordSent()
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -73,6 +73,8 @@
   /** Jobs that failed because workers crashed under one of their tasks. They are counted as failed too. */
   givenUp: number
   moves: number
+  /** Steps with tasks that have waited for their limit on each worker, beside workers with free capacity. */
+  limitedSteps: number
   /** Jobs whose callers left right after tasks were sent. */
   lateRequests: number
   /** Runs that went on after their stop had been ordered, or that were unknown here, and were stopped later. */
@@ -138,7 +140,7 @@
   }
 
   get counters (): SchedulerCounters {
-    return { ...this.counts, staleRunsStopped: this.stopOrders.staleCount }
+    return { ...this.counts, limitedSteps: this.placer.limitedStepCount, staleRunsStopped: this.stopOrders.staleCount }
   }
 
   /** Number of tasks sent since the process started. */
--- a/test/support/schedulerBench.ts
+++ b/test/support/schedulerBench.ts
@@ -47,15 +47,20 @@
 export interface Bench {
   timers: settings.FakeTimers
   scheduler: scheduler.Scheduler
+  /** Log events, oldest first. */
+  logged: Array<{ code: number, fields: settings.LogFields | undefined }>
   submit: (spec: scheduler.JobSpec, terms?: Partial<scheduler.JobTerms>, deadlineMs?: number) => { job: scheduler.Job, outcomes: scheduler.JobOutcome[] }
 }
 
 export function createBench (): Bench {
   const timers = new settings.FakeTimers()
-  const created = new scheduler.Scheduler({ timers, log: settings.createSilentLog(), random: () => 0.5, failureDomain: 'a' })
+  const logged: Bench['logged'] = []
+  const log: settings.Log = { ...settings.createSilentLog(), event: ({ code }, fields) => { logged.push({ code, fields }) } }
+  const created = new scheduler.Scheduler({ timers, log, random: () => 0.5, failureDomain: 'a' })
   return {
     timers,
     scheduler: created,
+    logged,
     submit: (spec, terms = {}, deadlineMs = 2_000) => {
       const outcomes: scheduler.JobOutcome[] = []
       const job = created.submit(spec, { ...TERMS, ...terms }, deadlineMs)
--- a/test/unit/scheduler/placementLimit.test.ts
+++ b/test/unit/scheduler/placementLimit.test.ts
@@ -114,4 +114,17 @@
     await flushEventLoop()
     expect(second.ordered).to.have.length(1)
   })
+
+  // Guards against tasks that look as if they waited for free capacity, and against agents that keep capacity free for them.
+  it('tells tasks that wait for it from those that wait for free capacity', async () => {
+    const bench = createBench()
+    const [port] = connectAgents(bench, [{}]) as [FakePort]
+    bench.submit(createJob('limited', 3, { maxPerWorker: 1 }))
+    await flushEventLoop()
+    expect([port.ordered.length, port.demands.length, bench.scheduler.counters.limitedSteps]).to.deep.equal([1, 0, 1])
+    bench.submit(createJob('large', 11))
+    await flushEventLoop()
+    expect([port.ordered.length, port.demands.at(-1)?.count, bench.scheduler.counters.limitedSteps]).to.deep.equal([10, 2, 1])
+    expect(bench.logged.filter(({ code }) => code === 11018).map(({ fields }) => fields)).to.deep.equal([{ jobId: 'limited', step: 0, tasks: 2, maxPerWorker: 1, ageMs: 0 }])
+  })
 })
