Stop reading the sockets of requests that the budget makes wait

What callers saw: an entry ended, out of memory, when clients opened many connections with large bodies and stopped short of their end. The calls that ordinary callers had there were lost.

Cause: a connection that waits for room in the budget went on being read. Connection.pause pauses the request and the socket. Node.js reads the socket again when the request's buffer is not full, and reports that with "resume"; the listener answered with socket.pause(). That did nothing, as the socket counted as paused already, so its "pause" listener, which stops the reads, was not called. Each wait let a few reads of 64 KB pass into the buffer of the request, where nothing counted them.

Change: pausing a connection stops its reads at the handle, whatever the stream believes.

--- a/packages/runtime/src/connections.ts
+++ b/packages/runtime/src/connections.ts
@@ -70,6 +70,7 @@
   pause (): void {
     this.last?.request.pause()
     this.socket.pause()
+    stopReading(this.socket)
   }
 
   resume (): void {
@@ -156,8 +157,8 @@
     const connection = new Connection(socket, this.timers.nowMs(), this.dropRequest)
     this.connections.set(socket, connection)
     this.budget.add(connection)
-    // A request whose buffer is not full lets its socket be read again, up to some 200 KB, although it is paused.
-    socket.on('resume', () => { if (connection.isPaused) socket.pause() })
+    // A request whose buffer is not full lets its socket be read again, although it is paused.
+    socket.on('resume', () => { if (connection.isPaused) connection.pause() })
     socket.once('close', () => {
       this.connections.delete(socket)
       this.budget.remove(connection)
@@ -242,6 +243,14 @@
   }
 }
 
+/** Stops reading a socket at once. `pause` alone does nothing for a socket that counts as paused, although it may have been read again since. */
+function stopReading (socket: net.Socket): void {
+  const { _handle: handle } = socket as unknown as { _handle: { reading: boolean, readStop: () => number } | null }
+  if (handle == null) return
+  handle.reading = false
+  handle.readStop()
+}
+
 /** Sets the number of connections that may wait at the listener to the minimum. Those that wait already stay. */
 function limitAcceptQueue (server: net.Server): void {
   const { _handle: handle } = server as unknown as { _handle: { listen: (backlog: number) => number } | null }
