Count request bodies as they are read

Cause: bytes in the buffer of a request are not counted before readBody takes them. They stayed there while moleculer-web routed the request, which takes some turns of the event loop, and for as long as a request waited for room, since it was paused with what the current read had brought.

Change: the body is read from the event that announces its request, and a connection that waits is paused at its socket only. What one read brings is then copied and counted before the next socket is read.

The new test failed before: 1,303,958 bytes in buffers of requests, of 65,536 allowed.

--- a/packages/runtime/src/connections.ts
+++ b/packages/runtime/src/connections.ts
@@ -67,15 +67,14 @@
     return isReceiving ? HolderState.Receiving : HolderState.Answering
   }
 
+  /** Stops reads of the socket. The request goes on delivering what has been read, so that its body is counted and nothing stays in its own buffer. */
   pause (): void {
-    this.last?.request.pause()
     this.socket.pause()
     stopReading(this.socket)
   }
 
   resume (): void {
     this.socket.resume()
-    this.last?.request.resume()
   }
 
   drop (cause: DropCause): void {
@@ -156,9 +155,9 @@
     this.acceptedCount++
     const connection = new Connection(socket, this.timers.nowMs(), this.dropRequest)
     this.connections.set(socket, connection)
-    this.budget.add(connection)
-    // A request whose buffer is not full lets its socket be read again, although it is paused.
+    // A request that is consumed lets its socket be read again, although it is paused.
     socket.on('resume', () => { if (connection.isPaused) connection.pause() })
+    this.budget.add(connection)
     socket.once('close', () => {
       this.connections.delete(socket)
       this.budget.remove(connection)
--- a/packages/runtime/src/web.ts
+++ b/packages/runtime/src/web.ts
@@ -5,6 +5,7 @@
 import type * as moleculer from 'moleculer'
 import ApiService from 'moleculer-web'
 import * as protocol from '@egretvalve/protocol'
+import type * as results from 'ts-results'
 import type * as settings from '@egretvalve/settings'
 import type { AcceptDelay } from './acceptDelay.ts'
 import { formatAddress, parseAddress } from './addresses.ts'
@@ -114,6 +115,8 @@
   private isStopping = false
   /** Time that each connection waited to be accepted, in milliseconds, until its first request. */
   private readonly acceptDelaysMs = new WeakMap<net.Socket, number>()
+  /** Bodies of the requests that are being routed. */
+  private readonly bodies = new WeakMap<http.IncomingMessage, Promise<results.Result<Buffer, protocol.StepError>>>()
 
   constructor (private readonly options: WebServerOptions) {
     this.maxBodyBytes = options.maxBodyBytes
@@ -193,6 +196,8 @@
     const screened = (handle: http.RequestListener): http.RequestListener => (request, response) => {
       const answer = this.options.screen?.(request, this.acceptDelaysMs.get(request.socket) ?? 0)
       if (answer === undefined) {
+        // Routing takes some turns of the event loop. What comes meanwhile would stay in the request's own buffer, uncounted.
+        this.bodies.set(request, this.readBody(request))
         handle(request, response)
         return
       }
@@ -235,10 +240,14 @@
     else writeResponse(response, answer, this.closesConnection)
   }
 
+  private async readBody (request: http.IncomingMessage): Promise<results.Result<Buffer, protocol.StepError>> {
+    return await readBody(request, this.maxBodyBytes, bytes => { this.connections!.countHeld(request, bytes) })
+  }
+
   private async answer (route: RequestHandling, request: MoleculerRequest, response: http.ServerResponse): Promise<WebResponse | undefined> {
     const waitedMs = this.acceptDelaysMs.get(request.socket) ?? 0
     this.acceptDelaysMs.delete(request.socket)
-    const body = await readBody(request, this.maxBodyBytes, bytes => { this.connections!.countHeld(request, bytes) })
+    const body = await (this.bodies.get(request) ?? this.readBody(request))
     if (body.err) return errorResponse(413, protocol.ErrorCode.InvalidInput, body.val.message, 'body')
     try {
       return await route.handle(createWebRequest(route.method, request, response, body.val, waitedMs))
--- a/test/unit/runtime/pausedConnections.test.ts
+++ b/test/unit/runtime/pausedConnections.test.ts
@@ -1,24 +1,31 @@
-/** Guards against connections that are read on although the budget keeps them from being read. */
+/** Guards against memory that unfinished requests hold beyond the budget: what is read of connections that should wait, and what is not counted. */
 import * as diagnostics from 'node:diagnostics_channel'
 import type * as http from 'node:http'
 import * as net from 'node:net'
 import { expect } from 'chai'
 import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
+import { createUnendingRequest } from '../../fixtures/clientLoad.ts'
 
 /** The most that one read takes from a socket. */
 const READ_BYTES = 64 * 1024
 const BODY_BYTES = 4 * 1024 * 1024
-const MAX_HELD_BYTES = 256 * 1024
-const CONNECTIONS = 24
+const CHUNK_BYTES = 1_000
+const OBSERVED_MS = 500
 const REQUEST_STARTED = 'http.server.request.start'
 
+/** Returns a request without the last byte of its body. */
+function createUnfinished (bodyBytes: number): Buffer {
+  return Buffer.from(`POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${bodyBytes}\r\n\r\n${'7'.repeat(bodyBytes - 1)}`)
+}
+
 describe('WebServer whose budget is full', () => {
   const timers = new settings.TimerService()
-  const budget = new runtime.RequestBudget({ maxHeldBytes: MAX_HELD_BYTES, maxConnections: 100 }, timers)
-  const received: Array<{ request: http.IncomingMessage, socket: net.Socket }> = []
-  const record = (message: unknown): void => { received.push(message as { request: http.IncomingMessage, socket: net.Socket }) }
+  const requests = new Set<http.IncomingMessage>()
+  const record = (message: unknown): void => { requests.add((message as { request: http.IncomingMessage }).request) }
+  let budget: runtime.RequestBudget
   let server: runtime.WebServer
+  let port: number
   let clients: net.Socket[] = []
 
   before(() => { diagnostics.subscribe(REQUEST_STARTED, record) })
@@ -26,33 +33,50 @@
   afterEach(async () => {
     for (const client of clients) client.destroy()
     await server.stop()
-    received.length = 0
+    requests.clear()
   })
 
   after(() => { diagnostics.unsubscribe(REQUEST_STARTED, record) })
 
-  it('reads no more than once from the sockets that it does not have to read', async () => {
-    server = new runtime.WebServer({
-      broker: runtime.createBroker('paused'),
-      timers,
-      name: 'paused',
-      listen: '127.0.0.1:0',
-      routes: [{ method: 'POST', path: '/', handle: async () => runtime.textResponse(200, '') }],
-      maxBodyBytes: BODY_BYTES,
-      requestTimeoutMs: 30_000,
-      budget
-    })
-    const port = Number((await server.start()).split(':')[1])
-    const head = `POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${BODY_BYTES}\r\n\r\n`
-    clients = Array.from({ length: CONNECTIONS }, () => {
+  async function start (maxHeldBytes: number): Promise<void> {
+    budget = new runtime.RequestBudget({ maxHeldBytes, maxConnections: 1_000 }, timers)
+    const handle = async (): Promise<runtime.WebResponse> => runtime.textResponse(200, 'whole')
+    server = new runtime.WebServer({ broker: runtime.createBroker('paused'), timers, name: 'paused', listen: '127.0.0.1:0', routes: [{ method: 'POST', path: '/', handle }], maxBodyBytes: BODY_BYTES, requestTimeoutMs: 30_000, budget })
+    port = Number((await server.start()).split(':')[1])
+  }
+
+  /** Opens connections that send bytes and stay open. */
+  function connectClients (count: number, bytes: Buffer): void {
+    clients = Array.from({ length: count }, () => {
       const client = net.connect(port, '127.0.0.1')
       client.on('error', () => {})
-      client.write(head + '7'.repeat(BODY_BYTES - 1))
+      client.resume()
+      client.write(bytes)
       return client
     })
-    while (received.length < CONNECTIONS) await timers.sleep(5)
-    await timers.sleep(500)
-    const readBytes = received.reduce((sum, { socket }) => sum + socket.bytesRead, 0)
-    expect(readBytes).to.be.at.most(MAX_HELD_BYTES * 2 + CONNECTIONS * READ_BYTES)
+  }
+
+  /** Returns how much has been read from the sockets of the requests. */
+  function readBytes (): number {
+    return [...requests].reduce((sum, { socket }) => sum + socket.bytesRead, 0)
+  }
+
+  it('reads no more than once from a connection that has to wait', async () => {
+    await start(256 * 1024)
+    connectClients(24, createUnfinished(BODY_BYTES))
+    while (requests.size < 24) await timers.sleep(5)
+    await timers.sleep(OBSERVED_MS)
+    expect(readBytes()).to.be.at.most(512 * 1024 + 24 * READ_BYTES)
+  })
+
+  it('leaves nothing that it has read in buffers of requests, where the budget does not count it', async () => {
+    await start(1024 * 1024)
+    connectClients(24, createUnendingRequest('/', 'a', BODY_BYTES, CHUNK_BYTES))
+    let peakBytes = 0
+    for (const endsAtMs = timers.nowMs() + OBSERVED_MS; timers.nowMs() < endsAtMs; await timers.sleep(2)) {
+      peakBytes = Math.max(peakBytes, [...requests].reduce((sum, { readableLength }) => sum + readableLength, 0))
+    }
+    expect(requests.size).to.be.above(0)
+    expect(peakBytes).to.be.at.most(READ_BYTES)
   })
 })
