Stop all reads that can wait while the request budget is far exceeded

Cause: each connection was read once, however much was held, and one read takes up to 64 KB. With thousands of connections their number decided what the process held, not the budget.

Change: once more than 1.25 times the budget is held, the process stops all reads at once, but those of connections whose request it answers, within the turn of the event loop. Connections are read again as far as there is room for what one read brings, those that hold the least first, and a few every 50 ms in any case. While connections of which nothing was read wait, an unfinished request may be dropped after 100 ms without progress in place of 1 s: most of those that wait bring small requests.

--- a/packages/runtime/src/requestBudget.ts
+++ b/packages/runtime/src/requestBudget.ts
@@ -13,6 +13,8 @@
 export const PROGRESS_BYTES = 1_024
 /** A request without progress for this long may be dropped for others, in milliseconds. Ordinary bodies arrive within a few hundred. */
 const FRESH_MS = 1_000
+/** The same while connections of which nothing has been read wait for room, in milliseconds: most of them bring small requests. */
+const CROWDED_FRESH_MS = 100
 /** A request without progress for this long is closed, in milliseconds. */
 export const STALL_LIMIT_MS = 10_000
 /** A fresh request is dropped only if it holds more than the largest body on the platform. */
@@ -25,6 +27,10 @@
 /** An idle connection is closed only if its socket was polled within this time, in milliseconds: what has come since then is lost. */
 const MAX_UNREAD_MS = 100
 const CHECK_PERIOD_MS = 500
+/** Period in which some of the connections that wait are read although there is no room, in milliseconds, so that idle ones are told from others. */
+const GRANT_PERIOD_MS = 50
+/** Number of connections that are read in each such period. */
+const GRANTED_READS = 16
 const REPORT_PERIOD_MS = 1_000
 
 /** Share of the memory that unfinished requests may hold, and its bounds. 32 MB leave room below a growth of 128 MB for the garbage of chunks. */
@@ -69,9 +75,9 @@
  * Returns the holder to drop when too many bytes are held: without progress for the longest time, of the peer that holds the most.
  * Then come large bodies that still make progress, then idle connections. Fresh ordinary requests and those read completely are never chosen.
  */
-export function chooseDropped<H extends Holder> (holders: readonly H[], nowMs: number): H | undefined {
+export function chooseDropped<H extends Holder> (holders: readonly H[], nowMs: number, freshMs = FRESH_MS): H | undefined {
   const receiving = holders.filter(({ state }) => state === HolderState.Receiving)
-  const isStale = ({ progressAtMs }: H): boolean => nowMs - progressAtMs >= FRESH_MS
+  const isStale = ({ progressAtMs }: H): boolean => nowMs - progressAtMs >= freshMs
   const candidates = [
     receiving.filter(isStale),
     receiving.filter(({ heldBytes }) => heldBytes > MAX_ORDINARY_BYTES),
@@ -107,6 +113,8 @@
   isPaused: boolean
   /** True if a request was being received at the last check. */
   wasReceiving: boolean
+  /** Stops reads until `resume` is called. Missing for connections that are always read. */
+  pause?: () => void
   resume: () => void
   /** Ends the unfinished request and closes the connection. */
   drop: (cause: DropCause) => void
@@ -158,6 +166,10 @@
   private readonly holders = new Set<BudgetHolder>()
   private readonly waiting = new Set<BudgetHolder>()
   private isPassScheduled = false
+  private retry: settings.TimerHandle | undefined
+  private grantedAtMs = Number.NEGATIVE_INFINITY
+  /** True once all connections that may be paused were, until some are read again. */
+  private areReadsStopped = false
   private checks: settings.TimerHandle | undefined
 
   constructor (private limits: BudgetLimits, private readonly timers: settings.Timers) {}
@@ -180,6 +192,7 @@
     this.grow(holder, CONNECTION_BYTES)
     this.checks ??= this.timers.every(CHECK_PERIOD_MS, () => { this.runAfterPoll((polledAtMs, nowMs) => { this.check(polledAtMs, nowMs) }) })
     if (this.isOverLimits) this.schedulePass()
+    if (this.isReserveFull) this.makeWait(holder)
   }
 
   remove (holder: BudgetHolder): void {
@@ -200,7 +213,8 @@
     const { maxHeldBytes } = this.limits
     if (this.heldBytes <= maxHeldBytes) return true
     this.schedulePass()
-    if (holder.heldBytes <= SMALL_REQUEST_BYTES && this.heldBytes <= maxHeldBytes * RESERVE_FACTOR) return true
+    if (this.isReserveFull) this.stopReads()
+    else if (holder.heldBytes <= SMALL_REQUEST_BYTES) return true
     holder.isPaused = true
     this.waiting.add(holder)
     return false
@@ -224,6 +238,24 @@
     })
   }
 
+  private get isReserveFull (): boolean {
+    return this.heldBytes > this.limits.maxHeldBytes * RESERVE_FACTOR
+  }
+
+  /** Pauses all connections but those whose request has been read, since each could bring as much as one read takes in this turn of the event loop. */
+  private stopReads (): void {
+    if (this.areReadsStopped) return
+    this.areReadsStopped = true
+    for (const holder of this.holders) if (holder.state !== HolderState.Answering) this.makeWait(holder)
+  }
+
+  private makeWait (holder: BudgetHolder): void {
+    if (holder.isPaused || holder.pause === undefined) return
+    holder.isPaused = true
+    this.waiting.add(holder)
+    holder.pause()
+  }
+
   private get isOverLimits (): boolean {
     return this.heldBytes > this.limits.maxHeldBytes || this.holders.size > this.limits.maxConnections
   }
@@ -278,26 +310,48 @@
   private makeRoom (polledAtMs: number, nowMs: number): void {
     const { maxHeldBytes, maxConnections } = this.limits
     while (this.holders.size > maxConnections) {
-      const holder = chooseClosed([...this.holders], polledAtMs)
-      if (holder === undefined || (holder.state === HolderState.Idle && nowMs - polledAtMs > MAX_UNREAD_MS)) break
+      const holder = chooseClosed(this.polledHolders, polledAtMs) ?? chooseClosed([...this.holders], polledAtMs)
+      if (holder === undefined || (holder.state === HolderState.Idle && !holder.isPaused && nowMs - polledAtMs > MAX_UNREAD_MS)) break
       this.counters.connectionsClosedOverLimit++
       this.drop(holder, DropCause.TooManyConnections)
     }
+    const freshMs = [...this.waiting].some(({ heldBytes }) => heldBytes <= CONNECTION_BYTES) ? CROWDED_FRESH_MS : FRESH_MS
     while (this.heldBytes > maxHeldBytes - (this.waiting.size > 0 ? READ_BYTES : 0)) {
-      const holder = chooseDropped([...this.holders], polledAtMs)
+      const holder = chooseDropped(this.polledHolders, polledAtMs, freshMs)
       if (holder === undefined || (holder.state === HolderState.Idle && nowMs - polledAtMs > MAX_UNREAD_MS)) break
       this.counters.requestsDroppedFull++
       this.drop(holder, DropCause.BudgetFull)
     }
-    let roomBytes = maxHeldBytes - this.heldBytes
-    for (const holder of this.waiting) {
-      if (roomBytes < READ_BYTES) return
-      roomBytes -= READ_BYTES
+    this.resumeWaiting(nowMs)
+  }
+
+  /** Holders whose sockets were read, or would have been. A connection that waits, and of which nothing was read, may bring a request. */
+  private get polledHolders (): BudgetHolder[] {
+    return [...this.holders].filter(({ state, isPaused }) => state !== HolderState.Idle || !isPaused)
+  }
+
+  /** Lets connections be read again while there is room for what one read brings, and a few in any case; those that hold the least come first. */
+  private resumeWaiting (nowMs: number): void {
+    if (this.waiting.size === 0) return
+    const { maxHeldBytes } = this.limits
+    let expectedBytes = this.heldBytes
+    let granted = nowMs - this.grantedAtMs >= GRANT_PERIOD_MS ? GRANTED_READS : 0
+    if (granted > 0) this.grantedAtMs = nowMs
+    for (const holder of [...this.waiting].sort((left, right) => left.heldBytes - right.heldBytes)) {
+      const isSmall = holder.heldBytes <= SMALL_REQUEST_BYTES
+      expectedBytes += READ_BYTES
+      if (expectedBytes > (isSmall ? maxHeldBytes * RESERVE_FACTOR : maxHeldBytes) && (!isSmall || granted-- <= 0)) break
       this.waiting.delete(holder)
+      this.areReadsStopped = false
       holder.isPaused = false
       holder.progressAtMs = nowMs
       holder.resume()
     }
+    if (this.waiting.size === 0 || this.retry !== undefined) return
+    this.retry = this.timers.after(GRANT_PERIOD_MS, () => {
+      this.retry = undefined
+      if (this.waiting.size > 0) this.schedulePass()
+    })
   }
 
   private drop (holder: BudgetHolder, cause: DropCause): void {
--- a/test/unit/runtime/pausedConnections.test.ts
+++ b/test/unit/runtime/pausedConnections.test.ts
@@ -3,6 +3,7 @@
 import type * as http from 'node:http'
 import * as net from 'node:net'
 import { expect } from 'chai'
+import * as undici from 'undici'
 import * as runtime from '@egretvalve/runtime'
 import * as settings from '@egretvalve/settings'
 import { createUnendingRequest } from '../../fixtures/clientLoad.ts'
@@ -56,9 +57,9 @@
     })
   }
 
-  /** Returns how much has been read from the sockets of the requests. */
-  function readBytes (): number {
-    return [...requests].reduce((sum, { socket }) => sum + socket.bytesRead, 0)
+  /** Returns how much has been read from the sockets of the requests, of all or of those that are open. */
+  function readBytes (isOpenOnly = false): number {
+    return [...requests].filter(({ socket }) => !isOpenOnly || !socket.destroyed).reduce((sum, { socket }) => sum + socket.bytesRead, 0)
   }
 
   it('reads no more than once from a connection that has to wait', async () => {
@@ -79,4 +80,14 @@
     expect(requests.size).to.be.above(0)
     expect(peakBytes).to.be.at.most(READ_BYTES)
   })
+
+  it('reads no connections that it does not know yet while others hold more than the reserve, and answers an ordinary request', async () => {
+    await start(4 * 1024 * 1024)
+    connectClients(200, createUnfinished(100_000))
+    let peakBytes = 0
+    for (const endsAtMs = timers.nowMs() + OBSERVED_MS; timers.nowMs() < endsAtMs; await timers.sleep(2)) peakBytes = Math.max(peakBytes, readBytes(true))
+    expect(peakBytes).to.be.at.most(8 * 1024 * 1024)
+    const answer = await undici.request(`http://127.0.0.1:${port}/`, { method: 'POST', body: 'x' })
+    expect(await answer.body.text()).to.equal('whole')
+  })
 })
--- a/test/unit/runtime/requestBudget.test.ts
+++ b/test/unit/runtime/requestBudget.test.ts
@@ -25,6 +25,12 @@
     expect(runtime.chooseDropped(holders.slice(0, 1), NOW_MS)).to.equal(holders[0])
   })
 
+  it('drops a request sooner while connections of which nothing was read wait for room', () => {
+    const holders = [hold('a', Receiving, 60_000, 150), hold('a', Receiving, 60_000, 50)]
+    expect(runtime.chooseDropped(holders, NOW_MS)).to.equal(undefined)
+    expect(runtime.chooseDropped(holders, NOW_MS, 100)).to.equal(holders[0])
+  })
+
   it('closes unfinished requests before idle connections, and none whose request is being answered or was not polled', () => {
     const holders = [hold('a', Idle, 16_384, 9_000), hold('a', Receiving, 16_384, 100), hold('a', Answering, 16_384, 9_500), hold('a', Receiving, 16_384, 0)]
     expect(runtime.chooseClosed(holders, NOW_MS)).to.equal(holders[1])
