Hold the budget's reserve also for TLS connections

Cause: what comes with the end of a handshake is decrypted and delivered by the same read, although the connection is paused when it becomes known. So each new connection brought up to 64 KB whatever was held.

--- a/packages/runtime/src/requestBudget.ts
+++ b/packages/runtime/src/requestBudget.ts
@@ -319,8 +319,13 @@
     while (this.heldBytes > maxHeldBytes - (this.waiting.size > 0 ? READ_BYTES : 0)) {
       const holder = chooseDropped(this.polledHolders, polledAtMs, freshMs)
       if (holder === undefined || (holder.state === HolderState.Idle && nowMs - polledAtMs > MAX_UNREAD_MS)) break
-      this.counters.requestsDroppedFull++
-      this.drop(holder, DropCause.BudgetFull)
+      this.dropFull(holder)
+    }
+    // A TLS connection delivers what came with the end of its handshake although it is paused.
+    while (this.isReserveFull) {
+      const holder = chooseDropped([...this.holders].filter(({ state }) => state === HolderState.Receiving), polledAtMs, 0)
+      if (holder === undefined) break
+      this.dropFull(holder)
     }
     this.resumeWaiting(nowMs)
   }
@@ -354,6 +359,11 @@
     })
   }
 
+  private dropFull (holder: BudgetHolder): void {
+    this.counters.requestsDroppedFull++
+    this.drop(holder, DropCause.BudgetFull)
+  }
+
   private drop (holder: BudgetHolder, cause: DropCause): void {
     this.remove(holder)
     holder.drop(cause)
