--- a/packages/runtime/src/requestBudget.ts
+++ b/packages/runtime/src/requestBudget.ts
@@ -184,7 +184,7 @@
 
   /** Numbers for the metrics of a process. */
   get metrics (): Record<string, number> {
-    return { requestBytesHeld: this.heldBytes, connectionsHeld: this.connectionCount, ...this.counters }
+    return { requestBytesHeld: this.heldBytes, connectionsHeld: this.connectionCount, connectionsWaiting: this.waiting.size, ...this.counters }
   }
 
   add (holder: BudgetHolder): void {
