Close no idle connection that the budget keeps from being read

Cause: an idle connection is closed by its timer, or in a planned stop, only after its socket was polled, as a request may wait there. A connection that waits for room in the budget is not polled.

--- a/packages/runtime/src/connections.ts
+++ b/packages/runtime/src/connections.ts
@@ -214,7 +214,7 @@
     for (const [socket, connection] of this.connections) {
       const nowMs = this.timers.nowMs()
       if (nowMs - startedAtMs > MAX_UNREAD_MS) return
-      if (nowMs - connection.idleSinceMs >= MIN_IDLE_MS && connection.isIdle) socket.destroy()
+      if (nowMs - connection.idleSinceMs >= MIN_IDLE_MS && connection.isIdle && !connection.isPaused) socket.destroy()
     }
   }
 
@@ -223,6 +223,11 @@
       const { startedAtMs } = await this.runTurn()
       const connection = this.connections.get(socket)
       if (connection === undefined || !connection.isIdle) return
+      if (connection.isPaused) {
+        // Its socket was not polled and may hold a request.
+        await this.timers.sleep(MIN_IDLE_MS)
+        continue
+      }
       if (this.timers.nowMs() - startedAtMs > MAX_UNREAD_MS) continue
       socket.destroy()
       return
