Try no further tasks of a step without a worker in a dispatch pass

Cause: since a blocked step no longer ends the placement of a job, each waiting task of the step is looked at, with its records of crashes and unconfirmed starts, in each pass and for each waiting job.

Change: the rest of a blocked step is skipped before anything else is asked, and a step without a label that finds no worker ends the placement, since no other step of the job can find one then.

--- a/packages/scheduler/src/placer.ts
+++ b/packages/scheduler/src/placer.ts
@@ -74,19 +74,21 @@
     let isStepBlocked = false
     let isStepAtLimit = false
     for (const task of job.waitingTasks()) {
+      const holderId = this.context.stopOrders.findHolder(task.ref)
+      if (task.ref.step === step && isStepBlocked && holderId === undefined) {
+        task.isAtLimit = isStepAtLimit
+        continue
+      }
       if (this.isSuspect(task) || this.awaitsVerdict(task)) continue
       if (task.ref.step !== step) {
         step = task.ref.step
         isStepBlocked = false
         candidates = this.findCandidates(job, step, reserved)
+        // No worker is left for the other steps either.
+        if (candidates.length === 0 && job.stepOf(task).requirement === undefined) break
         sample = sampleCandidates(candidates, job.spec.steps[step]!, sampleSize(candidates.length, this.context.entryCount()), this.context.random)
       }
-      const holderId = this.context.stopOrders.findHolder(task.ref)
       if (holderId !== undefined && !candidates.some(({ agentId }) => agentId === holderId)) continue
-      if (holderId === undefined && isStepBlocked) {
-        task.isAtLimit = isStepAtLimit
-        continue
-      }
       const hasWorker = this.placeTask(job, task, sample, candidates, reserved)
       if (task.phase === TaskPhase.Sent) placed.push(this.describePlacement(task))
       else task.isAtLimit = holderId === undefined && this.isHeldByLimit(job, task, candidates)
